Charge releases under way, and fence unanswered transactions

Now reservations are charged, every decision is also conditional on a fence key of the node's, and a new view is acted on only once the watch has reached it.

--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -150,6 +150,13 @@
 		}
 		a.Charge(j.rec.Spec.Owner, j.rec.Spec.Amount(), float64(charged))
 	}
+	// A release under way of a task without a record is in no map yet; left
+	// out here, the next pass would give its share away a second time.
+	for _, r := range n.reserve {
+		if j := r.t.job; j.rec != nil && j.tasks[r.t.n] == nil {
+			a.Charge(j.rec.Spec.Owner, j.rec.Spec.Amount(), 1)
+		}
+	}
 	return a
 }
 
@@ -255,6 +262,11 @@
 			}
 		}
 	}
+	for _, r := range n.reserve {
+		if r.t.job == j && (j.tasks[r.t.n] == nil || j.tasks[r.t.n].State == jobs.Pending) {
+			out[r.site]++
+		}
+	}
 	return out
 }
 
@@ -326,7 +338,7 @@
 		return decision{}, false
 	}
 	key := jobs.TaskKey(t.piece)
-	n.reserve[key] = reservation{host, t.job.rec.Spec.Need()}
+	n.reserve[key] = reservation{t, host, site, t.job.rec.Spec.Need()}
 	return decision{
 		writes: []store.Write{put(key, next)},
 		seen:   []string{jobs.JobPrefix + t.job.uid},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 	client *store.Client
 	mirror *store.Mirror
 	sync   syncState
+	fence  fence
 
 	jobs     map[string]*job
 	machines map[string]*machine
@@ -122,9 +123,12 @@
 
 type complaint struct{ first, last time.Time }
 
-// reservation keeps room on a machine while the placing transaction runs.
+// reservation is a release or placement whose transaction runs: it takes room
+// on its machine, counts for its zone and is charged to its team already.
 type reservation struct {
+	t    *task
 	host string
+	site string
 	need parts.Room
 }
 
@@ -143,6 +147,7 @@
 	}
 	n.client = store.New(out.State, out.Watch)
 	n.mirror = store.NewMirror(n.changed)
+	n.fence.key = fencePrefix + set.NodeName
 	n.lead.reset()
 	n.budget()
 	return n
@@ -176,6 +181,13 @@
 	if !n.sync.live {
 		return
 	}
+	if n.mirror.Epoch < n.mirror.Stamp(members.ViewKey) {
+		// Our own commit of the view is ahead of the watch: what the last view
+		// still committed is not all here yet, and deciding without it would
+		// forget charges and placements.
+		n.dirty = true
+		return
+	}
 	n.updateRole()
 	n.ownerPass()
 	n.leaderPass()
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -479,7 +479,7 @@
 		return decision{}, false
 	}
 	key := jobs.TaskKey(t.piece)
-	n.reserve[key] = reservation{host, t.job.rec.Spec.Need()}
+	n.reserve[key] = reservation{t, host, n.machines[host].Site, t.job.rec.Spec.Need()}
 	return decision{
 		writes: []store.Write{put(key, next)},
 		seen:   []string{jobs.JobPrefix + t.job.uid, fleet.HostPrefix + host},
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -15,11 +15,12 @@
 
 const (
 	buildPrefix = "build/"
+	fencePrefix = "fence/"
 	summaryKey  = "scaler"
 )
 
 // livePrefixes are read whole at a start. Jobs come before their tasks.
-var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, fleet.HostPrefix, buildPrefix, members.MemberPrefix, members.ViewKey, summaryKey}
+var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, fleet.HostPrefix, buildPrefix, fencePrefix, members.MemberPrefix, members.ViewKey, summaryKey}
 
 // syncState is how far the mirror has got.
 type syncState struct {
@@ -134,7 +135,7 @@
 // commit packs decisions into transactions within txn_ops and 64 KiB.
 // Decisions that touch a record under a transaction are left for a later pass.
 func (n *Node) commit(ds []decision) {
-	if n.client.Down() || n.view == nil {
+	if n.client.Down() || n.view == nil || n.fencing() {
 		for _, d := range ds {
 			if d.done != nil {
 				d.done(false)
@@ -188,6 +189,7 @@
 		}
 	}
 	cond(members.ViewKey)
+	cond(n.fence.key)
 	for _, d := range batch {
 		for _, w := range d.writes {
 			cond(writeKey(w))
@@ -210,9 +212,11 @@
 			return
 		}
 		if errors.Is(err, store.ErrUnknown) {
-			// The transaction may have been executed, or may be yet. Whatever
-			// is decided next writes the same records on condition of their
-			// stamps, so that only one of the two can take effect. Read first.
+			// The transaction may have been executed, or may be yet. Nothing is
+			// decided before it is known which: the fence makes it impossible
+			// from now on, and the watch shows whether it was in time. Without
+			// the fence a late release would go beyond a team's limit.
+			n.fence.needed = true
 			n.log.Info("transaction without answer", "writes", len(t.Writes), "error", err)
 			n.settleKeys(nil, t.Writes, batch)
 			return
@@ -263,3 +267,41 @@
 	}
 	n.dirty = true
 }
+
+// fence is a key of this node that every decision of its is conditional on.
+// Changing it makes every transaction still under way fail.
+type fence struct {
+	key     string
+	needed  bool
+	running bool
+	until   uint64 // the watch must get here before anything is decided
+}
+
+// fencing tells whether decisions must wait, and raises the fence if needed.
+func (n *Node) fencing() bool {
+	f := &n.fence
+	if f.needed && !f.running && !n.client.Down() {
+		f.running = true
+		t := store.Txn{
+			If:     []store.Cond{{Key: f.key, Stamp: n.mirror.Stamp(f.key)}},
+			Writes: []store.Write{put(f.key, n.ms())},
+		}
+		n.client.Multi(store.Membership, t, func(epoch uint64, _ []string, err error) {
+			f.running = false
+			n.dirty = true
+			switch {
+			case err == nil:
+				n.mirror.Commit(t.Writes, epoch)
+				f.needed, f.until = false, epoch
+			case errors.Is(err, store.ErrConflict):
+				// An earlier try came through unanswered: the watch shows it.
+				n.client.Get(store.Membership, f.key, nil, func(it *store.Item, err error) {
+					if err == nil && it != nil {
+						n.mirror.Put(it.Key, it.Value, it.Stamp)
+					}
+				})
+			}
+		})
+	}
+	return f.needed || n.mirror.Epoch < f.until
+}
