--- /dev/null
+++ b/internal/jobs/jobs_test.go
@@ -0,0 +1,136 @@
+package jobs
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/harrierreel/harrierreel/internal/quota"
+)
+
+const good = `{"uid":"wk-000412","jobclass":"train","owner":"vision","shape":"ensemble","rank":"urgent","pieces":16,
+ "cores":8.0,"accelerators":1.0,"memory_gb":64.0,"bundle":"img-07","pull_gb":6.2,"builds":["g8"],"site":null,
+ "same_place":true,"scatter":false,"loaner":true,"expect_s":240.0,"snapshot_s":30.0,"stash_s":4.0,"due_s":900.0,"new":{"x":1}}`
+
+func TestParseSpec(t *testing.T) {
+	s, err := ParseSpec([]byte(good))
+	if err != nil || s.Pieces != 16 || s.UID != "wk-000412" || *s.DueS != 900 || !s.SamePlace || s.Site != "" {
+		t.Fatalf("%+v %v", s, err)
+	}
+	for field, change := range map[string][2]string{
+		"uid":       {`"wk-000412"`, `"job-1"`},
+		"pieces":    {`"pieces":16`, `"pieces":0`},
+		"pieces ":   {`"pieces":16`, `"pieces":1.5`},
+		"pieces  ":  {`"pieces":16`, `"pieces":100001`},
+		"shape":     {`"ensemble"`, `"heap"`},
+		"rank":      {`"urgent"`, `"highest"`},
+		"cores":     {`8.0`, `-1`},
+		"memory_gb": {`"memory_gb":64.0,`, ``},
+		"owner":     {`"vision"`, `""`},
+		"bundle":    {`"bundle":"img-07",`, ``},
+		"builds":    {`["g8"]`, `[]`},
+	} {
+		body := strings.Replace(good, change[0], change[1], 1)
+		if _, err := ParseSpec([]byte(body)); err == nil || !strings.HasPrefix(err.Error(), strings.TrimSpace(field)) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+	for _, body := range []string{"", "null", "[]", `"x"`, "{", `{"uid":5}`} {
+		if _, err := ParseSpec([]byte(body)); err == nil {
+			t.Errorf("%q was taken", body)
+		}
+	}
+}
+
+func TestCanEverRun(t *testing.T) {
+	builds := map[string]*Build{"g4": {Name: "g4", Cores: 8, Accel: 4, MemoryGB: 64, Sites: []string{"a"}}}
+	teams := map[string]quota.Team{"t": {Max: quota.Amount{Accelerators: 4}}}
+	base := Spec{Owner: "t", Shape: Sweep, Pieces: 9, Cores: 1, Accel: 1, MemoryGB: 1}
+	for name, c := range map[string]struct {
+		change func(*Spec)
+		ok     bool
+	}{
+		"array counts one task":   {func(*Spec) {}, true},
+		"gang counts all":         {func(s *Spec) { s.Shape = Ensemble }, false},
+		"service counts all":      {func(s *Spec) { s.Shape, s.Pieces = Standing, 4 }, true},
+		"unknown team":            {func(s *Spec) { s.Owner = "x" }, false},
+		"unknown type":            {func(s *Spec) { s.Builds = []string{"g9"} }, false},
+		"type not in that zone":   {func(s *Spec) { s.Site = "b" }, false},
+		"too big for any machine": {func(s *Spec) { s.Accel = 5 }, false},
+	} {
+		s := base
+		c.change(&s)
+		if why := CanEverRun(&s, teams, builds); (why == "") != c.ok {
+			t.Errorf("%s: %q", name, why)
+		}
+	}
+}
+
+func TestNextTask(t *testing.T) {
+	step := func(x Task, e TaskEvent) Task {
+		t.Helper()
+		next, ok := NextTask(x, e)
+		if !ok {
+			t.Fatalf("%s not possible from %s", e.Kind, x.State)
+		}
+		return next
+	}
+	x := step(Task{}, TaskEvent{Kind: Release, Part: "n1", Site: "a"})
+	if !x.Charged() || x.On() {
+		t.Error("released is charged and on no machine")
+	}
+	x = step(x, TaskEvent{Kind: Place, Host: "i-1", Try: 1})
+	if _, ok := NextTask(x, TaskEvent{Kind: Place, Host: "i-2", Try: 2}); ok {
+		t.Error("placed twice")
+	}
+	x = step(x, TaskEvent{Kind: Stop, Why: "room"})
+	x = step(x, TaskEvent{Kind: Fail, AfterMs: 5})
+	if x.Fails != 1 || len(x.Bad) != 1 || x.Charged() || x.Try != 1 {
+		t.Errorf("%+v", x)
+	}
+	if _, ok := NextTask(x, TaskEvent{Kind: Place, Host: "i-2", Try: 1}); ok {
+		t.Error("a try was used again")
+	}
+	x = step(x, TaskEvent{Kind: Place, Host: "i-2", Try: 2})
+	x = step(x, TaskEvent{Kind: Complete})
+	for _, e := range []TaskEventKind{Release, Place, Stop, Gone, Fail, TakeBack, Complete} {
+		if _, ok := NextTask(x, TaskEvent{Kind: e, Try: 9}); ok {
+			t.Errorf("%s after done", e)
+		}
+	}
+}
+
+func TestNextJob(t *testing.T) {
+	for _, s := range []JobState{Done, Cancelled} {
+		for _, e := range []JobEvent{UserCancels, TasksAllDone} {
+			if _, ok := NextJob(s, e); ok {
+				t.Errorf("%s changed on %s", s, e)
+			}
+		}
+	}
+}
+
+func TestSplitPiece(t *testing.T) {
+	if uid, n, ok := SplitPiece("wk-000412/3"); !ok || uid != "wk-000412" || n != 3 {
+		t.Error(uid, n, ok)
+	}
+	for _, bad := range []string{"", "wk-1", "wk-1/", "wk-1/-1", "wk-1/03", "x/1", "wk-1/100000", "wk-1/1/2"} {
+		if _, _, ok := SplitPiece(bad); ok {
+			t.Errorf("%q was taken", bad)
+		}
+	}
+}
+
+func FuzzRecords(f *testing.F) {
+	f.Add([]byte(`{"s":"live","at":1,"spec":{"uid":"wk-1","pieces":1,"rank":"prod"}}`))
+	f.Add([]byte(`{"s":"placed","host":"i-1","try":1}`))
+	f.Add([]byte(good))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if r, err := DecodeRecord("wk-1", b); err == nil && r.Spec.UID != "wk-1" {
+			t.Error("another job's record")
+		}
+		if x, err := DecodeTask(b); err == nil && x.On() && x.Host == "" {
+			t.Error("on no machine")
+		}
+		_, _ = ParseSpec(b)
+	})
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,95 @@
+package settings
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `
+node_name = "n0"
+zone = "a"
+front = "127.0.0.1:8080"
+peer_listen = "127.0.0.1:8081"
+surprise = 1
+[[peers]]
+node_name = "n1"
+zone = "b"
+address = "127.0.0.1:8082"
+[outside]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:2"
+[cluster]
+size = 2
+zones = ["a", "b"]
+[[cluster.teams]]
+name = "t"
+gpus_max = 4.0
+[cluster.workers]
+report_s = 3.0
+lease_s = 30.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 60.0
+[cluster.state]
+rps = 100.0
+write_rps = 50.0
+value_kb = 8.0
+txn_ops = 16
+[cluster.cloud]
+rps = 3.0
+list_lag_s = 4.0
+[cluster.limits]
+memory_mb = 200.0
+fd_limit = 1000
+`
+
+func TestGood(t *testing.T) {
+	s, errs := Parse([]byte(good))
+	if len(errs) != 0 || s.TeamMap()["t"].Max.Accelerators != 4 {
+		t.Fatal(errs)
+	}
+}
+
+func TestEveryFaultIsNamed(t *testing.T) {
+	bad := strings.NewReplacer(`"127.0.0.1:8080"`, `"localhost:80"`, `report_s = 3.0`, `report_s = 0.0`, `node_name = "n1"`, `node_name = "n0"`,
+		`fd_limit = 1000`, `fd_limit = 3`, `state = "127.0.0.1:2"`, `state = "nowhere"`).Replace(good)
+	_, errs := Parse([]byte(bad))
+	text := errors.Join(errs...).Error()
+	for _, field := range []string{"front", "cluster.workers.report_s", "peers[0].node_name", "cluster.limits.fd_limit", "outside.state"} {
+		if !strings.Contains(text, field+":") {
+			t.Errorf("%s is not named in %q", field, text)
+		}
+	}
+	if _, errs := Parse([]byte("= nonsense")); len(errs) == 0 {
+		t.Error("nonsense was taken")
+	}
+}
+
+func operator(t *testing.T, text string) (Operator, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "operator.hcl")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	op, errs := loadOperator(file)
+	return op, errors.Join(errs...)
+}
+
+func TestOperator(t *testing.T) {
+	op, err := operator(t, "scaler {\n  tolerance = 0.2\n  plan_steps = 6\n}\ndrain {\n  steps = 5\n}\n")
+	if err != nil || op.Tolerance != 0.2 || op.PlanSteps != 6 || op.DrainSteps != 5 || op.Samples != DefaultOperator().Samples {
+		t.Errorf("%+v %v", op, err)
+	}
+	_, err = operator(t, "scaler {\n  tolerance = 2\n  samples = 0\n}\ndrain {\n  steps = 1\n}\n")
+	for _, field := range []string{"scaler.tolerance", "scaler.samples", "drain.revive_steps"} {
+		if err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s is not named in %v", field, err)
+		}
+	}
+	if _, err = operator(t, "scaler {"); err == nil {
+		t.Error("a broken file was taken")
+	}
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -139,7 +139,9 @@
 }
 
 // AddRunning puts up a machine that is there from the start.
-func (c *Cloud) AddRunning(build, site string, loaner bool) string { return c.add(build, site, loaner, 0) }
+func (c *Cloud) AddRunning(build, site string, loaner bool) string {
+	return c.add(build, site, loaner, 0)
+}
 
 // Remove takes a machine away with all that is on it.
 func (c *Cloud) Remove(id string) {
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,108 @@
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"testing"
+	"time"
+)
+
+func mirror() (*Mirror, map[string]string) {
+	seen := map[string]string{}
+	return NewMirror(func(k string, v json.RawMessage, _ uint64) {
+		if v == nil {
+			delete(seen, k)
+		} else {
+			seen[k] = string(v)
+		}
+	}), seen
+}
+
+func TestMirrorOwnCommitsRunAheadOfTheWatch(t *testing.T) {
+	m, seen := mirror()
+	m.Follow(5, []Event{{Put: "k", Value: json.RawMessage("1"), Stamp: 5}})
+	m.Commit([]Write{{Remove: "k"}}, 9)
+	m.Follow(7, []Event{{Put: "k", Value: json.RawMessage("2"), Stamp: 7}})
+	if _, ok := seen["k"]; ok {
+		t.Error("an older event brought a removed key back")
+	}
+	m.Follow(9, []Event{{Remove: "k", Stamp: 9}})
+	m.Follow(11, []Event{{Put: "k", Value: json.RawMessage("3"), Stamp: 11}})
+	if seen["k"] != "3" {
+		t.Errorf("%v", seen)
+	}
+	m.Put("k", json.RawMessage("old"), 4)
+	if seen["k"] != "3" || m.Stamp("k") != 11 {
+		t.Error("an older value replaced a newer one")
+	}
+}
+
+func TestMirrorListing(t *testing.T) {
+	m, seen := mirror()
+	m.Follow(5, []Event{{Put: "a/1", Value: json.RawMessage("1"), Stamp: 4}, {Put: "a/2", Value: json.RawMessage("1"), Stamp: 5}})
+	m.Listed("a/", []Item{{Key: "a/2", Value: json.RawMessage("2"), Stamp: 6}}, 8)
+	if _, ok := seen["a/1"]; ok || seen["a/2"] != "2" {
+		t.Errorf("%v", seen)
+	}
+}
+
+func TestBudgetAndPriorities(t *testing.T) {
+	var sent []string
+	call := func(method, target string, _ []byte, _ time.Duration, _ func(int, []byte, error)) {
+		sent = append(sent, target)
+	}
+	c := New(call, call)
+	c.SetBudget(10, 10)
+	now := time.Unix(0, 0)
+	c.Pump(now)
+	nop := func(*Item, error) {}
+	for range 8 {
+		c.Get(User, "user", nil, nop)
+	}
+	if len(sent) != 5 {
+		t.Fatalf("half a second's worth at a start: %d", len(sent))
+	}
+	c.Get(Decision, "decision", nil, nop)
+	c.Renew(1, func(error) {})
+	if sent[len(sent)-1] != "/grants/1/renew" {
+		t.Error("a lease is renewed whatever the budget")
+	}
+	sent = nil
+	c.Pump(now.Add(300 * time.Millisecond))
+	if len(sent) == 0 || sent[0] != "/store/decision" {
+		t.Errorf("decisions go before users: %v", sent)
+	}
+	refused := 0
+	for range 100 {
+		c.Get(User, "x", nil, func(_ *Item, err error) {
+			if errors.Is(err, ErrDown) {
+				refused++
+			}
+		})
+	}
+	if refused == 0 {
+		t.Error("the queue has a bound, beyond it users are refused at once")
+	}
+}
+
+func TestOutcomes(t *testing.T) {
+	status, err := 0, error(nil)
+	call := func(_, _ string, _ []byte, _ time.Duration, done func(int, []byte, error)) {
+		done(status, []byte(`{"failed":["k"],"epoch":3}`), err)
+	}
+	c := New(call, call)
+	c.SetBudget(1000, 1000)
+	c.Pump(time.Unix(0, 0))
+	for _, x := range []struct {
+		status int
+		err    error
+		want   error
+	}{{200, nil, nil}, {409, nil, ErrConflict}, {503, nil, ErrDown}, {429, nil, ErrDown}, {400, nil, ErrRefused}, {0, errors.New("cut"), ErrUnknown}} {
+		status, err = x.status, x.err
+		c.Multi(Decision, Txn{}, func(_ uint64, _ []string, got error) {
+			if !errors.Is(got, x.want) {
+				t.Errorf("%d %v: %v", x.status, x.err, got)
+			}
+		})
+	}
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"errors"
-	"io"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -31,6 +30,8 @@
 	Handle func(m *Message, respond func(Reply))
 	// Line is called for every line that a peer sends.
 	Line func(line []byte)
+	// Listening, if set, is called whenever the listener has been set up.
+	Listening func()
 
 	open  atomic.Int64
 	mu    sync.Mutex
@@ -77,6 +78,12 @@
 	s.mu.Unlock()
 	s.open.Store(0)
 	ev := evio.Events{NumLoops: 1}
+	ev.Serving = func(evio.Server) evio.Action {
+		if s.Listening != nil {
+			s.Listening()
+		}
+		return evio.None
+	}
 	ev.Opened = s.opened
 	ev.Closed = s.closed
 	ev.Data = s.data
@@ -229,5 +236,3 @@
 	}
 	return nil, evio.None
 }
-
-var _ io.Closer = (*Client)(nil)
--- /dev/null
+++ b/internal/wire/server_test.go
@@ -0,0 +1,209 @@
+package wire
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// freeAddr is a loopback address that nobody listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// serve runs a server; the channel tells of every set-up of its listener.
+func serve(t *testing.T, conns int) (*Server, <-chan struct{}) {
+	t.Helper()
+	up := make(chan struct{}, 100)
+	s := &Server{Front: freeAddr(t), MaxConns: conns, Listening: func() { up <- struct{}{} }, Handle: func(m *Message, respond func(Reply)) {
+		if m.Target == "/later" {
+			go respond(Reply{Status: 201, Body: m.Body})
+			return
+		}
+		respond(Reply{Status: 200, Body: m.Body})
+	}}
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() { s.Run(stop); close(ended) }()
+	t.Cleanup(func() { close(stop); <-ended })
+	<-up
+	return s, up
+}
+
+// answers checks that the server answers.
+func answers(t *testing.T, addr string) {
+	t.Helper()
+	c := &Client{Addr: addr, MaxBody: 1 << 16}
+	m, err := c.Do("GET", "/", nil, time.Minute)
+	if err != nil || m.Status != 200 {
+		t.Fatalf("no answer: %v", err)
+	}
+}
+
+func TestServerAnswers(t *testing.T) {
+	s, _ := serve(t, 100)
+	c := &Client{Addr: s.Front, MaxIdle: 1, MaxBody: 1 << 17}
+	for _, target := range []string{"/now", "/later", "/now"} {
+		body := []byte(strings.Repeat("x", 60000))
+		m, err := c.Do("POST", target, body, 5*time.Second)
+		if err != nil || len(m.Body) != len(body) {
+			t.Fatalf("%s: %v", target, err)
+		}
+	}
+}
+
+func TestServerOutlivesBadClients(t *testing.T) {
+	s, _ := serve(t, 100)
+	for _, text := range []string{
+		"\x00\x01\x02\n", "GET / HTTP/1.1\r\n", "POST / HTTP/1.1\r\nContent-Length: 70000\r\n\r\n",
+		"POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc", strings.Repeat("A", 20000),
+	} {
+		conn, err := net.Dial("tcp4", s.Front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(conn, text)
+		conn.Close()
+	}
+	// Pipelining is against the protocol: the first is answered, then the
+	// connection ends.
+	conn, err := net.Dial("tcp4", s.Front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "GET /later HTTP/1.1\r\n\r\nGET /now HTTP/1.1\r\n\r\n")
+	all, _ := io.ReadAll(bufio.NewReader(conn))
+	if n := strings.Count(string(all), "HTTP/1.1 "); n != 1 {
+		t.Errorf("%d answers to a pipelined pair", n)
+	}
+	answers(t, s.Front)
+}
+
+func TestServerClosesBeyondItsCap(t *testing.T) {
+	s, _ := serve(t, 3)
+	for range 3 {
+		c, err := net.Dial("tcp4", s.Front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprint(c, "GET / HTTP/1.1\r\n\r\n")
+		if _, err := c.Read(make([]byte, 10)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c, err := net.Dial("tcp4", s.Front)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if n, err := c.Read(make([]byte, 10)); err == nil {
+		t.Errorf("a connection beyond the cap got %d bytes", n)
+	}
+	if s.Down.Load() != 0 {
+		t.Error("the listener ended")
+	}
+}
+
+// TestServerSurvivesRunningOutOfSockets runs a server in a process that may
+// open few descriptors. Connections beyond them end evio's accept loop with
+// EMFILE; the server must set itself up again.
+func TestServerSurvivesRunningOutOfSockets(t *testing.T) {
+	if os.Getenv("FEW_SOCKETS") != "" {
+		fewSockets(t)
+		return
+	}
+	cmd := exec.Command(os.Args[0], "-test.run=^TestServerSurvivesRunningOutOfSockets$")
+	cmd.Env = append(os.Environ(), "FEW_SOCKETS=1")
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	lines := bufio.NewScanner(out)
+	if !lines.Scan() {
+		t.Fatal("no address")
+	}
+	addr := lines.Text()
+	var conns []net.Conn
+	for range 60 {
+		c, err := net.Dial("tcp4", addr)
+		if err != nil {
+			break // the listener has gone down already
+		}
+		conns = append(conns, c)
+	}
+	if !lines.Scan() || lines.Text() != "down" {
+		t.Fatalf("the accept loop never ended: %q", lines.Text())
+	}
+	for _, c := range conns {
+		c.Close()
+	}
+	for lines.Scan() && lines.Text() != "up" {
+	}
+	answers(t, addr)
+	in.Close()
+	for lines.Scan() {
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func fewSockets(t *testing.T) {
+	if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: 40, Max: 40}); err != nil {
+		t.Fatal(err)
+	}
+	s, up := serve(t, 100000)
+	fmt.Println(s.Front)
+	<-up
+	fmt.Println("down")
+	fmt.Println("up")
+	_, _ = io.ReadAll(os.Stdin)
+}
+
+func TestPeerLines(t *testing.T) {
+	got := make(chan string, 10)
+	s := &Server{Front: freeAddr(t), Peer: freeAddr(t), MaxConns: 10,
+		Handle: func(_ *Message, respond func(Reply)) { respond(Reply{Status: 200}) },
+		Line:   func(b []byte) { got <- string(b) }}
+	up := make(chan struct{}, 10)
+	s.Listening = func() { up <- struct{}{} }
+	stop := make(chan struct{})
+	ended := make(chan struct{})
+	go func() { s.Run(stop); close(ended) }()
+	defer func() { close(stop); <-ended }()
+	<-up
+	conn, err := net.Dial("tcp4", s.Peer)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	fmt.Fprint(conn, "{\"a\":1}\n{\"b\"")
+	fmt.Fprint(conn, ":2}\n")
+	for _, want := range []string{`{"a":1}`, `{"b":2}`} {
+		if line := <-got; line != want {
+			t.Errorf("%s, not %s", line, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,94 @@
+package wire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func TestParseRequest(t *testing.T) {
+	text := "POST /work HTTP/1.1\r\nHost: x\r\ncontent-length: 2\r\n\r\n{}GET"
+	m, used, err := Parse(Request, []byte(text), 100)
+	if err != nil || m.Method != "POST" || m.Target != "/work" || string(m.Body) != "{}" || used != len(text)-3 {
+		t.Fatalf("%+v %d %v", m, used, err)
+	}
+	for i := range len(text) - 3 {
+		if m, _, err := Parse(Request, []byte(text[:i]), 100); m != nil || err != nil {
+			t.Fatalf("first %d bytes: %v %v", i, m, err)
+		}
+	}
+}
+
+func TestParseRefuses(t *testing.T) {
+	for name, text := range map[string]string{
+		"no version":        "GET /\r\n\r\n",
+		"wrong version":     "GET / HTTP/2.0\r\n\r\n",
+		"relative target":   "GET x HTTP/1.1\r\n\r\n",
+		"bare line feeds":   "GET / HTTP/1.1\n\n",
+		"space in name":     "GET / HTTP/1.1\r\nA B: c\r\n\r\n",
+		"no colon":          "GET / HTTP/1.1\r\nabc\r\n\r\n",
+		"two lengths":       "GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+		"signed length":     "GET / HTTP/1.1\r\nContent-Length: +1\r\n\r\nx",
+		"chunked request":   "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"too large":         "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n",
+		"garbage":           "\x16\x03\x01\x02\n\x00",
+		"control in target": "GET /\x01 HTTP/1.1\r\n\r\n",
+		"endless head":      "GET / HTTP/1.1\r\nA: " + strings.Repeat("a", 9000),
+	} {
+		if m, _, err := Parse(Request, []byte(text), 100); err == nil {
+			t.Errorf("%s: taken as %+v", name, m)
+		}
+	}
+}
+
+func TestParseResponse(t *testing.T) {
+	m, _, err := Parse(Response, []byte("HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), 10)
+	if err != nil || m.Status != 503 || !m.Close {
+		t.Fatalf("%+v %v", m, err)
+	}
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\nA\r\n0123456789\r\n0\r\n\r\n"
+	m, used, err := Parse(Response, []byte(chunked), 20)
+	if err != nil || string(m.Body) != "abc0123456789" || used != len(chunked) {
+		t.Fatalf("%+v %d %v", m, used, err)
+	}
+	if _, _, err := Parse(Response, []byte(chunked), 12); err == nil {
+		t.Error("the bound on the body holds for chunks")
+	}
+}
+
+func TestRoundTrip(t *testing.T) {
+	out := AppendResponse(nil, 503, []byte("{}"), false, 7)
+	if !bytes.Contains(out, []byte("\r\nRetry-After: 7\r\n")) {
+		t.Errorf("%s", out)
+	}
+	m, used, err := Parse(Response, out, 10)
+	if err != nil || used != len(out) || m.Status != 503 || string(m.Body) != "{}" {
+		t.Errorf("%+v %v", m, err)
+	}
+	out = AppendRequest(nil, "POST", "/x?y=z", "h:1", []byte("abc"), true)
+	m, used, err = Parse(Request, out, 10)
+	if err != nil || used != len(out) || m.Target != "/x?y=z" || !m.Close {
+		t.Errorf("%+v %v", m, err)
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("POST /work HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, k := range []Kind{Request, Response} {
+			m, used, err := Parse(k, b, 64)
+			if m == nil {
+				continue
+			}
+			if err != nil || used > len(b) || len(m.Body) > 64 {
+				t.Fatalf("%+v %d %v", m, used, err)
+			}
+			// What follows a message does not change it.
+			again, used2, err := Parse(k, append(bytes.Clone(b[:used]), 'x'), 64)
+			if err != nil || used2 != used || !bytes.Equal(again.Body, m.Body) {
+				t.Fatalf("%+v against %+v", again, m)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/workers/session_test.go
@@ -0,0 +1,138 @@
+package workers
+
+import (
+	"testing"
+	"time"
+)
+
+var now = time.Unix(1000, 0)
+
+func report(tenure, tick, baton uint64, ps ...Piece) *Report {
+	return &Report{Host: "i-1", Tenure: tenure, Tick: tick, Baton: baton, Pieces: ps}
+}
+
+func known(t *testing.T) *Session {
+	t.Helper()
+	s := NewSession("i-1", 3, now)
+	s.Accept(report(1, 1, s.Baton()), now, nil)
+	if s.State != Known {
+		t.Fatal("a report with our baton makes the machine known")
+	}
+	return s
+}
+
+func verdict(s *Session, piece string, try uint64) Verdict {
+	v, _ := s.Judge(piece, try)
+	return v
+}
+
+func TestBatonIsEpochAndCounter(t *testing.T) {
+	s := NewSession("i-1", 3, now)
+	if s.Baton() != 3<<20 {
+		t.Errorf("baton %d", s.Baton())
+	}
+	s.Unanswered()
+	if s.Baton() != 3<<20+1 {
+		t.Errorf("an unanswered command raises the counter: %d", s.Baton())
+	}
+	s.NewEpoch(4)
+	if s.Baton() != 4<<20 || s.State != Unseen {
+		t.Errorf("a new epoch starts anew: %d %s", s.Baton(), s.State)
+	}
+}
+
+func TestReportsUnderAnotherBatonProveNothing(t *testing.T) {
+	s := NewSession("i-1", 3, now)
+	s.Accept(report(1, 1, 2<<20), now, map[string]uint64{"wk-1/0": 1})
+	if v := verdict(s, "wk-1/0", 1); v != Unclear {
+		t.Errorf("%s", v)
+	}
+}
+
+func TestRecordedButNotThereAtAdoption(t *testing.T) {
+	s := NewSession("i-1", 3, now)
+	s.Accept(report(1, 5, s.Baton(), Piece{Piece: "wk-1/1", Try: 2, Status: Running}), now, map[string]uint64{"wk-1/0": 1, "wk-1/1": 2})
+	if v := verdict(s, "wk-1/0", 1); v != Missing {
+		t.Errorf("its try is over: %s", v)
+	}
+	if v := verdict(s, "wk-1/1", 2); v != OnIt {
+		t.Errorf("%s", v)
+	}
+	if v := verdict(s, "wk-1/2", 1); v != ToLaunch {
+		t.Errorf("placed later: %s", v)
+	}
+}
+
+func TestLaunchIsJudgedOnlyAfterItsAnswer(t *testing.T) {
+	s := known(t)
+	s.Sending([]Order{{Verb: Launch, Piece: "wk-1/0", Try: 1}}, now)
+	s.Accept(report(1, 2, s.Baton()), now, nil)
+	if v := verdict(s, "wk-1/0", 1); v != Sent {
+		t.Errorf("under way: %s", v)
+	}
+	s.Answered()
+	s.Accept(report(1, 3, s.Baton(), Piece{Piece: "wk-1/0", Try: 1, Status: Pulling}), now, nil)
+	if v := verdict(s, "wk-1/0", 1); v != OnIt {
+		t.Errorf("%s", v)
+	}
+	s.Accept(report(1, 4, s.Baton()), now, nil)
+	if v := verdict(s, "wk-1/0", 1); v != Missing {
+		t.Errorf("gone: %s", v)
+	}
+}
+
+func TestUnansweredLaunchWaitsForTheNewBaton(t *testing.T) {
+	s := known(t)
+	s.Sending([]Order{{Verb: Launch, Piece: "wk-1/0", Try: 1}}, now)
+	s.Unanswered()
+	s.Accept(report(1, 9, s.Baton()-1), now, nil)
+	if v := verdict(s, "wk-1/0", 1); v != Unclear {
+		t.Errorf("the old command may still come: %s", v)
+	}
+	s.Accept(report(1, 10, s.Baton()), now, map[string]uint64{"wk-1/0": 1})
+	if v := verdict(s, "wk-1/0", 1); v != Missing {
+		t.Errorf("now it cannot: %s", v)
+	}
+}
+
+func TestNewTenureEndsAllTries(t *testing.T) {
+	s := known(t)
+	s.Sending([]Order{{Verb: Launch, Piece: "wk-1/0", Try: 1}}, now)
+	s.Answered()
+	s.Accept(report(1, 2, s.Baton(), Piece{Piece: "wk-1/0", Try: 1, Status: Running}), now, nil)
+	s.Accept(report(2, 3, s.Baton()), now, map[string]uint64{"wk-1/0": 1})
+	if v := verdict(s, "wk-1/0", 1); v != Missing {
+		t.Errorf("%s", v)
+	}
+}
+
+func TestOldReportsAreIgnored(t *testing.T) {
+	s := known(t)
+	s.Accept(report(2, 8, s.Baton(), Piece{Piece: "wk-1/0", Try: 1, Status: Running}), now, nil)
+	for _, r := range []*Report{report(2, 8, s.Baton()), report(2, 7, s.Baton()), report(1, 99, s.Baton())} {
+		if s.Accept(r, now, nil) {
+			t.Errorf("%d/%d is not newer", r.Tenure, r.Tick)
+		}
+	}
+}
+
+func TestRefusedBelievesTheNextReport(t *testing.T) {
+	s := known(t)
+	s.Sending([]Order{{Verb: Launch, Piece: "wk-1/0", Try: 1}}, now)
+	s.Refused()
+	if v := verdict(s, "wk-1/0", 1); v != Unclear {
+		t.Errorf("%s", v)
+	}
+	s.Accept(report(2, 9, s.Baton()), now, map[string]uint64{"wk-1/0": 1})
+	if v := verdict(s, "wk-1/0", 1); v != Missing {
+		t.Errorf("%s", v)
+	}
+}
+
+func TestAnOlderTryHoldsBackTheLaunch(t *testing.T) {
+	s := known(t)
+	s.Accept(report(1, 2, s.Baton(), Piece{Piece: "wk-1/0", Try: 1, Status: Saving}), now, nil)
+	if v := verdict(s, "wk-1/0", 2); v != Unclear {
+		t.Errorf("%s", v)
+	}
+}
