--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -165,14 +165,14 @@
 	return a
 }
 
-// order is the queue: production first, then what lies within a guarantee,
-// then by when it should be complete.
+// queue orders the live jobs that wait: by rank, then what lies within a
+// guarantee, then by the time by which they must start to meet their aim.
 func (n *Node) queue(a *quota.Account) []*job {
 	type entry struct {
 		j      *job
 		rank   int
 		beyond bool
-		due    int64
+		start  int64
 	}
 	var q []entry
 	for _, j := range n.jobs {
@@ -180,16 +180,8 @@
 			continue
 		}
 		spec := &j.rec.Spec
-		team := n.teams[spec.Owner]
-		within := team.Guarantees(a.Used(spec.Owner).Add(spec.Amount(), 1))
-		due := j.rec.AtMs + queueHorizonMs
-		if spec.DueS != nil {
-			due = j.rec.AtMs + int64(*spec.DueS*1000)
-		}
-		if spec.Shape == jobs.Standing {
-			due = j.rec.AtMs
-		}
-		q = append(q, entry{j, spec.RankOrder(), !within, due})
+		within := n.teams[spec.Owner].Guarantees(a.Used(spec.Owner).Add(spec.Amount(), 1))
+		q = append(q, entry{j, spec.RankOrder(), !within, n.startBy(j.rec, within)})
 	}
 	sort.Slice(q, func(x, y int) bool {
 		a, b := q[x], q[y]
@@ -198,8 +190,8 @@
 			return a.rank < b.rank
 		case a.beyond != b.beyond:
 			return !a.beyond
-		case a.due != b.due:
-			return a.due < b.due
+		case a.start != b.start:
+			return a.start < b.start
 		}
 		return a.j.uid < b.j.uid
 	})
@@ -210,8 +202,30 @@
 	return out
 }
 
-// queueHorizonMs is the place in the queue of a job without a deadline.
-const queueHorizonMs = 3600 * 1000
+// startBy is the time by which a job must start to meet the next of its
+// class's aims that it still can; a job that has missed them all comes after
+// those that have not, until it has waited very long.
+func (n *Node) startBy(r *jobs.Record, within bool) int64 {
+	late := r.AtMs + tuning.QueueHorizon.Milliseconds()
+	best := late
+	consider := func(seconds float64) {
+		if t := r.AtMs + int64(seconds*1000); t > n.ms() && t < best {
+			best = t
+		}
+	}
+	for _, o := range n.set.Cluster.Objectives {
+		switch {
+		case o.Kind == "guarantee" && within, o.Kind == "wait" && o.Class == r.Spec.Class:
+			consider(o.WithinS)
+		case o.Kind == "finished" && o.Class == r.Spec.Class:
+			consider(o.WithinS - r.Spec.ExpectS)
+		}
+	}
+	if r.Spec.DueS != nil {
+		consider(*r.Spec.DueS - r.Spec.ExpectS)
+	}
+	return best
+}
 
 func (j *job) pendingCount() int {
 	c := 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	n     int
 	job   *job
 	since time.Time // when this state was first seen
+	ran   bool      // seen running
 }
 
 // machine is a machine's record in memory.
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -132,6 +132,12 @@
 			}
 			out.orders = append(out.orders, workers.Order{Verb: workers.Launch, Piece: piece, Try: t.Try})
 		case workers.OnIt:
+			if p.Status == workers.Running && !t.ran {
+				t.ran = true
+				if t.job.rec != nil {
+					n.log.Debug("runs", "task", piece, "class", t.job.rec.Spec.Class, "machine", s.Host, "try", t.Try, "since_accepted_ms", n.ms()-t.job.rec.AtMs, "since_placed_ms", n.now.Sub(t.since).Milliseconds())
+				}
+			}
 			if over || t.State == jobs.Stopping || n.saveNow(s, t, p) {
 				out.orders = append(out.orders, n.stopOrder(t, over))
 			}
@@ -464,6 +470,8 @@
 		return decision{}, false
 	}
 	key := jobs.TaskKey(t.piece)
+	n.log.Debug("places", "task", t.piece, "class", t.job.rec.Spec.Class, "machine", host, "kind", n.machines[host].Build, "cheap", n.machines[host].Loaner,
+		"try", try, "cached", n.cached(host, t.job.rec.Spec.Bundle), "since_accepted_ms", n.ms()-t.job.rec.AtMs)
 	n.reserve[key] = reservation{t, host, n.machines[host].Site, t.job.rec.Spec.Need()}
 	return decision{
 		writes: []store.Write{put(key, next)},
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -172,6 +172,9 @@
 
 // The leader.
 const (
+	// QueueHorizon: a job that has missed its aims waits behind those that can
+	// still meet theirs, but not longer than this.
+	QueueHorizon = 10 * time.Minute
 	// MostReleases: tasks looked at for release in one pass; bounds the time a
 	// pass takes with very large sweeps waiting.
 	MostReleases = 400
