--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,8 @@
 	reserve  map[string]reservation
 	sessions map[string]*workers.Session
 	health   map[string]*health
-	calls    int // direct calls to workers under way
+	images   map[string][]image // on each machine, most recently used first
+	calls    int                // direct calls to workers under way
 
 	finals  *finalCache
 	readers map[string]*reader
@@ -145,7 +146,7 @@
 		outUntil: map[string]time.Time{}, complaints: map[string]map[string]*complaint{},
 		heard: map[string]time.Time{}, peersState: map[string]peerState{},
 		busy: map[string]bool{}, reserve: map[string]reservation{},
-		sessions: map[string]*workers.Session{}, health: map[string]*health{},
+		sessions: map[string]*workers.Session{}, health: map[string]*health{}, images: map[string][]image{},
 		finals: newFinalCache(set.Operator.FinalCache), readers: map[string]*reader{},
 	}
 	n.client = store.New(out.State, out.Watch)
@@ -358,6 +359,7 @@
 		}
 		m[t.piece] = t
 		t.job.on++
+		n.sawImage(t)
 	case t.State == jobs.Released:
 		n.released[t.piece] = t
 	case t.State == jobs.Finished:
@@ -384,6 +386,7 @@
 	if value == nil {
 		delete(n.machines, name)
 		delete(n.health, name)
+		delete(n.images, name)
 		// The machine is gone: its session must not bring the record back.
 		// Should the worker report after all, it is met as a new one.
 		delete(n.sessions, name)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -21,13 +21,12 @@
 	restUntil time.Time
 	blamed    map[string]bool // jobs whose tasks failed here since the last success
 	failures  int
-	bundles   map[string]time.Time // images that it has or is fetching, by last use
 }
 
 func (n *Node) healthOf(host string) *health {
 	h := n.health[host]
 	if h == nil {
-		h = &health{blamed: map[string]bool{}, bundles: map[string]time.Time{}}
+		h = &health{blamed: map[string]bool{}}
 		n.health[host] = h
 	}
 	return h
@@ -358,11 +357,6 @@
 		Orders []workers.Order `json:"orders"`
 	}{baton, tenure, orders})
 	s.Sending(orders, n.now)
-	for _, o := range orders {
-		if t := n.onHost[s.Host][o.Piece]; o.Verb == workers.Launch && t != nil && t.job.rec != nil {
-			n.healthOf(s.Host).bundles[t.job.rec.Spec.Bundle] = n.now
-		}
-	}
 	n.calls++
 	n.out.Worker(s.Endpoint, "POST", "/commands", body, tuning.CommandTimeout, func(status int, answer []byte, err error) {
 		n.calls--
@@ -527,11 +521,41 @@
 
 // cached tells whether a machine probably holds an image.
 func (n *Node) cached(host, bundle string) bool {
-	for _, t := range n.onHost[host] {
-		if t.job.rec != nil && t.job.rec.Spec.Bundle == bundle {
+	for _, i := range n.images[host] {
+		if i.bundle == bundle {
 			return true
 		}
 	}
-	h := n.health[host]
-	return h != nil && !h.bundles[bundle].IsZero()
+	return false
+}
+
+// image is one that a machine has, or is fetching.
+type image struct {
+	bundle string
+	gb     float64
+}
+
+// sawImage notes that a task's image is on its machine, which keeps the most
+// recently used ones that fit its cache. Every node follows this from the
+// records; after a restart it knows only the images of tasks still there.
+func (n *Node) sawImage(t *task) {
+	m := n.machines[t.Host]
+	if t.job.rec == nil || m == nil {
+		return
+	}
+	spec := &t.job.rec.Spec
+	list := []image{{spec.Bundle, spec.PullGB}}
+	left := 0.0
+	if b := n.builds[m.Build]; b != nil {
+		left = b.CacheGB - spec.PullGB
+	}
+	for _, i := range n.images[t.Host] {
+		if i.bundle != spec.Bundle {
+			if left -= i.gb; left < 0 {
+				break
+			}
+			list = append(list, i)
+		}
+	}
+	n.images[t.Host] = list
 }
