--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -59,6 +59,9 @@
 	deleting map[string]time.Time // delete requests under way
 	asked    []asked
 	planned  map[kind]int // machines by kind that the queue asks for
+	round    int          // of this step's batch
+	open     int          // rents of this step under way
+	again    bool         // one of them was refused or filled in part
 }
 
 func (c *cloudState) reset() {
@@ -110,6 +113,7 @@
 	step := seconds(n.set.Operator.StepS)
 	if c.catalog != nil && !c.listAt.IsZero() && n.now.Sub(c.stepAt) >= step && !n.client.Down() {
 		c.stepAt = n.now
+		c.open = 0
 		n.scalerStep()
 	}
 	for len(c.calls) > 0 && c.tokens >= 1 {
@@ -683,16 +687,52 @@
 		}
 	}
 	c.asked = keep
+	c.round, c.again = 0, false
+	n.rentAll(rents)
+	if len(c.asked) > tuning.SummaryAsked {
+		c.asked = c.asked[len(c.asked)-tuning.SummaryAsked:]
+	}
+	sum.Asked = append([]asked(nil), c.asked...)
+}
+
+// rentAll sends one round of a step's batch.
+func (n *Node) rentAll(rents []rent) {
+	c := &n.lead.cloud
 	for _, r := range rents {
+		c.open++
 		c.hires++
 		a := asked{Hire: fmt.Sprintf("r-%d-%d", n.roleEpoch, c.hires), Build: r.k.Build, Site: r.k.site, Loaner: r.k.Loaner, Count: r.count, AtMs: n.ms()}
 		c.asked = append(c.asked, a)
 		n.rent(a, 0)
 	}
-	if len(c.asked) > tuning.SummaryAsked {
-		c.asked = c.asked[len(c.asked)-tuning.SummaryAsked:]
+}
+
+// rentEnded goes on with the batch once all its rents are answered: what the
+// cloud refused is asked for as the next best kind, within the same step.
+func (n *Node) rentEnded(short bool) {
+	c := &n.lead.cloud
+	c.open--
+	c.again = c.again || short
+	if c.open > 0 || !c.again || c.round >= tuning.RentRounds {
+		return
+	}
+	c.round++
+	c.again = false
+	counts, booting := n.supplyOf()
+	fit := n.packQueue(counts, booting, map[fleet.Group]float64{})
+	var groups []fleet.Group
+	for g := range fit {
+		groups = append(groups, g)
+	}
+	sort.Slice(groups, func(a, b int) bool { return groups[a].String() < groups[b].String() })
+	var rents []rent
+	for _, g := range groups {
+		rents = append(rents, n.rentsFor(g, fit[g], counts)...)
 	}
-	sum.Asked = c.asked
+	if len(rents) > tuning.RentsPerStep {
+		rents = rents[:tuning.RentsPerStep]
+	}
+	n.rentAll(rents)
 }
 
 func (n *Node) rent(a asked, again int) {
@@ -715,6 +755,7 @@
 			if len(got.Hosts) < a.Count {
 				c.refused[k.String()] = n.now.Add(tuning.NoCapacity)
 			}
+			n.rentEnded(len(got.Hosts) < a.Count)
 		case err == nil && status == 503:
 			_ = json.Unmarshal(answer, &got)
 			n.log.Info("rent refused", "kind", k.String(), "error", got.Error)
@@ -722,10 +763,14 @@
 			if got.Error == "no capacity" {
 				c.refused[k.String()] = n.now.Add(tuning.NoCapacity)
 			}
+			n.rentEnded(got.Error == "no capacity")
 		case again < tuning.RentRetries && err != errOldView && (err != nil || status == 429):
 			n.rent(a, again+1)
 		case status == 429 || status == 400:
 			n.dropAsked(a.Hire)
+			n.rentEnded(false)
+		default:
+			n.rentEnded(false) // unanswered: counted as supply until its boot time has passed
 		}
 	})
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -195,6 +195,8 @@
 	SummaryAsked = 60
 	// SummaryHistory, steps kept per group in the summary.
 	SummaryHistory = 12
+	// RentRounds: further rounds of one step's batch after refusals.
+	RentRounds = 4
 	// RentsPerStep: kinds of machine asked for in one step's batch.
 	RentsPerStep = 6
 	// CloudQueue: calls waiting for the cloud's rate.
@@ -233,7 +235,7 @@
 	// DeleteMost: names per delete request (the cloud's limit).
 	DeleteMost = 100
 	// NoCapacity: pause before a refused kind of machine is asked for again.
-	NoCapacity = 20 * time.Second
+	NoCapacity = 45 * time.Second
 	// BootSlack: a machine that has not come up after this many times its
 	// boot time will not.
 	BootSlack = 4.0
