--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -394,8 +394,13 @@
 
 // cheapest is the group and zone where a waiting task costs least, of those
 // that the cloud has not just refused.
-func (n *Node) cheapest(spec *jobs.Spec, zones map[string]int, counts map[kind]int) (kind, bool) {
+//
+// A task that can wait does not make it buy much dearer than what it would
+// take if the cloud had it.
+func (n *Node) cheapest(r *jobs.Record, zones map[string]int, counts map[kind]int) (kind, bool) {
+	spec := &r.Spec
 	best, found, cost := kind{}, false, math.Inf(1)
+	least := math.Inf(1)
 	for name, b := range n.lead.cloud.catalog {
 		share := spec.Need().Share(b.Whole())
 		if share > 1+1e-9 || !spec.AllowsBuild(name) {
@@ -407,18 +412,28 @@
 			}
 			for _, site := range b.Sites {
 				k := kind{fleet.Group{Build: name, Loaner: loaner}, site}
-				if !spec.Allows(name, site, loaner) || !zoneAllowed(spec, zones, site) || n.now.Before(n.lead.cloud.refused[k.String()]) {
+				if !spec.Allows(name, site, loaner) || !zoneAllowed(spec, zones, site) {
 					continue
 				}
 				// Whole tasks per machine: what a task really costs there.
 				fit := math.Floor(1/share + 1e-9)
 				c := n.price(k.Group) / fit
+				least = min(least, c)
+				if n.now.Before(n.lead.cloud.refused[k.String()]) {
+					continue
+				}
 				if c < cost-1e-9 || (c < cost+1e-9 && found && (counts[k] < counts[best] || counts[k] == counts[best] && k.String() < best.String())) {
 					best, found, cost = k, true, c
 				}
 			}
 		}
 	}
+	if found && cost > least*tuning.PatientPrice {
+		margin := seconds(n.lead.cloud.catalog[best.Build].ReadyS+spec.ExpectS/2) + 2*seconds(n.set.Operator.StepS)
+		if n.startBy(r, false)-n.ms() > margin.Milliseconds() {
+			return kind{}, false
+		}
+	}
 	return best, found
 }
 
@@ -614,7 +629,7 @@
 		if placed {
 			continue
 		}
-		k, ok := n.cheapest(spec, zones, wanted)
+		k, ok := n.cheapest(w.t.job.rec, zones, wanted)
 		if !ok {
 			continue
 		}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -195,6 +195,9 @@
 	SummaryAsked = 60
 	// SummaryHistory, steps kept per group in the summary.
 	SummaryHistory = 12
+	// PatientPrice: work that can still wait is not given machines dearer than
+	// this many times the cheapest it allows.
+	PatientPrice = 1.5
 	// RentRounds: further rounds of one step's batch after refusals.
 	RentRounds = 4
 	// RentsPerStep: kinds of machine asked for in one step's batch.
