Damped trend over six steps, and the variance of random arrivals as a floor

A line over twelve steps carried on for twelve more kept machines long after a burst and saw no need to spare any in quiet.

--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -536,7 +536,7 @@
 		if demand[g] > 0 || supply > 0 || len(n.summary.History[key]) > 0 {
 			sum.History[key] = round(history)
 		}
-		plan := scaler.Plan(history, 0, 0, scaler.Params{Steps: op.PlanSteps, Samples: op.Samples, Tolerance: op.Tolerance, Trend: op.TrendSteps}, n.rng)
+		plan := scaler.Plan(history, 0, 0, scaler.Params{Steps: op.PlanSteps, Samples: op.Samples, Tolerance: op.Tolerance, Trend: op.TrendSteps, Damping: tuning.TrendDamping, Grain: tuning.GrainShare * n.grain(g)}, n.rng)
 		boot := 0
 		if b := c.catalog[g.Build]; b != nil {
 			boot = int(math.Ceil(b.ReadyS / op.StepS))
@@ -572,6 +572,33 @@
 	}
 }
 
+// grain is the share of a machine of a group that one task there takes on
+// average, by demand.
+func (n *Node) grain(g fleet.Group) float64 {
+	b := n.builds[g.Build]
+	if b == nil {
+		return 0
+	}
+	sum, squares := 0.0, 0.0
+	for h, ts := range n.onHost {
+		m := n.machines[h]
+		if m == nil || m.Build != g.Build || m.Loaner != g.Loaner {
+			continue
+		}
+		for _, t := range ts {
+			if t.job.rec != nil {
+				s := t.job.rec.Spec.Need().Share(b.Whole())
+				sum += s
+				squares += s * s
+			}
+		}
+	}
+	if sum == 0 {
+		return 0
+	}
+	return squares / sum
+}
+
 func round(h []float64) []float64 {
 	out := make([]float64, len(h))
 	for i, v := range h {
--- a/internal/scaler/scaler.go
+++ b/internal/scaler/scaler.go
@@ -18,18 +18,24 @@
 	Samples   int     // M, samples per step
 	Tolerance float64 // d, mean shortfall allowed per expected demand
 	Trend     int     // steps of history fitted
+	Damping   float64 // what a step further ahead leaves of the trend
+	Grain     float64 // demand of a typical task, for the least variance
 }
 
-// Forecast is the mean and variance of demand k steps ahead, from a line
-// through the recent history.
-func Forecast(history []float64, k int) (mean, variance float64) {
+// Forecast is the mean and variance of demand k steps ahead. The mean starts
+// at the fitted present level and follows the recent trend, which counts for
+// less the further ahead it is carried: demand comes in bursts, and a line
+// carried on for twelve steps turns each into a flood or a drought. grain is
+// the demand of one typical task; arrivals at random make counts of tasks vary
+// at least as much as their mean, which a short quiet history does not show.
+func Forecast(history []float64, k int, damping, grain float64) (mean, variance float64) {
 	n := len(history)
 	if n == 0 {
 		return 0, 0
 	}
 	last := history[n-1]
 	if n < 3 {
-		return last, 0
+		return last, last * grain
 	}
 	xs := make([]float64, n)
 	for i := range xs {
@@ -40,15 +46,13 @@
 	for i := range xs {
 		residuals[i] = history[i] - alpha - beta*xs[i]
 	}
-	variance = stat.Variance(residuals, nil)
-	// The line's own uncertainty grows with the distance from the middle of
-	// the data.
-	mid := stat.Mean(xs, nil)
-	sxx := stat.Variance(xs, nil) * float64(n-1)
-	at := float64(n - 1 + k)
-	variance *= 1 + 1/float64(n) + (at-mid)*(at-mid)/sxx
-	mean = alpha + beta*at
-	return math.Max(mean, 0), variance
+	variance = math.Max(stat.Variance(residuals, nil), math.Max(last, 0)*grain)
+	ahead, weight := 0.0, 1.0
+	for range k {
+		weight *= damping
+		ahead += weight
+	}
+	return math.Max(last+beta*ahead, 0), variance
 }
 
 // Draw takes samples of demand, never below zero.
@@ -111,7 +115,7 @@
 	}
 	out := make([]float64, p.Steps)
 	for k := range out {
-		mean, variance := Forecast(history, k+1)
+		mean, variance := Forecast(history, k+1, p.Damping, p.Grain)
 		out[k] = LeastSupply(Draw(mean, variance, p.Samples, rng), unmet, owned, p.Tolerance)
 	}
 	return out
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -227,7 +227,11 @@
 	// Tolerance: bound on mean shortfall as a share of expected demand (d).
 	Tolerance = 0.05
 	// TrendSteps: steps of history that the trend is fitted to.
-	TrendSteps = 12
+	TrendSteps = 6
+	// TrendDamping: what each step further ahead leaves of the trend.
+	TrendDamping = 0.7
+	// GrainShare: share of the variance of random arrivals that is planned for.
+	GrainShare = 0.5
 	// FreshSteps: steps for which a fresh leader rents to current demand only.
 	FreshSteps = 10
 	// DrainSteps, ReviveSteps: length of draining, and its part with revival.
