--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -308,6 +308,7 @@
 	var ds []decision
 	n.lead.waiting = n.lead.waiting[:0]
 	looked := 0
+	held := map[string]bool{}
 	for _, j := range n.queue(account) {
 		if looked >= tuning.MostReleases {
 			break
@@ -327,6 +328,7 @@
 			}
 			host := n.findHost(t, use, zones)
 			if host == "" {
+				n.holdFor(t, use, zones, held)
 				n.lead.waiting = append(n.lead.waiting, &waiting{t: t, rank: spec.RankOrder()})
 				account.Charge(spec.Owner, spec.Amount(), 1) // keeps its turn
 				continue
@@ -389,6 +391,37 @@
 	return ""
 }
 
+// holdFor keeps a machine for a task that needs more room than is free
+// anywhere: the one with the most free. Without it, smaller tasks further back
+// in the queue would take every place that comes free, one by one, for as long
+// as there are any.
+func (n *Node) holdFor(t *task, use map[string]parts.Room, zones map[string]int, held map[string]bool) {
+	if float64(len(held)+1) > tuning.HoldShare*float64(len(n.machines)) {
+		return
+	}
+	spec := &t.job.rec.Spec
+	best, most := "", -1.0
+	for _, h := range sorted(n.machines) {
+		m := n.machines[h]
+		if held[h] || !n.offers(t, m) || !zoneAllowed(spec, zones, m.Site) {
+			continue
+		}
+		whole := n.builds[m.Build].Whole()
+		if !whole.Fits(spec.Need()) {
+			continue
+		}
+		free := whole.Sub(use[h])
+		// By how much of the task would fit.
+		if part := 1 / max(spec.Need().Share(free), 1e-9); part > most {
+			best, most = h, part
+		}
+	}
+	if best != "" {
+		held[best] = true
+		use[best] = use[best].Add(spec.Need())
+	}
+}
+
 // preempt makes room for waiting tasks by stopping tasks of lower rank. One
 // machine at a time is cleared for a task, and not again for a while.
 func (n *Node) preempt(use map[string]parts.Room) []decision {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -175,6 +175,9 @@
 	// QueueHorizon: a job that has missed its aims waits behind those that can
 	// still meet theirs, but not longer than this.
 	QueueHorizon = 10 * time.Minute
+	// HoldShare: share of the machines that may be kept for tasks that need
+	// more room than is free anywhere.
+	HoldShare = 0.25
 	// MostReleases: tasks looked at for release in one pass; bounds the time a
 	// pass takes with very large sweeps waiting.
 	MostReleases = 400
