A team's next task waits for the team's limit, smaller ones do not pass it

Cause: with flotta at its limit on volta a cell-trainer (2 GPUs) saw every freed GPU go to a health-score task.

--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -309,11 +309,15 @@
 	n.lead.waiting = n.lead.waiting[:0]
 	looked := 0
 	held := map[string]bool{}
+	full := map[string]bool{} // teams whose next task does not fit their limit
 	for _, j := range n.queue(account) {
 		if looked >= tuning.MostReleases {
 			break
 		}
 		spec := &j.rec.Spec
+		if full[spec.Owner] {
+			continue
+		}
 		if spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
 			ds = append(ds, n.releaseGang(j, account, use)...)
 			looked += spec.Pieces
@@ -324,6 +328,9 @@
 		for _, t := range n.pending(j, tuning.MostReleases-looked) {
 			looked++
 			if !team.Allows(account.Used(spec.Owner).Add(spec.Amount(), 1)) {
+				// What the team has left waits for this task to fit; smaller
+				// ones behind it would take it away for ever.
+				full[spec.Owner] = true
 				break
 			}
 			host := n.findHost(t, use, zones)
