--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -24,6 +24,7 @@
 	preempted map[string]time.Time // tasks that room was made for
 	claiming  map[string]bool      // gangs whose machines are being claimed
 	condemnAt time.Time
+	movedAt   time.Time
 	waiting   []*waiting // tasks that found no room in the last pass
 	cloud     cloudState
 }
@@ -54,6 +55,7 @@
 	n.takeBack()
 	n.dropClaims()
 	n.release()
+	n.moveReplicas()
 	n.condemnPass()
 }
 
@@ -458,6 +460,43 @@
 	return ds
 }
 
+// moveReplicas empties draining machines of replicas, which would otherwise
+// keep them for ever: one is stopped where another machine has room for it and
+// holds its image, so that it is away for a moment only. A few at a time.
+func (n *Node) moveReplicas() {
+	if n.now.Sub(n.lead.movedAt) < tuning.MoveEvery {
+		return
+	}
+	n.lead.movedAt = n.now
+	use := n.use()
+	var ds []decision
+	for _, h := range sorted(n.summary.Drain) {
+		for _, piece := range sorted(n.onHost[h]) {
+			t := n.onHost[h][piece]
+			if t.job.rec == nil || t.State != jobs.Placed || !t.ran && n.owner(h) == n.set.NodeName || t.job.rec.Spec.Shape != jobs.Standing ||
+				n.now.Sub(t.since) < tuning.MoveAfter || len(ds) >= tuning.MovesAtOnce {
+				continue
+			}
+			zones := n.zones(t.job)
+			if m := n.machines[h]; m != nil {
+				zones[m.Site]--
+			}
+			away := *t
+			away.Site = ""
+			to := n.findHost(&away, use, zones)
+			if to == "" || !n.cached(to, t.job.rec.Spec.Bundle) {
+				continue
+			}
+			next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "moved off a draining machine"})
+			if ok {
+				use[to] = use[to].Add(t.job.rec.Spec.Need())
+				ds = append(ds, decision{writes: []store.Write{put(jobs.TaskKey(piece), next)}})
+			}
+		}
+	}
+	n.commit(ds)
+}
+
 // victims finds the machine where stopping the fewest tasks of lower rank
 // makes room.
 func (n *Node) victims(w *waiting, use map[string]parts.Room) []*task {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -177,7 +177,13 @@
 	QueueHorizon = 10 * time.Minute
 	// HoldShare: share of the machines that may be kept for tasks that need
 	// more room than is free anywhere.
-	HoldShare = 0.25
+	HoldShare = 0.1
+	// MoveEvery, MovesAtOnce: pace at which replicas leave draining machines.
+	MoveEvery   = 2 * time.Second
+	MovesAtOnce = 3
+	// MoveAfter: a replica younger than this is not moved; its start would have
+	// been for nothing.
+	MoveAfter = 35 * time.Second
 	// MostReleases: tasks looked at for release in one pass; bounds the time a
 	// pass takes with very large sweeps waiting.
 	MostReleases = 400
