--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -174,8 +174,11 @@
 		j      *job
 		rank   int
 		beyond bool
+		late   bool
+		room   float64
 		start  int64
 	}
+	late := func(r *jobs.Record, start int64) bool { return start >= r.AtMs+tuning.QueueHorizon.Milliseconds() }
 	var q []entry
 	for _, j := range n.jobs {
 		if j.rec == nil || j.rec.State != jobs.Live || len(j.tasks)-j.pendingCount() >= j.rec.Spec.Pieces {
@@ -183,7 +186,8 @@
 		}
 		spec := &j.rec.Spec
 		within := n.teams[spec.Owner].Guarantees(a.Used(spec.Owner).Add(spec.Amount(), 1))
-		q = append(q, entry{j, spec.RankOrder(), !within, n.startBy(j.rec, within)})
+		start := n.startBy(j.rec, within)
+		q = append(q, entry{j, spec.RankOrder(), !within, late(j.rec, start), spec.Accel*float64(spec.Pieces-j.done), start})
 	}
 	sort.Slice(q, func(x, y int) bool {
 		a, b := q[x], q[y]
@@ -192,6 +196,10 @@
 			return a.rank < b.rank
 		case a.beyond != b.beyond:
 			return !a.beyond
+		case a.late != b.late:
+			return !a.late
+		case !a.late && a.room != b.room:
+			return a.room < b.room
 		case a.start != b.start:
 			return a.start < b.start
 		}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -516,6 +516,9 @@
 		Host: host, Whole: whole, Free: whole.Sub(use[host]), Loaner: m.Loaner, Site: m.Site,
 		Load: use[host].Share(whole), Cached: n.cached(host, spec.Bundle),
 	}
+	if rate := n.builds[m.Build].PullRate; !c.Cached && rate > 0 {
+		c.PullS = spec.PullGB / rate
+	}
 	return c
 }
 
--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -4,6 +4,7 @@
 
 import (
 	"hash/fnv"
+	"math"
 )
 
 // Owner is the member that a machine belongs to, by rendezvous hashing: the
@@ -35,6 +36,10 @@
 	Cores, Accelerators, MemoryGB float64
 }
 
+// pullTells is the difference in fetching time, in seconds, that decides
+// between machines; less drowns in the fetch rate's own spread.
+const pullTells = 1.0
+
 const slack = 1e-6 // absorbs rounding of decimal amounts
 
 // Fits tells whether need fits into r.
@@ -76,13 +81,14 @@
 	Loaner bool
 	Site   string
 	Cached bool    // holds the task's image
+	PullS  float64 // seconds to fetch the image otherwise
 	Load   float64 // share of the machine in use
 }
 
 // Pick returns the index of the best machine for need, or -1. Cached images
 // first (a fetch takes longer than any queue), then, for tasks that may, cheap
-// machines, then the fullest that still fits, which keeps others empty enough
-// to be returned.
+// machines, then those that fetch faster, then the fullest that still fits,
+// which keeps others empty enough to be returned.
 func Pick(need Room, loaner bool, cands []Candidate) int {
 	best := -1
 	for i, c := range cands {
@@ -103,6 +109,9 @@
 	if loaner && a.Loaner != b.Loaner {
 		return a.Loaner
 	}
+	if !a.Cached && math.Abs(a.PullS-b.PullS) >= pullTells {
+		return a.PullS < b.PullS
+	}
 	if a.Load != b.Load {
 		return a.Load > b.Load
 	}
