--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -32,9 +32,9 @@
 // waiting is a queued task that may run by its team's limit, or would not have
 // to wait for it, but has found no room.
 type waiting struct {
-	t    *task
-	rank int
-	site string
+	t      *task
+	rank   int
+	within bool // inside its team's guarantee
 }
 
 func (l *leader) reset() {
@@ -187,7 +187,7 @@
 		spec := &j.rec.Spec
 		within := n.teams[spec.Owner].Guarantees(a.Used(spec.Owner).Add(spec.Amount(), 1))
 		start := n.startBy(j.rec, within)
-		q = append(q, entry{j, spec.RankOrder(), !within, late(j.rec, start), spec.Accel*float64(spec.Pieces-j.done), start})
+		q = append(q, entry{j, spec.RankOrder(), !within, late(j.rec, start), spec.Accel * float64(spec.Pieces-j.done), start})
 	}
 	sort.Slice(q, func(x, y int) bool {
 		a, b := q[x], q[y]
@@ -346,7 +346,8 @@
 			host := n.findHost(t, use, zones)
 			if host == "" {
 				n.holdFor(t, use, zones, held)
-				n.lead.waiting = append(n.lead.waiting, &waiting{t: t, rank: spec.RankOrder()})
+				within := team.Guarantees(account.Used(spec.Owner).Add(spec.Amount(), 1))
+				n.lead.waiting = append(n.lead.waiting, &waiting{t: t, rank: spec.RankOrder(), within: within})
 				account.Charge(spec.Owner, spec.Amount(), 1) // keeps its turn
 				continue
 			}
@@ -360,7 +361,7 @@
 			zones[n.machines[host].Site]++
 		}
 	}
-	ds = append(ds, n.preempt(use)...)
+	ds = append(ds, n.preempt(use, account)...)
 	n.commit(ds)
 }
 
@@ -439,16 +440,18 @@
 	}
 }
 
-// preempt makes room for waiting tasks by stopping tasks of lower rank. One
-// machine at a time is cleared for a task, and not again for a while.
-func (n *Node) preempt(use map[string]parts.Room) []decision {
+// preempt makes room for waiting tasks by stopping tasks of lower rank, and for
+// those inside their team's guarantee also by stopping what other teams run
+// beyond theirs. One machine at a time is cleared for a task, and not again for
+// a while.
+func (n *Node) preempt(use map[string]parts.Room, account *quota.Account) []decision {
 	var ds []decision
 	for _, w := range n.lead.waiting {
 		spec := &w.t.job.rec.Spec
-		if w.rank > 1 || n.now.Before(n.lead.preempted[w.t.piece]) || w.t.job.rec.Spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+		if (w.rank > 1 && !w.within) || n.now.Before(n.lead.preempted[w.t.piece]) || w.t.job.rec.Spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
 			continue
 		}
-		victims := n.victims(w, use)
+		victims := n.victims(w, use, account)
 		if len(victims) == 0 {
 			continue
 		}
@@ -457,6 +460,7 @@
 			next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "preempted"})
 			if ok {
 				ds = append(ds, decision{writes: []store.Write{put(jobs.TaskKey(v.piece), next)}})
+				account.Charge(v.job.rec.Spec.Owner, v.job.rec.Spec.Amount(), -1)
 			}
 		}
 	}
@@ -505,12 +509,28 @@
 	n.commit(ds)
 }
 
-// victims finds the machine where stopping the fewest tasks of lower rank
-// makes room.
-func (n *Node) victims(w *waiting, use map[string]parts.Room) []*task {
+// yields tells whether a running task has to make way for a waiting one.
+func (n *Node) yields(w *waiting, t *task, account *quota.Account) bool {
+	spec := &t.job.rec.Spec
+	if spec.RankOrder() > w.rank {
+		return true
+	}
+	if !w.within || spec.Owner == w.t.job.rec.Spec.Owner || spec.Shape == jobs.Standing {
+		return false
+	}
+	// With this task gone the team must still have all of its guarantee.
+	used := account.Used(spec.Owner)
+	g := n.teams[spec.Owner].Guaranteed
+	return used.Accelerators-spec.Accel >= g.Accelerators && used.Cores-spec.Cores >= g.Cores
+}
+
+// victims finds the machine where stopping the fewest tasks makes room, one
+// with the image if there is any.
+func (n *Node) victims(w *waiting, use map[string]parts.Room, account *quota.Account) []*task {
 	spec := &w.t.job.rec.Spec
 	zones := n.zones(w.t.job)
 	var best []*task
+	cached := false
 	for _, h := range sorted(n.machines) {
 		m := n.machines[h]
 		if !n.offers(w.t, m) || !zoneAllowed(spec, zones, m.Site) {
@@ -519,13 +539,16 @@
 		free := n.builds[m.Build].Whole().Sub(use[h])
 		var lower []*task
 		for _, t := range n.onHost[h] {
-			if t.job.rec == nil || t.job.rec.Spec.RankOrder() <= w.rank || n.busy[jobs.TaskKey(t.piece)] {
+			if t.job.rec == nil || n.busy[jobs.TaskKey(t.piece)] {
 				continue
 			}
 			if t.State == jobs.Stopping {
 				free = free.Add(t.job.rec.Spec.Need()) // already on its way out
 				continue
 			}
+			if !n.yields(w, t, account) {
+				continue
+			}
 			if gang := &t.job.rec.Spec; gang.Shape == jobs.Ensemble && gang.Pieces > 1 {
 				continue
 			}
@@ -549,8 +572,9 @@
 			free = free.Add(t.job.rec.Spec.Need())
 			chosen = append(chosen, t)
 		}
-		if free.Fits(spec.Need()) && len(chosen) > 0 && (best == nil || len(chosen) < len(best)) {
-			best = chosen
+		has := n.cached(h, spec.Bundle)
+		if free.Fits(spec.Need()) && len(chosen) > 0 && (best == nil || (has && !cached) || (has == cached && len(chosen) < len(best))) {
+			best, cached = chosen, has
 		}
 	}
 	return best
