--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -351,6 +351,12 @@
 				account.Charge(spec.Owner, spec.Amount(), 1) // keeps its turn
 				continue
 			}
+			within := team.Guarantees(account.Used(spec.Owner).Add(spec.Amount(), 1))
+			if clear, stops := n.clearCached(&waiting{t: t, rank: spec.RankOrder(), within: within}, host, use, account); clear {
+				ds = append(ds, stops...)
+				account.Charge(spec.Owner, spec.Amount(), 1)
+				continue
+			}
 			d, ok := n.releasing(t, host, t.Try+1)
 			if !ok {
 				continue
@@ -451,18 +457,7 @@
 		if (w.rank > 1 && !w.within) || n.now.Before(n.lead.preempted[w.t.piece]) || w.t.job.rec.Spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
 			continue
 		}
-		victims := n.victims(w, use, account)
-		if len(victims) == 0 {
-			continue
-		}
-		n.lead.preempted[w.t.piece] = n.now.Add(tuning.PreemptAgain)
-		for _, v := range victims {
-			next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "preempted"})
-			if ok {
-				ds = append(ds, decision{writes: []store.Write{put(jobs.TaskKey(v.piece), next)}})
-				account.Charge(v.job.rec.Spec.Owner, v.job.rec.Spec.Amount(), -1)
-			}
-		}
+		ds = append(ds, n.stopFor(w, n.victims(w, use, account, false))...)
 	}
 	for p, until := range n.lead.preempted {
 		if n.now.After(until) {
@@ -509,6 +504,55 @@
 	n.commit(ds)
 }
 
+// stopFor stops tasks to make room for a waiting one.
+func (n *Node) stopFor(w *waiting, victims []*task) []decision {
+	var ds []decision
+	for _, v := range victims {
+		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.t.piece}); ok {
+			ds = append(ds, decision{writes: []store.Write{put(jobs.TaskKey(v.piece), next)}})
+		}
+	}
+	if len(ds) > 0 {
+		n.lead.preempted[w.t.piece] = n.now.Add(tuning.PreemptAgain)
+	}
+	return ds
+}
+
+// clearCached tells whether a task should wait a moment for room on a machine
+// that holds its image rather than go to one that would have to fetch it: when
+// the fetch would take it past its aim, and it may stop others there.
+func (n *Node) clearCached(w *waiting, host string, use map[string]parts.Room, account *quota.Account) (bool, []decision) {
+	rec := w.t.job.rec
+	if (w.rank > 1 && !w.within) || n.cached(host, rec.Spec.Bundle) {
+		return false, nil
+	}
+	rate := n.builds[n.machines[host].Build].PullRate
+	aim := n.startAim(rec, w.within)
+	if rate <= 0 || aim < n.ms() || n.ms()+int64(rec.Spec.PullGB/rate*1000) <= aim {
+		return false, nil
+	}
+	if until := n.lead.preempted[w.t.piece]; n.now.Before(until) {
+		// Room is being made; if it does not come at once, go elsewhere.
+		return until.Sub(n.now) > tuning.PreemptAgain-tuning.ClearWait, nil
+	}
+	ds := n.stopFor(w, n.victims(w, use, account, true))
+	return len(ds) > 0, ds
+}
+
+// startAim is the next time by which a class's tasks should have started, 0
+// when there is none.
+func (n *Node) startAim(r *jobs.Record, within bool) int64 {
+	var best int64
+	for _, o := range n.set.Cluster.Objectives {
+		if (o.Kind == "guarantee" && within) || (o.Kind == "wait" && o.Class == r.Spec.Class) {
+			if t := r.AtMs + int64(o.WithinS*1000); t > n.ms() && (best == 0 || t < best) {
+				best = t
+			}
+		}
+	}
+	return best
+}
+
 // yields tells whether a running task has to make way for a waiting one.
 func (n *Node) yields(w *waiting, t *task, account *quota.Account) bool {
 	spec := &t.job.rec.Spec
@@ -526,14 +570,14 @@
 
 // victims finds the machine where stopping the fewest tasks makes room, one
 // with the image if there is any.
-func (n *Node) victims(w *waiting, use map[string]parts.Room, account *quota.Account) []*task {
+func (n *Node) victims(w *waiting, use map[string]parts.Room, account *quota.Account, onlyCached bool) []*task {
 	spec := &w.t.job.rec.Spec
 	zones := n.zones(w.t.job)
 	var best []*task
 	cached := false
 	for _, h := range sorted(n.machines) {
 		m := n.machines[h]
-		if !n.offers(w.t, m) || !zoneAllowed(spec, zones, m.Site) {
+		if !n.offers(w.t, m) || !zoneAllowed(spec, zones, m.Site) || (onlyCached && !n.cached(h, spec.Bundle)) {
 			continue
 		}
 		free := n.builds[m.Build].Whole().Sub(use[h])
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -221,6 +221,9 @@
 	DeleteAgain = 9 * time.Second
 	// RentRetries: repeats of an unanswered rent under its name.
 	RentRetries = 3
+	// ClearWait: how long a task waits for the room made for it on a machine
+	// that holds its image.
+	ClearWait = 1500 * time.Millisecond
 	// PreemptAgain: pause before room is made for the same task again.
 	PreemptAgain = 10 * time.Second
 )
