--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -46,6 +46,7 @@
 	listAt  time.Time // start of the newest complete listing
 	listRun bool
 	gone    map[string]time.Time // machines that a listing no longer has, since when
+	deleted map[string]time.Time // machines deleted, which lists may still show
 
 	tokens float64
 	filled time.Time
@@ -66,7 +67,7 @@
 
 func (c *cloudState) reset() {
 	*c = cloudState{
-		listed: map[string]fleet.Listed{}, gone: map[string]time.Time{}, refused: map[string]time.Time{},
+		listed: map[string]fleet.Listed{}, gone: map[string]time.Time{}, deleted: map[string]time.Time{}, refused: map[string]time.Time{},
 		short: map[fleet.Group]float64{}, deleting: map[string]time.Time{},
 	}
 }
@@ -194,6 +195,14 @@
 			}
 			for h := range all {
 				delete(c.gone, h)
+				if _, was := c.deleted[h]; was {
+					delete(all, h) // the list is older than the delete
+				}
+			}
+			for h, at := range c.deleted {
+				if n.now.Sub(at) > tuning.ForgetGone {
+					delete(c.deleted, h)
+				}
 			}
 			c.listed, c.listAt = all, started
 			for h, at := range c.gone {
@@ -254,6 +263,7 @@
 			if err == nil && status == 200 {
 				n.moveMachine(h, fleet.Removed, "delete answered")
 				delete(c.deleting, h)
+				c.deleted[h] = n.now
 			}
 		}
 	})
@@ -267,14 +277,20 @@
 	}
 	l := n.lead.cloud.listed[host]
 	rec := fleet.Host{State: fleet.Deleting, Endpoint: l.Endpoint, Build: l.Build, Site: l.Site, Loaner: l.Loaner, Why: why, SinceMs: n.ms()}
-	n.log.Info("machine", "machine", host, "to", string(rec.State), "why", why)
-	n.commit([]decision{{writes: []store.Write{put(key, rec)}}})
+	n.commit([]decision{{writes: []store.Write{put(key, rec)}, done: func(ok bool) {
+		if ok {
+			n.log.Info("machine", "machine", host, "to", string(rec.State), "why", why)
+		}
+	}}})
 }
 
 // condemnListed condemns machines that never came up or have stopped.
 func (n *Node) condemnListed() {
 	for _, h := range sorted(n.lead.cloud.listed) {
 		l, m := n.lead.cloud.listed[h], n.machines[h]
+		if !n.lead.cloud.deleted[h].IsZero() {
+			continue
+		}
 		if m != nil && (m.State == fleet.Deleting || m.State == fleet.Deleted) {
 			continue
 		}
@@ -451,7 +467,7 @@
 		}
 	}
 	for h, l := range c.listed {
-		if n.machines[h] == nil && (l.Status == "booting" || l.Status == "running") {
+		if n.machines[h] == nil && c.deleted[h].IsZero() && (l.Status == "booting" || l.Status == "running") {
 			k := kind{fleet.Group{Build: l.Build, Loaner: l.Loaner}, l.Site}
 			counts[k]++
 			booting[k]++
@@ -463,7 +479,7 @@
 		}
 		k := kind{fleet.Group{Build: a.Build, Loaner: a.Loaner}, a.Site}
 		for _, h := range a.Hosts {
-			if _, listed := c.listed[h]; !listed && n.machines[h] == nil && c.gone[h].IsZero() {
+			if _, listed := c.listed[h]; !listed && n.machines[h] == nil && c.gone[h].IsZero() && c.deleted[h].IsZero() {
 				counts[k]++
 				booting[k]++
 			}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -176,7 +176,12 @@
 	if spec.Shape == jobs.Standing {
 		return true // a replica has nothing to finish: start it elsewhere
 	}
-	return spec.SnapshotS > 0 && *s.Warning <= spec.StashS+tuning.SaveMargin
+	left := *s.Warning - n.now.Sub(s.LastReport).Seconds()
+	if spec.SnapshotS > 0 {
+		return left <= spec.StashS+tuning.SaveMargin
+	}
+	// What cannot finish in time had better begin elsewhere at once.
+	return spec.ExpectS-n.now.Sub(t.since).Seconds() > left*tuning.NoticeDoubt
 }
 
 func (n *Node) stopOrder(t *task, over bool) workers.Order {
@@ -263,9 +268,13 @@
 	if !ok {
 		return
 	}
-	n.log.Info("machine", "machine", host, "from", string(rec.State), "to", string(state), "why", why)
+	from := rec.State
 	rec.State, rec.Why, rec.SinceMs = state, why, n.ms()
-	n.commit([]decision{{writes: []store.Write{put(fleet.HostPrefix+host, rec)}}})
+	n.commit([]decision{{writes: []store.Write{put(fleet.HostPrefix+host, rec)}, done: func(ok bool) {
+		if ok {
+			n.log.Info("machine", "machine", host, "from", string(from), "to", string(state), "why", why)
+		}
+	}}})
 }
 
 // ownerPass does what an owner does for its part.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,12 +157,15 @@
 	MaxOrders = 200
 	// SilentReports, reports: a machine unheard for this many report intervals
 	// is silent.
-	SilentReports = 3.0
+	SilentReports = 2.0
 	// FreshReports, reports: tasks go only to machines heard this recently.
-	FreshReports = 2.2
+	FreshReports = 1.6
 	// ForgetSession: a machine without a record that does not report is
 	// forgotten.
 	ForgetSession = 2 * time.Minute
+	// NoticeDoubt: a task on a machine that will be taken is stopped at once if
+	// what it is expected to need still is more than this many times the notice.
+	NoticeDoubt = 1.2
 	// SaveMargin, seconds: on top of a task's saving time before a machine is
 	// taken.
 	SaveMargin = 6.0
@@ -191,7 +194,7 @@
 	// not offered for this long.
 	AvoidAfter = 8 * time.Second
 	// CondemnEvery: how often machines are looked over for deletion.
-	CondemnEvery = time.Second
+	CondemnEvery = 500 * time.Millisecond
 	// SilentGiveUp: a silent machine that no controller hears is deleted after
 	// this; a hanging one may come back, but its work is started sooner
 	// elsewhere.
