--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -339,7 +339,8 @@
 		if m.State != fleet.Silent || n.now.Sub(n.heard[h]) < tuning.SilentGiveUp {
 			continue
 		}
-		quiet := n.now.Sub(m.since)
+		// A new leader first waits whether the worker comes to it.
+		quiet := min(n.now.Sub(m.since), n.now.Sub(n.lead.since))
 		_, listed := n.lead.cloud.listed[h]
 		vanished := !listed && !n.lead.cloud.gone[h].IsZero()
 		switch {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -23,6 +23,7 @@
 	avoid     map[string]time.Time // machines not offered for a while
 	preempted map[string]time.Time // tasks that room was made for
 	claiming  map[string]bool      // gangs whose machines are being claimed
+	since     time.Time // when this node came to lead
 	condemnAt time.Time
 	movedAt   time.Time
 	waiting   []*waiting // tasks that found no room in the last pass
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -139,6 +139,7 @@
 	}
 	if role == members.Leader && n.role != members.Leader {
 		n.lead.reset()
+		n.lead.since = n.now
 	}
 	n.role, n.roleEpoch = role, epoch
 	n.budget()
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -182,8 +182,8 @@
 	// more room than is free anywhere.
 	HoldShare = 0.1
 	// MoveEvery, MovesAtOnce: pace at which replicas leave draining machines.
-	MoveEvery   = 2 * time.Second
-	MovesAtOnce = 3
+	MoveEvery   = 3 * time.Second
+	MovesAtOnce = 1
 	// MoveAfter: a replica younger than this is not moved; its start would have
 	// been for nothing.
 	MoveAfter = 35 * time.Second
@@ -198,7 +198,7 @@
 	// SilentGiveUp: a silent machine that no controller hears is deleted after
 	// this; a hanging one may come back, but its work is started sooner
 	// elsewhere.
-	SilentGiveUp = 6 * time.Second
+	SilentGiveUp = 3 * time.Second
 	// SilentMost: share of the machines that may be silent at once for that; if
 	// more are, the network is the likelier cause, and they are only deleted
 	// after their lease has ended.
