--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -23,7 +23,7 @@
 	avoid     map[string]time.Time // machines not offered for a while
 	preempted map[string]time.Time // tasks that room was made for
 	claiming  map[string]bool      // gangs whose machines are being claimed
-	since     time.Time // when this node came to lead
+	since     time.Time            // when this node came to lead
 	condemnAt time.Time
 	movedAt   time.Time
 	waiting   []*waiting // tasks that found no room in the last pass
@@ -70,7 +70,10 @@
 			continue
 		}
 		if j.rec.State != jobs.Live {
-			ds = append(ds, n.clear(j)...)
+			// Clearing is in no hurry and must not hold up decisions that are.
+			if len(ds) < n.set.Cluster.State.TxnOps && n.client.Spare() {
+				ds = append(ds, n.clear(j)...)
+			}
 			continue
 		}
 		if j.rec.Spec.Shape == jobs.Standing {
@@ -149,19 +152,12 @@
 		if j.rec == nil {
 			continue
 		}
-		charged := 0
-		for _, t := range j.tasks {
-			// A record under a transaction may be charged already.
-			if t.Charged() || n.busy[jobs.TaskKey(t.piece)] || t.State == unreadable {
-				charged++
-			}
-		}
-		a.Charge(j.rec.Spec.Owner, j.rec.Spec.Amount(), float64(charged))
+		a.Charge(j.rec.Spec.Owner, j.rec.Spec.Amount(), float64(len(j.active)))
 	}
-	// A release under way of a task without a record is in no map yet; left
-	// out here, the next pass would give its share away a second time.
+	// A release under way is in no job's active tasks yet; left out here, the
+	// next pass would give its share away a second time.
 	for _, r := range n.reserve {
-		if j := r.t.job; j.rec != nil && j.tasks[r.t.n] == nil {
+		if j := r.t.job; j.rec != nil && j.active[r.t.n] == nil {
 			a.Charge(j.rec.Spec.Owner, j.rec.Spec.Amount(), 1)
 		}
 	}
@@ -182,7 +178,7 @@
 	late := func(r *jobs.Record, start int64) bool { return start >= r.AtMs+tuning.QueueHorizon.Milliseconds() }
 	var q []entry
 	for _, j := range n.jobs {
-		if j.rec == nil || j.rec.State != jobs.Live || len(j.tasks)-j.pendingCount() >= j.rec.Spec.Pieces {
+		if j.rec == nil || j.rec.State != jobs.Live || len(j.active)+j.done >= j.rec.Spec.Pieces {
 			continue
 		}
 		spec := &j.rec.Spec
@@ -238,22 +234,12 @@
 	return best
 }
 
-func (j *job) pendingCount() int {
-	c := 0
-	for _, t := range j.tasks {
-		if t.State == jobs.Pending {
-			c++
-		}
-	}
-	return c
-}
-
 // pending lists up to most tasks of a job that wait, those that have tried
 // before first.
 func (n *Node) pending(j *job, most int) []*task {
 	var out []*task
-	for _, t := range j.tasks {
-		if t.State == jobs.Pending && t.After <= n.ms() && !n.busy[jobs.TaskKey(t.piece)] {
+	for _, t := range j.again {
+		if t.After <= n.ms() && !n.busy[jobs.TaskKey(t.piece)] {
 			out = append(out, t)
 		}
 	}
@@ -280,7 +266,7 @@
 // attempt that is still on a machine.
 func (n *Node) zones(j *job) map[string]int {
 	out := map[string]int{}
-	for _, t := range j.tasks {
+	for _, t := range j.active {
 		switch {
 		case t.State == jobs.Released:
 			out[t.Site]++
@@ -293,7 +279,7 @@
 		}
 	}
 	for _, r := range n.reserve {
-		if r.t.job == j && (j.tasks[r.t.n] == nil || j.tasks[r.t.n].State == jobs.Pending) {
+		if r.t.job == j && j.active[r.t.n] == nil {
 			out[r.site]++
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,9 +46,13 @@
 	uid   string
 	rec   *jobs.Record // nil while only tasks of it are known
 	tasks map[int]*task
-	done  int // tasks finished
-	on    int // tasks on machines
-	free  int // below this number every task has a record
+	// The same tasks by state, so that no pass need look at those of a large
+	// job that are done.
+	active map[int]*task // released, on a machine, or unreadable
+	again  map[int]*task // pending, with a record of earlier tries
+	done   int           // tasks finished
+	on     int           // tasks on machines
+	free   int           // below this number every task has a record
 }
 
 // task is a task's record in memory.
@@ -294,7 +298,7 @@
 func (n *Node) jobOf(uid string) *job {
 	j := n.jobs[uid]
 	if j == nil {
-		j = &job{uid: uid, tasks: map[int]*task{}}
+		j = &job{uid: uid, tasks: map[int]*task{}, active: map[int]*task{}, again: map[int]*task{}}
 		n.jobs[uid] = j
 	}
 	return j
@@ -350,8 +354,8 @@
 const unreadable jobs.TaskState = "unreadable"
 
 func (n *Node) index(t *task) {
-	switch {
-	case t.On():
+	switch t.State {
+	case jobs.Placed, jobs.Stopping:
 		m := n.onHost[t.Host]
 		if m == nil {
 			m = map[string]*task{}
@@ -359,25 +363,33 @@
 		}
 		m[t.piece] = t
 		t.job.on++
+		t.job.active[t.n] = t
 		n.sawImage(t)
-	case t.State == jobs.Released:
+	case jobs.Released:
 		n.released[t.piece] = t
-	case t.State == jobs.Finished:
+		t.job.active[t.n] = t
+	case unreadable:
+		t.job.active[t.n] = t
+	case jobs.Pending:
+		t.job.again[t.n] = t
+	case jobs.Finished:
 		t.job.done++
 	}
 }
 
 func (n *Node) unindex(t *task) {
-	switch {
-	case t.On():
+	delete(t.job.active, t.n)
+	delete(t.job.again, t.n)
+	switch t.State {
+	case jobs.Placed, jobs.Stopping:
 		delete(n.onHost[t.Host], t.piece)
 		if len(n.onHost[t.Host]) == 0 {
 			delete(n.onHost, t.Host)
 		}
 		t.job.on--
-	case t.State == jobs.Released:
+	case jobs.Released:
 		delete(n.released, t.piece)
-	case t.State == jobs.Finished:
+	case jobs.Finished:
 		t.job.done--
 	}
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -241,9 +241,11 @@
 // several blameless jobs fail, or one that others finish elsewhere, is faulty.
 func (n *Node) blame(host string, h *health, t *task) {
 	bad := map[string]bool{host: true}
-	for _, o := range t.job.tasks {
-		for _, b := range o.Bad {
-			bad[b] = true
+	for _, some := range []map[int]*task{t.job.active, t.job.again} {
+		for _, o := range some {
+			for _, b := range o.Bad {
+				bad[b] = true
+			}
 		}
 	}
 	if len(bad) >= tuning.ErrorsBlame {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -124,6 +124,9 @@
 // Waiting is the number of calls held back by the budget.
 func (c *Client) Waiting() int { return c.waiting }
 
+// Spare tells whether there is budget to spare for writes without hurry.
+func (c *Client) Spare() bool { return c.waiting == 0 && c.writes > c.wps/2 }
+
 // Pump sends what the budget allows by now.
 func (c *Client) Pump(now time.Time) {
 	c.now = now
