--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -475,7 +475,10 @@
 		}
 	}
 	for _, a := range c.asked {
-		if n.ms()-a.AtMs > n.bootLimit(a.Build).Milliseconds() {
+		// A list read long enough after the request has what there is: a
+		// machine that it lacks was returned or lost meanwhile, perhaps by an
+		// earlier leader, and must not count.
+		if c.listAt.UnixMilli()-a.AtMs > n.listSure().Milliseconds() || n.ms()-a.AtMs > n.bootLimit(a.Build).Milliseconds() {
 			continue
 		}
 		k := kind{fleet.Group{Build: a.Build, Loaner: a.Loaner}, a.Site}
@@ -492,6 +495,28 @@
 	return counts, booting
 }
 
+// listSure is the time after which a machine must be in the cloud's list.
+func (n *Node) listSure() time.Duration {
+	return seconds(2*n.set.Cluster.Cloud.ListLagS) + tuning.ListSlack
+}
+
+// queuedFor is how many machines of a group the waiting tasks would fill that
+// may go there, by share.
+func (n *Node) queuedFor(g fleet.Group) float64 {
+	b := n.builds[g.Build]
+	if b == nil {
+		return 0
+	}
+	sum := 0.0
+	for _, w := range n.lead.waiting {
+		spec := &w.t.job.rec.Spec
+		if share := spec.Need().Share(b.Whole()); share <= 1+1e-9 && spec.AllowsBuild(g.Build) && (spec.Loaner || !g.Loaner) {
+			sum += share
+		}
+	}
+	return sum
+}
+
 // scalerStep plans each group and acts on the plan's first step.
 func (n *Node) scalerStep() {
 	c := &n.lead.cloud
@@ -566,8 +591,9 @@
 			}
 		}
 		surplus := act.Surplus
-		if fit[g] > 0 {
-			surplus = min(surplus, -fit[g])
+		if queued := n.queuedFor(g); queued > 0 {
+			// Draining while tasks wait that could go there gains nothing.
+			surplus = min(surplus, -int(math.Ceil(queued)))
 		}
 		next, gone, revived := fleet.DrainStep(now, idle[g], surplus, op.DrainSteps, op.ReviveSteps)
 		for h, st := range next {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -180,7 +180,7 @@
 	QueueHorizon = 10 * time.Minute
 	// HoldShare: share of the machines that may be kept for tasks that need
 	// more room than is free anywhere.
-	HoldShare = 0.1
+	HoldShare = 0.25
 	// MoveEvery, MovesAtOnce: pace at which replicas leave draining machines.
 	MoveEvery   = 3 * time.Second
 	MovesAtOnce = 1
@@ -263,6 +263,9 @@
 	BootSlack = 4.0
 	// BootSlackMin: floor for that, for machines with very short boot times.
 	BootSlackMin = 60 * time.Second
+	// ListSlack: on top of twice the list's lag before a machine that is not
+	// listed is taken not to exist.
+	ListSlack = 3 * time.Second
 	// ListEvery: how often the leader reads the cloud's list.
 	ListEvery = 3 * time.Second
 	// CatalogEvery: how often prices are read.
