Complaints about an unreachable owner reach the leader by hints

Found by a scenario: a worker that cannot reach its owner always tries the same next node, so a leader further on never heard of it, deleted the machine as silent and voted nobody out. Machines that leave a command unanswered rest for 5 s.

--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -298,7 +298,7 @@
 		switch {
 		case l.Status == "failed":
 			why = "stopped on its own"
-		case m == nil && l.AgeS+n.now.Sub(n.lead.cloud.listAt).Seconds() > n.bootLimit(l.Build).Seconds() && n.now.Sub(n.heard[h]) > tuning.SilentGiveUp:
+		case m == nil && l.AgeS+n.now.Sub(n.lead.cloud.listAt).Seconds() > n.bootLimit(l.Build).Seconds() && n.sessions[h] == nil:
 			why = "never came up"
 		}
 		switch {
@@ -336,7 +336,7 @@
 	lease := seconds(n.set.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
 	for _, h := range sorted(n.machines) {
 		m := n.machines[h]
-		if m.State != fleet.Silent || n.now.Sub(n.heard[h]) < tuning.SilentGiveUp {
+		if m.State != fleet.Silent || n.now.Sub(n.heard[h]) < tuning.HeardFresh {
 			continue
 		}
 		// A new leader first waits whether the worker comes to it.
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -165,11 +165,12 @@
 		n.complaints[owner] = m
 	}
 	c := m[host]
-	if c == nil || n.now.Sub(c.last) > tuning.SilentOwner {
+	if c == nil || n.now.Sub(c.last) > tuning.ComplaintGap {
 		c = &complaint{first: n.now}
 		m[host] = c
 	}
 	c.last = n.now
+	n.heard[host] = n.now
 }
 
 // unreachable lists the members that workers cannot reach: the workers were
@@ -191,7 +192,7 @@
 	for owner, hosts := range n.complaints {
 		lasting := 0
 		for h, c := range hosts {
-			if n.now.Sub(c.last) > tuning.SilentOwner || n.owner(h) != owner {
+			if n.now.Sub(c.last) > tuning.ComplaintGap || n.owner(h) != owner {
 				delete(hosts, h)
 				continue
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,7 +102,7 @@
 	roleEpoch   uint64
 	outUntil    map[string]time.Time
 	complaints  map[string]map[string]*complaint // owner to machine
-	heard       map[string]time.Time             // machine to last report at any door of ours
+	heard       map[string]time.Time             // machine to last report that its owner did not get
 	peersState  map[string]peerState
 	lastHint    time.Time
 	hintedEpoch uint64
@@ -129,7 +129,10 @@
 	at      time.Time
 }
 
-type complaint struct{ first, last time.Time }
+type complaint struct {
+	first, last time.Time
+	here        bool // the worker came to this node
+}
 
 // reservation is a release or placement whose transaction runs: it takes room
 // on its machine, counts for its zone and is charged to its team already.
@@ -230,6 +233,26 @@
 	if h.Epoch > n.mirror.Epoch {
 		n.followNow()
 	}
+	// A worker that cannot reach its owner always tries the same next node,
+	// which need not be the leader.
+	for _, host := range h.Unreached[:min(len(h.Unreached), tuning.MaxUnreached)] {
+		if owner := n.owner(host); owner != h.From && n.machines[host] != nil {
+			n.complain(owner, host)
+		}
+	}
+}
+
+// unreached lists machines whose workers lately came here in vain.
+func (n *Node) unreached() []string {
+	var out []string
+	for _, owner := range sorted(n.complaints) {
+		for _, host := range sorted(n.complaints[owner]) {
+			if c := n.complaints[owner][host]; c.here && n.now.Sub(c.last) < tuning.PeerBeat && len(out) < tuning.MaxUnreached {
+				out = append(out, host)
+			}
+		}
+	}
+	return out
 }
 
 func (n *Node) sayHints() {
@@ -241,7 +264,7 @@
 		return
 	}
 	n.lastHint, n.hintedEpoch = n.now, n.mirror.Epoch
-	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down()})
+	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Unreached: n.unreached()})
 	for _, p := range n.set.Peers {
 		n.out.Hint(p.NodeName, line)
 	}
@@ -399,6 +422,7 @@
 		delete(n.machines, name)
 		delete(n.health, name)
 		delete(n.images, name)
+		delete(n.heard, name)
 		// The machine is gone: its session must not bring the record back.
 		// Should the worker report after all, it is met as a new one.
 		delete(n.sessions, name)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -43,12 +43,12 @@
 		respond(refuse("not in the view"))
 		return
 	}
-	if len(n.heard) < tuning.MaxSessions || !n.heard[r.Host].IsZero() {
-		n.heard[r.Host] = n.now
-	}
 	owner := n.owner(r.Host)
 	if owner != n.set.NodeName {
-		n.complain(owner, r.Host)
+		if n.machines[r.Host] != nil {
+			n.complain(owner, r.Host)
+			n.complaints[owner][r.Host].here = true
+		}
 		respond(misdirected(owner))
 		return
 	}
@@ -385,6 +385,8 @@
 		if err != nil || (status != 200 && status != 409) || json.Unmarshal(answer, &r) != nil || r.Host != s.Host {
 			n.log.Debug("command without answer", "machine", s.Host, "status", status, "error", err)
 			s.Unanswered()
+			h := n.healthOf(s.Host)
+			h.restUntil = n.now.Add(tuning.UnansweredRest)
 			return
 		}
 		if status == 409 {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,6 +15,9 @@
 	From    string `json:"from"`
 	Epoch   uint64 `json:"epoch,omitempty"`    // the state service has got to here
 	StateOK bool   `json:"state_ok,omitempty"` // the sender's state service answers
+	// Unreached are machines whose workers came to the sender although they
+	// were sent to their owner.
+	Unreached []string `json:"unreached,omitempty"`
 }
 
 // Encode writes a hint as a line.
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -159,6 +159,11 @@
 		for _, n := range w.Order {
 			w.Nodes[n].Boot()
 		}
+	case "door": // door NODE|any: where users' requests go
+		w.Door = ""
+		if args[0] != "any" {
+			w.Door = name(0)
+		}
 	case "state": // state down|up
 		w.Store.SetDown(args[0] == "down")
 	case "refuse": // refuse NODE on|off: the state service refuses it alone
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -145,6 +145,9 @@
 // ask sends a user's request to some node that is up.
 func (w *World) ask(method, target string, body []byte, done func(int, []byte, error)) {
 	name := w.Order[w.RNG.IntN(len(w.Order))]
+	if w.Door != "" {
+		name = w.Door
+	}
 	w.call("user", name, 5*time.Second, func(answer func(int, []byte)) {
 		w.Nodes[name].request(method, target, body, answer)
 	}, done)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -36,7 +36,8 @@
 	LeaseS, ReportS, CancelS, GangWaitS, GangPeerS float64
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
-	Expired                                        int // leases that ran out with tasks on the machine
+	Door                                           string // the node that users reach, any if empty
+	Expired                                        int    // leases that ran out with tasks on the machine
 }
 
 type cutMode int
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -90,9 +90,16 @@
 	// MemberRenew: three tries within MemberTTL.
 	MemberRenew = 1200 * time.Millisecond
 	// SilentOwner: workers that keep coming to others for this long although
-	// they were sent to their owner prove that they cannot reach it. Two full
-	// rounds over three controllers.
-	SilentOwner = 9 * time.Second
+	// they were sent to their owner prove that they cannot reach it: two rounds
+	// of 4 s without an answer and 1 s before the next node.
+	SilentOwner = 4500 * time.Millisecond
+	// ComplaintGap: visits further apart than this do not belong together.
+	ComplaintGap = 9 * time.Second
+	// HeardFresh: a machine heard by another node this recently is not given
+	// up; its owner is the one that is cut off.
+	HeardFresh = 12 * time.Second
+	// MaxUnreached: machines named in one hint.
+	MaxUnreached = 200
 	// SilentShare: part of an owner's machines that must complain.
 	SilentShare = 0.5
 	// OutFor: how long a member that workers cannot reach stays out.
@@ -160,6 +167,9 @@
 	SilentReports = 2.0
 	// FreshReports, reports: tasks go only to machines heard this recently.
 	FreshReports = 1.6
+	// UnansweredRest: pause for a machine that left a command unanswered; what
+	// was to start there starts sooner elsewhere.
+	UnansweredRest = 5 * time.Second
 	// ForgetSession: a machine without a record that does not report is
 	// forgotten.
 	ForgetSession = 2 * time.Minute
