--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -177,8 +177,10 @@
 // told the owner's name and keep coming here instead.
 func (n *Node) unreachable() map[string]bool {
 	out := map[string]bool{}
-	for name, until := range n.outUntil {
-		if n.now.Before(until) {
+	for name, o := range n.outUntil {
+		// Only the incarnation that was out of reach: a process that ended and
+		// came back starts with a clean slate.
+		if n.now.Before(o.until) && n.memberInc(name) == o.inc {
 			out[name] = true
 		}
 	}
@@ -202,7 +204,7 @@
 		}
 		if lasting > 0 && float64(lasting) >= tuning.SilentShare*float64(owned[owner]) && !out[owner] {
 			n.log.Info("workers cannot reach a member", "member", owner, "machines", lasting)
-			n.outUntil[owner] = n.now.Add(tuning.OutFor)
+			n.outUntil[owner] = votedOut{n.memberInc(owner), n.now.Add(tuning.OutFor)}
 			out[owner] = true
 		}
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -100,7 +100,7 @@
 	viewBusy    bool
 	role        members.Role
 	roleEpoch   uint64
-	outUntil    map[string]time.Time
+	outUntil    map[string]votedOut
 	complaints  map[string]map[string]*complaint // owner to machine
 	heard       map[string]time.Time             // machine to last report that its owner did not get
 	peersState  map[string]peerState
@@ -129,6 +129,12 @@
 	at      time.Time
 }
 
+// votedOut is a member that workers could not reach.
+type votedOut struct {
+	inc   uint64
+	until time.Time
+}
+
 type complaint struct {
 	first, last time.Time
 	here        bool // the worker came to this node
@@ -150,7 +156,7 @@
 		jobs: map[string]*job{}, machines: map[string]*machine{},
 		onHost: map[string]map[string]*task{}, released: map[string]*task{},
 		builds: map[string]*jobs.Build{}, role: members.Outside,
-		outUntil: map[string]time.Time{}, complaints: map[string]map[string]*complaint{},
+		outUntil: map[string]votedOut{}, complaints: map[string]map[string]*complaint{},
 		heard: map[string]time.Time{}, peersState: map[string]peerState{},
 		busy: map[string]bool{}, reserve: map[string]reservation{},
 		sessions: map[string]*workers.Session{}, health: map[string]*health{}, images: map[string][]image{},
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -90,9 +90,9 @@
 	// MemberRenew: three tries within MemberTTL.
 	MemberRenew = 1200 * time.Millisecond
 	// SilentOwner: workers that keep coming to others for this long although
-	// they were sent to their owner prove that they cannot reach it: two rounds
-	// of 4 s without an answer and 1 s before the next node.
-	SilentOwner = 4500 * time.Millisecond
+	// they were sent to their owner prove that they cannot reach it. Longer than
+	// MemberTTL, so that a controller that has just ended is not meant.
+	SilentOwner = 6 * time.Second
 	// ComplaintGap: visits further apart than this do not belong together.
 	ComplaintGap = 9 * time.Second
 	// HeardFresh: a machine heard by another node this recently is not given
