--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -60,6 +60,11 @@
 	}
 }
 
+// Serve answers a request that came over a socket.
+func (c *Cloud) Serve(method, target string, body []byte, answer func(int, []byte)) {
+	answer(c.serve(method, target, body))
+}
+
 func (c *Cloud) serve(method, target string, body []byte) (int, []byte) {
 	path, query, _ := strings.Cut(target, "?")
 	switch {
@@ -168,7 +173,7 @@
 		if id <= since || h.born.After(then) || (!h.gone.IsZero() && h.gone.Before(then)) {
 			continue
 		}
-		out = append(out, map[string]any{"uid": id, "endpoint": "w:" + id, "build": h.Build, "site": h.Site, "loaner": h.Loaner, "status": h.status, "age_s": then.Sub(h.born).Seconds()})
+		out = append(out, map[string]any{"uid": id, "endpoint": c.w.endpoint(id), "build": h.Build, "site": h.Site, "loaner": h.Loaner, "status": h.status, "age_s": then.Sub(h.born).Seconds()})
 	}
 	return encode(map[string]any{"hosts": out, "has_next": false})
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -147,6 +147,11 @@
 	}
 }
 
+// Serve answers a request that came over a socket.
+func (s *Store) Serve(method, target string, body []byte, answer func(int, []byte)) {
+	s.serve("", method, target, body, answer)
+}
+
 func (s *Store) serve(from, method, target string, body []byte, answer func(int, []byte)) {
 	path, query, _ := strings.Cut(target, "?")
 	q, _ := url.ParseQuery(query)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -120,7 +120,7 @@
 		}
 		ps = append(ps, m)
 	}
-	return encode(map[string]any{"host": wk.h.ID, "endpoint": "w:" + wk.h.ID, "build": wk.h.Build, "site": wk.h.Site, "loaner": wk.h.Loaner,
+	return encode(map[string]any{"host": wk.h.ID, "endpoint": wk.w.endpoint(wk.h.ID), "build": wk.h.Build, "site": wk.h.Site, "loaner": wk.h.Loaner,
 		"tenure": wk.tenure, "tick": wk.tick, "baton": wk.baton, "warning_s": wk.warning, "pieces": ps})
 }
 
@@ -135,9 +135,15 @@
 		wk.next = w.Now.Add(time.Second)
 	}
 	body := wk.body()
-	w.call(wk.h.ID, name, 4*time.Second, func(answer func(int, []byte)) {
-		w.Nodes[name].request("POST", "/agent/beat", body, answer)
-	}, func(status int, b []byte, err error) {
+	send := func(done func(int, []byte, error)) {
+		w.call(wk.h.ID, name, 4*time.Second, func(answer func(int, []byte)) {
+			w.Nodes[name].request("POST", "/agent/beat", body, answer)
+		}, done)
+	}
+	if w.Real != nil {
+		send = func(done func(int, []byte, error)) { w.Real.Beat(name, body, done) }
+	}
+	send(func(status int, b []byte, err error) {
 		if wk.dead {
 			return
 		}
@@ -210,6 +216,11 @@
 	}
 }
 
+// Serve answers a request that came over a socket.
+func (wk *Worker) Serve(_, target string, body []byte, answer func(int, []byte)) {
+	answer(wk.serve(target, body))
+}
+
 func (wk *Worker) serve(target string, body []byte) (int, []byte) {
 	if target == "/show" {
 		return 200, wk.body()
@@ -267,6 +278,9 @@
 	w := wk.w
 	uid, n, ok := jobs.SplitPiece(o.Piece)
 	j := w.Jobs[uid]
+	if j == nil && w.Real != nil {
+		j = w.describe(uid)
+	}
 	p := &wpiece{piece: o.Piece, try: o.Try, status: "pulling", job: j, n: n}
 	wk.pieces[o.Piece] = p
 	if !ok || j == nil {
@@ -290,6 +304,24 @@
 	wk.after(p, j.PullS, func() { wk.begin(p) })
 }
 
+// describe makes a job from its record in the store: over sockets the
+// stand-in's users are real ones, who upload the description to the workers.
+func (w *World) describe(uid string) *Job {
+	it, ok := w.Store.items[jobs.JobPrefix+uid]
+	if !ok {
+		return nil
+	}
+	r, err := jobs.DecodeRecord(uid, it.V)
+	if err != nil {
+		return nil
+	}
+	j := &Job{UID: uid, Shape: r.Spec.Shape, Owner: r.Spec.Owner, Pieces: r.Spec.Pieces, Accel: r.Spec.Accel, RunS: r.Spec.ExpectS, PullS: r.Spec.PullGB,
+		SamePlace: r.Spec.SamePlace, Scatter: r.Spec.Scatter, Loaner: r.Spec.Loaner, Site: r.Spec.Site, Builds: r.Spec.Builds,
+		SnapshotS: r.Spec.SnapshotS, Body: it.V, Accepted: true, Done: map[int]bool{}}
+	w.Jobs[uid] = j
+	return j
+}
+
 // after runs f unless the piece has moved on or the machine is gone.
 func (wk *Worker) after(p *wpiece, s float64, f func()) {
 	gen := p.gen
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -36,10 +36,25 @@
 	LeaseS, ReportS, CancelS, GangWaitS, GangPeerS float64
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
+	Real                                           *Real // set when the parties speak over sockets
 	Door                                           string // the node that users reach, any if empty
 	Expired                                        int    // leases that ran out with tasks on the machine
 }
 
+// Real carries what the world otherwise does by itself over sockets.
+type Real struct {
+	Endpoint func(machine string) string
+	Beat     func(node string, body []byte, done func(int, []byte, error))
+}
+
+// endpoint is a machine's address.
+func (w *World) endpoint(machine string) string {
+	if w.Real != nil {
+		return w.Real.Endpoint(machine)
+	}
+	return "w:" + machine
+}
+
 type cutMode int
 
 const (
