--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -51,12 +51,14 @@
 	State JobState `json:"s"`
 	AtMs  int64    `json:"at"`            // acceptance, time of day
 	EndMs int64    `json:"end,omitempty"` // when it was cancelled or done
+	Done  int      `json:"n,omitempty"`   // tasks done by then
 	Spec  Spec     `json:"spec"`
 }
 
 // Final is what is kept of a job for ever.
 type Final struct {
 	State JobState `json:"s"`
+	Done  int      `json:"n,omitempty"` // tasks done
 }
 
 // TaskState is the state of a task.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -310,8 +310,8 @@
 		}
 	case hasPrefix(key, jobs.FinalPrefix):
 		var f jobs.Final
-		if json.Unmarshal(value, &f) == nil && (f.State == jobs.Done || f.State == jobs.Cancelled) {
-			n.finals.put(key[len(jobs.FinalPrefix):], f.State)
+		if json.Unmarshal(value, &f) == nil {
+			n.finals.put(key[len(jobs.FinalPrefix):], f)
 		}
 	}
 }
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -82,20 +82,19 @@
 	Running *int   `json:"running,omitempty"`
 }
 
-func (n *Node) statusOf(uid string, s jobs.JobState, counts bool) []byte {
-	out := status{UID: uid, Status: string(s)}
-	j := n.jobs[uid]
-	done, on := 0, 0
-	if j != nil {
-		done, on = j.done, j.on
-	}
-	if s == jobs.Live {
+// statusOf is the answer about a job. The counts are for display; those of a
+// live job come from memory.
+func (n *Node) statusOf(uid string, f jobs.Final, counts bool) []byte {
+	out := status{UID: uid, Status: string(f.State)}
+	done, on := f.Done, 0
+	if f.State == jobs.Live {
+		if j := n.jobs[uid]; j != nil {
+			done, on = j.done, j.on
+		}
 		out.Status = "pending"
 		if on > 0 {
 			out.Status = "running"
 		}
-	} else {
-		on = 0
 	}
 	if counts {
 		out.Done, out.Running = &done, &on
@@ -107,34 +106,34 @@
 // come before it leaves share it. One that has left may be older than what
 // another node has told the user since, so nobody joins it.
 type reader struct {
-	waiting []func(jobs.JobState, error)
+	waiting []func(jobs.Final, error)
 }
 
 var errNoJob = errors.New("no such job")
 
 // read finds a job's state in the state service. Only final states are
 // answered from memory.
-func (n *Node) read(uid string, done func(jobs.JobState, error)) {
+func (n *Node) read(uid string, done func(jobs.Final, error)) {
 	if s, ok := n.finals.get(uid); ok {
 		done(s, nil)
 		return
 	}
 	if n.client.Down() {
-		done("", store.ErrDown)
+		done(jobs.Final{}, store.ErrDown)
 		return
 	}
 	if r := n.readers[uid]; r != nil {
 		r.waiting = append(r.waiting, done)
 		return
 	}
-	r := &reader{waiting: []func(jobs.JobState, error){done}}
+	r := &reader{waiting: []func(jobs.Final, error){done}}
 	n.readers[uid] = r
 	left := func() {
 		if n.readers[uid] == r {
 			delete(n.readers, uid)
 		}
 	}
-	finish := func(s jobs.JobState, err error) {
+	finish := func(s jobs.Final, err error) {
 		left()
 		for _, w := range r.waiting {
 			w(s, err)
@@ -142,46 +141,45 @@
 	}
 	n.client.Get(store.User, jobs.JobPrefix+uid, left, func(it *store.Item, err error) {
 		if err != nil {
-			finish("", err)
+			finish(jobs.Final{}, err)
 			return
 		}
 		if it != nil {
 			n.mirror.Put(it.Key, it.Value, it.Stamp)
 			rec, derr := jobs.DecodeRecord(uid, it.Value)
 			if derr != nil {
-				finish("", derr)
+				finish(jobs.Final{}, derr)
 				return
 			}
-			if rec.State != jobs.Live {
-				n.finals.put(uid, rec.State)
-			}
-			finish(rec.State, nil)
+			f := jobs.Final{State: rec.State, Done: rec.Done}
+			n.finals.put(uid, f)
+			finish(f, nil)
 			return
 		}
 		// A live record leaves only after the final one has come, so reading
 		// in this order misses neither.
 		n.client.Get(store.User, jobs.FinalPrefix+uid, nil, func(it *store.Item, err error) {
 			if err != nil {
-				finish("", err)
+				finish(jobs.Final{}, err)
 				return
 			}
 			if it == nil {
-				finish("", errNoJob)
+				finish(jobs.Final{}, errNoJob)
 				return
 			}
 			var f jobs.Final
 			if jerr := json.Unmarshal(it.Value, &f); jerr != nil {
-				finish("", jerr)
+				finish(jobs.Final{}, jerr)
 				return
 			}
-			n.finals.put(uid, f.State)
-			finish(f.State, nil)
+			n.finals.put(uid, f)
+			finish(f, nil)
 		})
 	})
 }
 
 func (n *Node) query(uid string, respond func(wire.Reply)) {
-	n.read(uid, func(s jobs.JobState, err error) {
+	n.read(uid, func(s jobs.Final, err error) {
 		switch {
 		case errors.Is(err, errNoJob):
 			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
@@ -199,7 +197,7 @@
 		respond(wire.Reply{Status: 400, Body: errorBody(err.Error())})
 		return
 	}
-	known := func(s jobs.JobState) {
+	known := func(s jobs.Final) {
 		respond(wire.Reply{Status: 200, Body: n.statusOf(spec.UID, s, false)})
 	}
 	if s, ok := n.finals.get(spec.UID); ok {
@@ -213,7 +211,7 @@
 	// A job that is known already is answered by a read; only an unknown one
 	// is judged, since what made it acceptable may have changed since.
 	if n.jobs[spec.UID] != nil {
-		n.read(spec.UID, func(s jobs.JobState, err error) {
+		n.read(spec.UID, func(s jobs.Final, err error) {
 			if err != nil {
 				respond(refuse("state unavailable"))
 				return
@@ -227,7 +225,7 @@
 		return
 	}
 	if why := jobs.CanEverRun(spec, n.teams, n.builds); why != "" {
-		n.read(spec.UID, func(s jobs.JobState, err error) {
+		n.read(spec.UID, func(s jobs.Final, err error) {
 			switch {
 			case err == nil:
 				known(s)
@@ -242,7 +240,7 @@
 	n.accept(spec, known, respond)
 }
 
-func (n *Node) accept(spec *jobs.Spec, known func(jobs.JobState), respond func(wire.Reply)) {
+func (n *Node) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
 	rec := jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: *spec}
 	w := put(jobs.JobPrefix+spec.UID, rec)
 	if len(w.Value) > int(n.set.Cluster.State.ValueKB*1024) {
@@ -261,9 +259,9 @@
 		switch {
 		case err == nil:
 			n.mirror.Commit(t.Writes, epoch)
-			respond(wire.Reply{Status: 201, Body: n.statusOf(spec.UID, jobs.Live, false)})
+			respond(wire.Reply{Status: 201, Body: n.statusOf(spec.UID, jobs.Final{State: jobs.Live}, false)})
 		case errors.Is(err, store.ErrConflict):
-			n.read(spec.UID, func(s jobs.JobState, err error) {
+			n.read(spec.UID, func(s jobs.Final, err error) {
 				if err != nil {
 					respond(refuse("try again")) // only the view had changed
 					return
@@ -286,7 +284,7 @@
 		respond(refuse("not able to cancel"))
 		return
 	}
-	n.read(uid, func(s jobs.JobState, err error) {
+	n.read(uid, func(s jobs.Final, err error) {
 		switch {
 		case errors.Is(err, errNoJob):
 			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
@@ -296,7 +294,7 @@
 			return
 		}
 		j := n.jobs[uid]
-		next, ok := jobs.NextJob(s, jobs.UserCancels)
+		next, ok := jobs.NextJob(s.State, jobs.UserCancels)
 		if !ok {
 			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
 			return
@@ -310,7 +308,7 @@
 				respond(refuse("try again"))
 				return
 			}
-			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, next, false)})
+			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, jobs.Final{State: next}, false)})
 		})
 	})
 }
@@ -319,7 +317,10 @@
 // read for ever.
 func (n *Node) close(j *job, state jobs.JobState, p store.Priority, done func(bool)) {
 	rec := *j.rec
-	rec.State, rec.EndMs = state, n.ms()
+	rec.State, rec.EndMs, rec.Done = state, n.ms(), j.done
+	if state == jobs.Done {
+		rec.Done = rec.Spec.Pieces // of a gang, one done means all are
+	}
 	key, final := jobs.JobPrefix+j.uid, jobs.FinalPrefix+j.uid
 	t := store.Txn{
 		If: []store.Cond{
@@ -327,7 +328,7 @@
 			{Key: key, Stamp: n.mirror.Stamp(key)},
 			{Key: final, Stamp: 0},
 		},
-		Writes: []store.Write{put(key, rec), put(final, jobs.Final{State: state})},
+		Writes: []store.Write{put(key, rec), put(final, jobs.Final{State: state, Done: rec.Done})},
 	}
 	n.client.Multi(p, t, func(epoch uint64, _ []string, err error) {
 		if err == nil {
@@ -341,21 +342,21 @@
 // finalCache keeps final states, which never change, up to a bound.
 type finalCache struct {
 	most  int
-	state map[string]jobs.JobState
+	state map[string]jobs.Final
 	order []string
 }
 
 func newFinalCache(most int) *finalCache {
-	return &finalCache{most: most, state: map[string]jobs.JobState{}}
+	return &finalCache{most: most, state: map[string]jobs.Final{}}
 }
 
-func (c *finalCache) get(uid string) (jobs.JobState, bool) {
+func (c *finalCache) get(uid string) (jobs.Final, bool) {
 	s, ok := c.state[uid]
 	return s, ok
 }
 
-func (c *finalCache) put(uid string, s jobs.JobState) {
-	if _, ok := c.state[uid]; ok || (s != jobs.Done && s != jobs.Cancelled) {
+func (c *finalCache) put(uid string, s jobs.Final) {
+	if _, ok := c.state[uid]; ok || (s.State != jobs.Done && s.State != jobs.Cancelled) {
 		return
 	}
 	if len(c.order) >= c.most {
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -216,7 +216,10 @@
 
 // told checks what a user is told against what was told before.
 func (w *World) told(j *Job, body []byte) {
-	var s struct{ Status string }
+	var s struct {
+		Status string
+		Done   *int
+	}
 	if json.Unmarshal(body, &s) != nil {
 		w.Break("unreadable answer %s", body)
 		return
@@ -230,6 +233,9 @@
 	if s.Status == "done" && len(j.Done) < j.Pieces {
 		w.Break("not_done: %s has %d of %d", j.UID, len(j.Done), j.Pieces)
 	}
+	if s.Status == "done" && s.Done != nil && *s.Done != j.Pieces {
+		w.Break("shown wrong: %s is done with %d of %d", j.UID, *s.Done, j.Pieces)
+	}
 	j.Told = s.Status
 }
 
