Room made for a task is kept for it

Cause, from volta troubles: at 386 s room was made for a pack-guard, which then waited for a machine with its image while a health-score took the room, and nothing more was made for 10 s.

--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -21,7 +21,7 @@
 type leader struct {
 	closing   map[string]bool
 	avoid     map[string]time.Time // machines not offered for a while
-	preempted map[string]time.Time // tasks that room was made for
+	preempted map[string]making    // tasks that room is made for
 	claiming  map[string]bool      // gangs whose machines are being claimed
 	since     time.Time            // when this node came to lead
 	condemnAt time.Time
@@ -38,8 +38,14 @@
 	within bool // inside its team's guarantee
 }
 
+// making is room being made for a task by stopping others.
+type making struct {
+	until  time.Time // not again before
+	cached bool      // on a machine that holds its image
+}
+
 func (l *leader) reset() {
-	*l = leader{closing: map[string]bool{}, avoid: map[string]time.Time{}, preempted: map[string]time.Time{}, claiming: map[string]bool{}}
+	*l = leader{closing: map[string]bool{}, avoid: map[string]time.Time{}, preempted: map[string]making{}, claiming: map[string]bool{}}
 	l.cloud.reset()
 }
 
@@ -441,13 +447,13 @@
 	var ds []decision
 	for _, w := range n.lead.waiting {
 		spec := &w.t.job.rec.Spec
-		if (w.rank > 1 && !w.within) || n.now.Before(n.lead.preempted[w.t.piece]) || w.t.job.rec.Spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+		if (w.rank > 1 && !w.within) || n.now.Before(n.lead.preempted[w.t.piece].until) || w.t.job.rec.Spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
 			continue
 		}
-		ds = append(ds, n.stopFor(w, n.victims(w, use, account, false))...)
+		ds = append(ds, n.stopFor(w, n.victims(w, use, account, false), false)...)
 	}
-	for p, until := range n.lead.preempted {
-		if n.now.After(until) {
+	for p, m := range n.lead.preempted {
+		if n.now.After(m.until) {
 			delete(n.lead.preempted, p)
 		}
 	}
@@ -492,7 +498,7 @@
 }
 
 // stopFor stops tasks to make room for a waiting one.
-func (n *Node) stopFor(w *waiting, victims []*task) []decision {
+func (n *Node) stopFor(w *waiting, victims []*task, cached bool) []decision {
 	var ds []decision
 	for _, v := range victims {
 		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.t.piece}); ok {
@@ -500,7 +506,7 @@
 		}
 	}
 	if len(ds) > 0 {
-		n.lead.preempted[w.t.piece] = n.now.Add(tuning.PreemptAgain)
+		n.lead.preempted[w.t.piece] = making{n.now.Add(tuning.PreemptAgain), cached}
 	}
 	return ds
 }
@@ -518,11 +524,19 @@
 	if rate <= 0 || aim < n.ms() || n.ms()+int64(rec.Spec.PullGB/rate*1000) <= aim {
 		return false, nil
 	}
-	if until := n.lead.preempted[w.t.piece]; n.now.Before(until) {
-		// Room is being made; if it does not come at once, go elsewhere.
-		return until.Sub(n.now) > tuning.PreemptAgain-tuning.ClearWait, nil
+	if m := n.lead.preempted[w.t.piece]; n.now.Before(m.until) {
+		// Room is being made; if it does not come at once, go elsewhere. What
+		// has been found already is kept meanwhile: others would take it.
+		if !m.cached || m.until.Sub(n.now) < tuning.PreemptAgain-tuning.ClearWait {
+			return false, nil
+		}
+		use[host] = use[host].Add(rec.Spec.Need())
+		return true, nil
+	}
+	ds := n.stopFor(w, n.victims(w, use, account, true), true)
+	if len(ds) > 0 {
+		use[host] = use[host].Add(rec.Spec.Need())
 	}
-	ds := n.stopFor(w, n.victims(w, use, account, true))
 	return len(ds) > 0, ds
 }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -36,7 +36,7 @@
 	LeaseS, ReportS, CancelS, GangWaitS, GangPeerS float64
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
-	Real                                           *Real // set when the parties speak over sockets
+	Real                                           *Real  // set when the parties speak over sockets
 	Door                                           string // the node that users reach, any if empty
 	Expired                                        int    // leases that ran out with tasks on the machine
 }
