Dead code out; a deleted machine leaves the list in one place

Unused: Client.DownFor, wire.Client.Close, Store.String, cloudState.short. That a delete had been answered was checked at each use of the list; now the machine leaves it when the answer comes. Behaviour as before.

--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -56,7 +56,6 @@
 	steps    int // steps since this leader began
 	hires    int
 	refused  map[string]time.Time // kinds without capacity, until when
-	short    map[fleet.Group]float64
 	deleting map[string]time.Time // delete requests under way
 	asked    []asked
 	planned  map[kind]int // machines by kind that the queue asks for
@@ -68,7 +67,7 @@
 func (c *cloudState) reset() {
 	*c = cloudState{
 		listed: map[string]fleet.Listed{}, gone: map[string]time.Time{}, deleted: map[string]time.Time{}, refused: map[string]time.Time{},
-		short: map[fleet.Group]float64{}, deleting: map[string]time.Time{},
+		deleting: map[string]time.Time{},
 	}
 }
 
@@ -264,6 +263,7 @@
 				n.moveMachine(h, fleet.Removed, "delete answered")
 				delete(c.deleting, h)
 				c.deleted[h] = n.now
+				delete(c.listed, h)
 			}
 		}
 	})
@@ -288,9 +288,6 @@
 func (n *Node) condemnListed() {
 	for _, h := range sorted(n.lead.cloud.listed) {
 		l, m := n.lead.cloud.listed[h], n.machines[h]
-		if !n.lead.cloud.deleted[h].IsZero() {
-			continue
-		}
 		if m != nil && (m.State == fleet.Deleting || m.State == fleet.Deleted) {
 			continue
 		}
@@ -468,7 +465,7 @@
 		}
 	}
 	for h, l := range c.listed {
-		if n.machines[h] == nil && c.deleted[h].IsZero() && (l.Status == "booting" || l.Status == "running") {
+		if n.machines[h] == nil && (l.Status == "booting" || l.Status == "running") {
 			k := kind{fleet.Group{Build: l.Build, Loaner: l.Loaner}, l.Site}
 			counts[k]++
 			booting[k]++
@@ -677,7 +674,6 @@
 	for k, v := range counts {
 		wanted[k] = v
 	}
-	c.short = map[fleet.Group]float64{}
 	for _, w := range n.lead.waiting {
 		spec := &w.t.job.rec.Spec
 		zones := zonesOf[w.t.job]
@@ -708,7 +704,6 @@
 		zones[k.site]++
 		wanted[k]++
 		fit[k.Group]++
-		c.short[k.Group]++
 		bins = append(bins, bin{k, b.Whole().Sub(spec.Need())})
 	}
 	c.planned = wanted
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/url"
 	"sort"
 	"strconv"
@@ -283,5 +282,3 @@
 	}
 	return c
 }
-
-func (s *Store) String() string { return fmt.Sprintf("epoch %d, %d keys", s.epoch, len(s.items)) }
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -83,15 +83,14 @@
 	send  Call
 	watch Call
 
-	now       time.Time
-	filled    time.Time
-	tokens    float64
-	writes    float64
-	rps, wps  float64
-	queues    [levels][]pending
-	waiting   int
-	failures  int
-	downSince time.Time
+	now      time.Time
+	filled   time.Time
+	tokens   float64
+	writes   float64
+	rps, wps float64
+	queues   [levels][]pending
+	waiting  int
+	failures int
 }
 
 type pending struct {
@@ -113,14 +112,6 @@
 // Down reports whether the last calls failed.
 func (c *Client) Down() bool { return c.failures >= 2 }
 
-// DownFor tells how long the service has been failing.
-func (c *Client) DownFor() time.Duration {
-	if !c.Down() {
-		return 0
-	}
-	return c.now.Sub(c.downSince)
-}
-
 // Waiting is the number of calls held back by the budget.
 func (c *Client) Waiting() int { return c.waiting }
 
@@ -195,12 +186,7 @@
 	return fmt.Errorf("%w: status %d", ErrRefused, status)
 }
 
-func (c *Client) fail() {
-	if c.failures == 0 {
-		c.downSince = c.now
-	}
-	c.failures++
-}
+func (c *Client) fail() { c.failures++ }
 
 // Get reads a key. The item is nil when it is absent. sent, if given, is
 // called when the request leaves.
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -96,14 +96,3 @@
 	}
 	c.idle = append(c.idle, idleConn{conn, time.Now()})
 }
-
-// Close drops the kept connections.
-func (c *Client) Close() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for _, conn := range c.idle {
-		conn.Conn.Close()
-	}
-	c.idle = nil
-	return nil
-}
