--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,197 @@
+// Package fleet keeps the machines: their records, the cloud's list, renting,
+// draining and deleting.
+package fleet
+
+import (
+	"encoding/json"
+	"fmt"
+	"sort"
+)
+
+// HostPrefix is the prefix of machine records in the state service.
+const HostPrefix = "host/"
+
+// State is the state of a machine's record. A machine has a record from its
+// worker's first report under our baton, or from the decision to delete it.
+type State string
+
+// States of a machine.
+const (
+	Up       State = "up"       // its owner hears it
+	Silent   State = "silent"   // its owner has not heard it for some time
+	Warned   State = "warned"   // the cloud will take it away
+	Faulty   State = "faulty"   // tasks fail on it
+	Deleting State = "deleting" // to be deleted; no task may be placed
+	Deleted  State = "deleted"  // the delete was answered 200: all on it is gone
+)
+
+// Event is what can happen to a machine.
+type Event string
+
+// Events of a machine.
+const (
+	Heard   Event = "heard"
+	Unheard Event = "unheard"
+	Notice  Event = "notice"
+	Sick    Event = "sick"
+	Condemn Event = "condemn"
+	Removed Event = "removed" // delete answered 200
+)
+
+// Next is the one place where a machine's record changes state.
+func Next(s State, e Event) (State, bool) {
+	switch e {
+	case Heard:
+		if s == Silent || s == "" {
+			return Up, true
+		}
+	case Unheard:
+		if s == Up || s == Warned {
+			return Silent, true
+		}
+	case Notice:
+		if s == Up || s == Silent {
+			return Warned, true
+		}
+	case Sick:
+		if s == Up || s == Silent || s == Warned {
+			return Faulty, true
+		}
+	case Condemn:
+		if s != Deleting && s != Deleted {
+			return Deleting, true
+		}
+	case Removed:
+		if s == Deleting {
+			return Deleted, true
+		}
+	}
+	return s, false
+}
+
+// Host is a machine's record.
+type Host struct {
+	State    State  `json:"s"`
+	Endpoint string `json:"endpoint,omitempty"`
+	Build    string `json:"build,omitempty"`
+	Site     string `json:"site,omitempty"`
+	Loaner   bool   `json:"loaner,omitempty"`
+	Claim    string `json:"claim,omitempty"` // gang that the leader places here
+	Why      string `json:"why,omitempty"`   // why it is deleted
+	SinceMs  int64  `json:"since,omitempty"`
+}
+
+// Decode reads a machine record.
+func Decode(b []byte) (*Host, error) {
+	var h Host
+	if err := json.Unmarshal(b, &h); err != nil {
+		return nil, err
+	}
+	switch h.State {
+	case Up, Silent, Warned, Faulty, Deleting, Deleted:
+		return &h, nil
+	}
+	return nil, fmt.Errorf("unknown machine state %q", h.State)
+}
+
+// Listed is a machine in the cloud's list.
+type Listed struct {
+	UID      string  `json:"uid"`
+	Endpoint string  `json:"endpoint"`
+	Build    string  `json:"build"`
+	Site     string  `json:"site"`
+	Loaner   bool    `json:"loaner"`
+	Status   string  `json:"status"`
+	AgeS     float64 `json:"age_s"`
+}
+
+// Group is what is sized separately: a machine type, ordinary or cheap. The
+// design sizes each type; cheap machines of a type take only tasks that allow
+// them, so that the two cannot stand in for one another.
+type Group struct {
+	Build  string
+	Loaner bool
+}
+
+func (g Group) String() string {
+	if g.Loaner {
+		return g.Build + "+"
+	}
+	return g.Build
+}
+
+// Draining is the stage of each draining machine, by name; the scaler's
+// summary carries it, so that owners and a fresh leader know.
+type Draining map[string]int
+
+// Idle is a machine that may be drained, with the share of it in use.
+type Idle struct {
+	Host string
+	Load float64
+	Cost float64 // per hour
+}
+
+// DrainStep moves draining on by one step. surplus is how many machines of
+// the group are not needed over the whole plan, draining ones not counted as
+// supply; negative when machines are short. It returns the next stages and
+// the machines to return to the cloud now. steps and revive are the lengths
+// of draining and of its part with revival.
+func DrainStep(now Draining, idle []Idle, surplus, steps, revive int) (next Draining, give, revived []string) {
+	next = Draining{}
+	load := map[string]float64{}
+	for _, i := range idle {
+		load[i.Host] = i.Load
+	}
+	var names []string
+	for h := range now {
+		names = append(names, h)
+	}
+	// Revival takes the fullest first: they would be returned last.
+	sort.Slice(names, func(a, b int) bool {
+		if load[names[a]] != load[names[b]] {
+			return load[names[a]] > load[names[b]]
+		}
+		return names[a] < names[b]
+	})
+	short := -surplus
+	for _, h := range names {
+		l, known := load[h]
+		stage := now[h]
+		switch {
+		case !known:
+			continue // no longer ours
+		case short > 0 && stage <= revive:
+			revived = append(revived, h)
+			short--
+		case l == 0:
+			give = append(give, h)
+		case stage >= steps:
+			revived = append(revived, h) // not empty by the end
+		default:
+			next[h] = stage + 1
+		}
+	}
+	if surplus <= 0 {
+		return next, give, revived
+	}
+	sort.SliceStable(idle, func(a, b int) bool {
+		if idle[a].Load != idle[b].Load {
+			return idle[a].Load < idle[b].Load
+		}
+		if idle[a].Cost != idle[b].Cost {
+			return idle[a].Cost > idle[b].Cost
+		}
+		return idle[a].Host > idle[b].Host
+	})
+	for _, i := range idle {
+		if surplus == 0 {
+			break
+		}
+		if _, was := now[i.Host]; was {
+			continue
+		}
+		next[i.Host] = 1
+		surplus--
+	}
+	return next, give, revived
+}
--- /dev/null
+++ b/internal/jobs/records.go
@@ -0,0 +1,238 @@
+package jobs
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Key prefixes in the state service. Live records and final ones are kept
+// apart, so that a restart reads only what is live.
+const (
+	JobPrefix   = "job/"
+	TaskPrefix  = "task/"
+	FinalPrefix = "final/"
+)
+
+// JobState is the state of a job.
+type JobState string
+
+// States of a job. Final ones are also written to the final key.
+const (
+	Live      JobState = "live"
+	Cancelled JobState = "cancelled"
+	Done      JobState = "done"
+)
+
+// JobEvent is what can happen to a job.
+type JobEvent string
+
+// Events of a job.
+const (
+	UserCancels  JobEvent = "user cancels"
+	TasksAllDone JobEvent = "tasks all done"
+)
+
+// NextJob is the one place where a job changes state.
+func NextJob(s JobState, e JobEvent) (JobState, bool) {
+	switch {
+	case s == Live && e == UserCancels:
+		return Cancelled, true
+	case s == Live && e == TasksAllDone:
+		return Done, true
+	}
+	return s, false
+}
+
+// Record is a job as stored.
+type Record struct {
+	State JobState `json:"s"`
+	AtMs  int64    `json:"at"`            // acceptance, time of day
+	EndMs int64    `json:"end,omitempty"` // when it was cancelled or done
+	Spec  Spec     `json:"spec"`
+}
+
+// Final is what is kept of a job for ever.
+type Final struct {
+	State JobState `json:"s"`
+}
+
+// TaskState is the state of a task.
+type TaskState string
+
+// States of a task. A task without a record is pending and has never run.
+const (
+	Pending  TaskState = "pending"  // waits; earlier tries are used up
+	Released TaskState = "released" // charged to its team and given to a part
+	Placed   TaskState = "placed"   // committed to a machine and try
+	Stopping TaskState = "stopping" // placed, and to be stopped
+	Finished TaskState = "done"     // completed
+)
+
+// Task is a task as stored.
+type Task struct {
+	State TaskState `json:"s"`
+	Part  string    `json:"part,omitempty"` // controller that places it
+	Site  string    `json:"site,omitempty"` // zone chosen by the leader
+	Want  string    `json:"want,omitempty"` // machine the leader has room in mind on
+	Host  string    `json:"host,omitempty"`
+	Try   uint64    `json:"try,omitempty"` // highest try used
+	Fails int       `json:"fails,omitempty"`
+	Bad   []string  `json:"bad,omitempty"` // machines that it failed on
+	After int64     `json:"after,omitempty"`
+	Why   string    `json:"why,omitempty"` // why it is being stopped
+}
+
+// TaskEvent is what can happen to a task.
+type TaskEvent struct {
+	Kind TaskEventKind
+	Part, Site, Want,
+	Host string
+	Try     uint64
+	AfterMs int64
+	Why     string
+}
+
+// TaskEventKind names a task event.
+type TaskEventKind string
+
+// Events of a task.
+const (
+	Release  TaskEventKind = "release"   // leader charges it and names a part
+	TakeBack TaskEventKind = "take back" // part did not place it
+	Place    TaskEventKind = "place"     // machine and try chosen
+	Stop     TaskEventKind = "stop"      // to be stopped
+	Complete TaskEventKind = "complete"  // worker reported done
+	Gone     TaskEventKind = "gone"      // no longer on its machine, not its fault
+	Fail     TaskEventKind = "fail"      // failed on its machine
+)
+
+// maxBad bounds the machines remembered against a task.
+const maxBad = 4
+
+// NextTask is the one place where a task changes state.
+func NextTask(t Task, e TaskEvent) (Task, bool) {
+	state := t.State
+	if state == "" {
+		state = Pending
+	}
+	on := state == Placed || state == Stopping
+	switch e.Kind {
+	case Release:
+		if state != Pending {
+			return t, false
+		}
+		t.State, t.Part, t.Site, t.Want = Released, e.Part, e.Site, e.Want
+	case TakeBack:
+		if state != Released {
+			return t, false
+		}
+		t.State, t.Part, t.Site, t.Want = Pending, "", "", ""
+	case Place:
+		// A try is never reused: it must be above every earlier one.
+		if (state != Released && state != Pending) || e.Try <= t.Try {
+			return t, false
+		}
+		t.State, t.Host, t.Site, t.Try, t.Part, t.Want = Placed, e.Host, e.Site, e.Try, "", ""
+	case Stop:
+		if state != Placed {
+			return t, false
+		}
+		t.State, t.Why = Stopping, e.Why
+	case Complete:
+		if !on {
+			return t, false
+		}
+		t = Task{State: Finished, Try: t.Try}
+	case Gone:
+		if !on {
+			return t, false
+		}
+		t = Task{State: Pending, Try: t.Try, Fails: t.Fails, Bad: t.Bad, After: e.AfterMs}
+	case Fail:
+		if !on {
+			return t, false
+		}
+		bad := t.Bad
+		if !slices.Contains(bad, t.Host) {
+			bad = append(slices.Clone(bad), t.Host)
+			if len(bad) > maxBad {
+				bad = bad[1:]
+			}
+		}
+		t = Task{State: Pending, Try: t.Try, Fails: t.Fails + 1, Bad: bad, After: e.AfterMs}
+	default:
+		return t, false
+	}
+	return t, true
+}
+
+// On tells whether the task may be on a machine.
+func (t *Task) On() bool { return t.State == Placed || t.State == Stopping }
+
+// Charged tells whether the task counts against its team.
+func (t *Task) Charged() bool { return t.On() || t.State == Released }
+
+// TaskKey is the key of a task's record; piece is "wk-000412/3".
+func TaskKey(piece string) string { return TaskPrefix + piece }
+
+// Piece is the name of a task.
+func Piece(uid string, n int) string { return uid + "/" + strconv.Itoa(n) }
+
+// SplitPiece is the inverse of Piece.
+func SplitPiece(piece string) (uid string, n int, ok bool) {
+	uid, num, found := strings.Cut(piece, "/")
+	if !found || !ValidUID(uid) || len(num) > 6 {
+		return "", 0, false
+	}
+	n, err := strconv.Atoi(num)
+	if err != nil || n < 0 || n >= maxPieces || strconv.Itoa(n) != num {
+		return "", 0, false
+	}
+	return uid, n, true
+}
+
+// Encode writes a record; records always can be written.
+func Encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		return json.RawMessage("null")
+	}
+	return b
+}
+
+// DecodeRecord reads a job record and checks it.
+func DecodeRecord(uid string, b []byte) (*Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return nil, err
+	}
+	if r.Spec.UID != uid || r.Spec.Pieces < 1 || r.Spec.Pieces > maxPieces || r.Spec.RankOrder() < 0 {
+		return nil, fmt.Errorf("record of %s does not hold its job", uid)
+	}
+	switch r.State {
+	case Live, Cancelled, Done:
+		return &r, nil
+	}
+	return nil, fmt.Errorf("record of %s has unknown state %q", uid, r.State)
+}
+
+// DecodeTask reads a task record and checks it.
+func DecodeTask(b []byte) (*Task, error) {
+	var t Task
+	if err := json.Unmarshal(b, &t); err != nil {
+		return nil, err
+	}
+	switch t.State {
+	case Pending, Released, Finished:
+	case Placed, Stopping:
+		if t.Host == "" || t.Try == 0 {
+			return nil, fmt.Errorf("placed task without machine or try")
+		}
+	default:
+		return nil, fmt.Errorf("unknown task state %q", t.State)
+	}
+	return &t, nil
+}
--- /dev/null
+++ b/internal/node/cloud.go
@@ -0,0 +1,738 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/parts"
+	"github.com/harrierreel/harrierreel/internal/scaler"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// summary is what the scaler writes once a step: enough for owners to know
+// what drains and for a fresh leader to go on.
+type summary struct {
+	Step    uint64               `json:"step"`
+	History map[string][]float64 `json:"history,omitempty"`
+	Drain   fleet.Draining       `json:"drain,omitempty"`
+	Asked   []asked              `json:"asked,omitempty"`
+}
+
+// asked is a rent whose machines may not be in the cloud's list yet.
+type asked struct {
+	Hire   string   `json:"hire"`
+	Build  string   `json:"build"`
+	Site   string   `json:"site"`
+	Loaner bool     `json:"loaner,omitempty"`
+	Count  int      `json:"count"`
+	AtMs   int64    `json:"at"`
+	Hosts  []string `json:"hosts,omitempty"`
+}
+
+// cloudState is the leader's knowledge of the cloud.
+type cloudState struct {
+	catalog    map[string]*jobs.Build
+	catalogAt  time.Time
+	catalogRun bool
+
+	listed  map[string]fleet.Listed
+	listAt  time.Time // start of the newest complete listing
+	listRun bool
+	gone    map[string]time.Time // machines that a listing no longer has, since when
+
+	tokens float64
+	filled time.Time
+	calls  []func()
+
+	stepAt   time.Time
+	steps    int // steps since this leader began
+	hires    int
+	refused  map[string]time.Time // kinds without capacity, until when
+	short    map[fleet.Group]float64
+	deleting map[string]time.Time // delete requests under way
+	asked    []asked
+	planned  map[kind]int // machines by kind that the queue asks for
+}
+
+func (c *cloudState) reset() {
+	*c = cloudState{
+		listed: map[string]fleet.Listed{}, gone: map[string]time.Time{}, refused: map[string]time.Time{},
+		short: map[fleet.Group]float64{}, deleting: map[string]time.Time{},
+	}
+}
+
+// cloudCall sends a request within the cloud's rate, or later.
+func (n *Node) cloudCall(method, target string, body []byte, done func(int, []byte, error)) {
+	c := &n.lead.cloud
+	if len(c.calls) >= tuning.CloudQueue {
+		done(429, nil, nil)
+		return
+	}
+	epoch := n.roleEpoch
+	c.calls = append(c.calls, func() {
+		n.out.Cloud(method, target, body, tuning.CloudTimeout, func(status int, answer []byte, err error) {
+			n.dirty = true
+			// A leader that has lost the view does nothing with the answer.
+			if n.role == members.Leader && n.roleEpoch == epoch || n.role == members.Leader && method == "GET" {
+				done(status, answer, err)
+				return
+			}
+			done(0, nil, errOldView)
+		})
+	})
+}
+
+var errOldView = fmt.Errorf("the view has changed")
+
+// cloudPass sends waiting calls and does what is due.
+func (n *Node) cloudPass() {
+	c := &n.lead.cloud
+	rate := n.set.Cluster.Cloud.RPS * tuning.CloudBudget
+	if c.filled.IsZero() {
+		c.tokens = rate
+	} else {
+		c.tokens = math.Min(c.tokens+n.now.Sub(c.filled).Seconds()*rate, math.Max(rate, 1))
+	}
+	c.filled = n.now
+	if !c.catalogRun && (c.catalog == nil || n.now.Sub(c.catalogAt) > tuning.CatalogEvery) {
+		n.readCatalog()
+	}
+	if !c.listRun && (c.listAt.IsZero() || n.now.Sub(c.listAt) > tuning.ListEvery) {
+		n.readList()
+	}
+	step := seconds(n.set.Operator.StepS)
+	if c.catalog != nil && !c.listAt.IsZero() && n.now.Sub(c.stepAt) >= step && !n.client.Down() {
+		c.stepAt = n.now
+		n.scalerStep()
+	}
+	for len(c.calls) > 0 && c.tokens >= 1 {
+		call := c.calls[0]
+		c.calls = c.calls[1:]
+		c.tokens--
+		call()
+	}
+}
+
+func (n *Node) readCatalog() {
+	c := &n.lead.cloud
+	c.catalogRun = true
+	n.cloudCall("GET", "/catalog", nil, func(status int, body []byte, err error) {
+		c.catalogRun = false
+		var answer struct {
+			Builds []*jobs.Build `json:"builds"`
+		}
+		if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil || len(answer.Builds) == 0 {
+			c.catalogAt = n.now.Add(tuning.CatalogAgain - tuning.CatalogEvery)
+			if c.catalog == nil {
+				c.catalogAt = n.now
+			}
+			return
+		}
+		c.catalogAt = n.now
+		c.catalog = map[string]*jobs.Build{}
+		var ds []decision
+		for _, b := range answer.Builds {
+			if b == nil || b.Name == "" || len(b.Name) > 150 {
+				continue
+			}
+			c.catalog[b.Name] = b
+			// Prices move and are the leader's business; the rest is told to all.
+			told := *b
+			told.Hourly, told.LowPrice = 0, 0
+			if old := n.builds[b.Name]; old == nil || string(jobs.Encode(old)) != string(jobs.Encode(told)) {
+				ds = append(ds, decision{writes: []store.Write{put(buildPrefix+b.Name, told)}})
+			}
+		}
+		n.commit(ds)
+	})
+}
+
+// readList reads the whole list, page by page.
+func (n *Node) readList() {
+	c := &n.lead.cloud
+	c.listRun = true
+	started := n.now
+	all := map[string]fleet.Listed{}
+	var page func(since string)
+	page = func(since string) {
+		target := fmt.Sprintf("/hosts?limit=%d", tuning.ListPage)
+		if since != "" {
+			target += "&since=" + since
+		}
+		n.cloudCall("GET", target, nil, func(status int, body []byte, err error) {
+			var answer struct {
+				Hosts   []fleet.Listed `json:"hosts"`
+				HasNext bool           `json:"has_next"`
+			}
+			if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil {
+				c.listRun = false
+				return
+			}
+			for _, h := range answer.Hosts {
+				all[h.UID] = h
+			}
+			if answer.HasNext && len(answer.Hosts) > 0 {
+				page(answer.Hosts[len(answer.Hosts)-1].UID)
+				return
+			}
+			c.listRun = false
+			for h := range c.listed {
+				if _, ok := all[h]; !ok && c.gone[h].IsZero() {
+					c.gone[h] = n.now
+				}
+			}
+			for h := range all {
+				delete(c.gone, h)
+			}
+			c.listed, c.listAt = all, started
+			for h, at := range c.gone {
+				if n.now.Sub(at) > tuning.ForgetGone {
+					delete(c.gone, h)
+				}
+			}
+		})
+	}
+	page("")
+}
+
+// condemnPass finds machines to delete, deletes them, and frees what was on
+// those whose delete was answered 200.
+func (n *Node) condemnPass() {
+	c := &n.lead.cloud
+	if n.now.Sub(n.lead.condemnAt) < tuning.CondemnEvery {
+		return
+	}
+	n.lead.condemnAt = n.now
+	n.condemnListed()
+	n.condemnSilent()
+	n.condemnCancelled()
+	var names []string
+	for h, m := range n.machines {
+		switch m.State {
+		case fleet.Faulty:
+			n.moveMachine(h, fleet.Condemn, "faulty")
+		case fleet.Deleting:
+			if at, ok := c.deleting[h]; !ok || n.now.Sub(at) > tuning.DeleteAgain {
+				names = append(names, h)
+			}
+		case fleet.Deleted:
+			n.freeDeleted(h)
+		}
+	}
+	// Tasks recorded on a machine without a record: its delete was answered
+	// and the record removed, or the record cannot be read. Delete again;
+	// unknown names are ignored by the cloud.
+	for h := range n.onHost {
+		if n.machines[h] == nil && !n.busy[fleet.HostPrefix+h] && n.mirror.Stamp(fleet.HostPrefix+h) == 0 {
+			n.condemnUnknown(h, "tasks on a machine without a record")
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	sort.Strings(names)
+	if len(names) > tuning.DeleteMost {
+		names = names[:tuning.DeleteMost]
+	}
+	for _, h := range names {
+		c.deleting[h] = n.now
+	}
+	body := jobs.Encode(map[string][]string{"hosts": names})
+	n.cloudCall("POST", "/hosts/delete", body, func(status int, _ []byte, err error) {
+		for _, h := range names {
+			if err == nil && status == 200 {
+				n.moveMachine(h, fleet.Removed, "delete answered")
+				delete(c.deleting, h)
+			}
+		}
+	})
+}
+
+// condemnUnknown writes a record for a machine that has none, to delete it.
+func (n *Node) condemnUnknown(host, why string) {
+	key := fleet.HostPrefix + host
+	if n.machines[host] != nil || n.busy[key] {
+		return
+	}
+	l := n.lead.cloud.listed[host]
+	rec := fleet.Host{State: fleet.Deleting, Endpoint: l.Endpoint, Build: l.Build, Site: l.Site, Loaner: l.Loaner, Why: why, SinceMs: n.ms()}
+	n.log.Info("machine", "machine", host, "to", string(rec.State), "why", why)
+	n.commit([]decision{{writes: []store.Write{put(key, rec)}}})
+}
+
+// condemnListed condemns machines that never came up or have stopped.
+func (n *Node) condemnListed() {
+	for h, l := range n.lead.cloud.listed {
+		m := n.machines[h]
+		if m != nil && (m.State == fleet.Deleting || m.State == fleet.Deleted) {
+			continue
+		}
+		why := ""
+		switch {
+		case l.Status == "failed":
+			why = "stopped on its own"
+		case m == nil && l.AgeS+n.now.Sub(n.lead.cloud.listAt).Seconds() > n.bootLimit(l.Build).Seconds() && n.now.Sub(n.heard[h]) > tuning.SilentGiveUp:
+			why = "never came up"
+		}
+		switch {
+		case why == "":
+		case m == nil:
+			n.condemnUnknown(h, why)
+		default:
+			n.moveMachine(h, fleet.Condemn, why)
+		}
+	}
+}
+
+func (n *Node) bootLimit(build string) time.Duration {
+	limit := tuning.BootSlackMin
+	if b := n.builds[build]; b != nil {
+		limit = max(limit, seconds(b.ReadyS*tuning.BootSlack))
+	}
+	return limit
+}
+
+// condemnSilent condemns machines that neither their owner nor this node has
+// heard for long. Absence from the cloud's list proves nothing by itself, but
+// makes waiting pointless.
+func (n *Node) condemnSilent() {
+	up, silent := 0, 0
+	for _, m := range n.machines {
+		switch m.State {
+		case fleet.Silent:
+			silent++
+		case fleet.Up, fleet.Warned:
+			up++
+		}
+	}
+	many := silent > 2 && float64(silent) > tuning.SilentMost*float64(up+silent)
+	lease := seconds(n.set.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
+	for h, m := range n.machines {
+		if m.State != fleet.Silent || n.now.Sub(n.heard[h]) < tuning.SilentGiveUp {
+			continue
+		}
+		quiet := n.now.Sub(m.since)
+		_, listed := n.lead.cloud.listed[h]
+		vanished := !listed && !n.lead.cloud.gone[h].IsZero()
+		switch {
+		case vanished && quiet > tuning.CondemnEvery:
+			n.moveMachine(h, fleet.Condemn, "silent and no longer listed")
+		case !many && quiet > tuning.SilentGiveUp:
+			n.moveMachine(h, fleet.Condemn, "silent")
+		case quiet > lease:
+			n.moveMachine(h, fleet.Condemn, "silent beyond its lease")
+		}
+	}
+}
+
+// condemnCancelled condemns machines that still hold a cancelled task when its
+// time runs out: nobody may be able to reach them.
+func (n *Node) condemnCancelled() {
+	limit := int64(n.set.Cluster.Workers.CancelS * tuning.CancelDelete * 1000)
+	for h, ts := range n.onHost {
+		for _, t := range ts {
+			if r := t.job.rec; r != nil && r.State == jobs.Cancelled && n.ms()-r.EndMs > limit {
+				n.moveMachine(h, fleet.Condemn, "holds a cancelled task")
+				break
+			}
+		}
+	}
+}
+
+// freeDeleted frees the tasks of a machine whose delete was answered 200, and
+// then removes its record.
+func (n *Node) freeDeleted(host string) {
+	ts := n.onHost[host]
+	if len(ts) == 0 {
+		n.commit([]decision{{writes: []store.Write{remove(fleet.HostPrefix + host)}}})
+		return
+	}
+	var ds []decision
+	for _, t := range ts {
+		d := n.gone(t, jobs.Gone, 0)
+		if len(d.writes) > 0 {
+			d.seen = append(d.seen, fleet.HostPrefix+host)
+			ds = append(ds, d)
+		}
+	}
+	n.commit(ds)
+	n.lead.condemnAt = time.Time{} // look again at once
+}
+
+// kind is one thing the cloud rents.
+type kind struct {
+	fleet.Group
+	site string
+}
+
+func (k kind) String() string { return k.Group.String() + "@" + k.site }
+
+// price is what a machine of a group costs an hour.
+func (n *Node) price(g fleet.Group) float64 {
+	b := n.lead.cloud.catalog[g.Build]
+	if b == nil {
+		return math.Inf(1)
+	}
+	if g.Loaner {
+		return b.LowPrice
+	}
+	return b.Hourly
+}
+
+// cheapest is the group and zone where a waiting task costs least, of those
+// that the cloud has not just refused.
+func (n *Node) cheapest(spec *jobs.Spec, zones map[string]int, counts map[kind]int) (kind, bool) {
+	best, found, cost := kind{}, false, math.Inf(1)
+	for name, b := range n.lead.cloud.catalog {
+		share := spec.Need().Share(b.Whole())
+		if share > 1+1e-9 || !spec.AllowsBuild(name) {
+			continue
+		}
+		for _, loaner := range []bool{false, true} {
+			if loaner && (!spec.Loaner || b.LowPrice <= 0) {
+				continue
+			}
+			for _, site := range b.Sites {
+				k := kind{fleet.Group{Build: name, Loaner: loaner}, site}
+				if !spec.Allows(name, site, loaner) || !zoneAllowed(spec, zones, site) || n.now.Before(n.lead.cloud.refused[k.String()]) {
+					continue
+				}
+				// Whole tasks per machine: what a task really costs there.
+				fit := math.Floor(1/share + 1e-9)
+				c := n.price(k.Group) / fit
+				if c < cost-1e-9 || (c < cost+1e-9 && found && (counts[k] < counts[best] || counts[k] == counts[best] && k.String() < best.String())) {
+					best, found, cost = k, true, c
+				}
+			}
+		}
+	}
+	return best, found
+}
+
+// supplyOf lists the machines that count as supply: with a record in use, or
+// listed and booting, or asked for and not yet listed until the boot time has
+// passed.
+func (n *Node) supplyOf() (counts map[kind]int, booting map[kind]int) {
+	counts, booting = map[kind]int{}, map[kind]int{}
+	c := &n.lead.cloud
+	for h, m := range n.machines {
+		if m.State == fleet.Up {
+			if _, draining := n.summary.Drain[h]; !draining {
+				counts[kind{fleet.Group{Build: m.Build, Loaner: m.Loaner}, m.Site}]++
+			}
+		}
+	}
+	for h, l := range c.listed {
+		if n.machines[h] == nil && (l.Status == "booting" || l.Status == "running") {
+			k := kind{fleet.Group{Build: l.Build, Loaner: l.Loaner}, l.Site}
+			counts[k]++
+			booting[k]++
+		}
+	}
+	for _, a := range c.asked {
+		if n.ms()-a.AtMs > n.bootLimit(a.Build).Milliseconds() {
+			continue
+		}
+		k := kind{fleet.Group{Build: a.Build, Loaner: a.Loaner}, a.Site}
+		for _, h := range a.Hosts {
+			if _, listed := c.listed[h]; !listed && n.machines[h] == nil && c.gone[h].IsZero() {
+				counts[k]++
+				booting[k]++
+			}
+		}
+		if len(a.Hosts) == 0 {
+			counts[k] += a.Count // unanswered
+		}
+	}
+	return counts, booting
+}
+
+// scalerStep plans each group and acts on the plan's first step.
+func (n *Node) scalerStep() {
+	c := &n.lead.cloud
+	op := n.set.Operator
+	if c.steps == 0 {
+		c.asked = append([]asked(nil), n.summary.Asked...)
+	}
+	c.steps++
+	counts, booting := n.supplyOf()
+	use := n.use()
+
+	// Booked room by group, and what is on each machine.
+	demand := map[fleet.Group]float64{}
+	var idle = map[fleet.Group][]fleet.Idle{}
+	for h, m := range n.machines {
+		b := n.builds[m.Build]
+		if b == nil || m.State != fleet.Up {
+			continue
+		}
+		g := fleet.Group{Build: m.Build, Loaner: m.Loaner}
+		share := use[h].Share(b.Whole())
+		if _, draining := n.summary.Drain[h]; !draining {
+			demand[g] += share
+		}
+		idle[g] = append(idle[g], fleet.Idle{Host: h, Load: share, Cost: n.price(g)})
+	}
+
+	// Queued room goes to the booting machines that will take it, then to the
+	// cheapest group. What finds no booting machine is unmet: shares alone
+	// would not see that free room can be too scattered for a task.
+	fit := n.packQueue(counts, booting, demand)
+
+	sum := summary{Step: n.summary.Step + 1, History: map[string][]float64{}, Drain: fleet.Draining{}}
+	groups := map[fleet.Group]bool{}
+	for name := range c.catalog {
+		groups[fleet.Group{Build: name}] = true
+		groups[fleet.Group{Build: name, Loaner: true}] = true
+	}
+	var order []fleet.Group
+	for g := range groups {
+		order = append(order, g)
+	}
+	sort.Slice(order, func(a, b int) bool { return order[a].String() < order[b].String() })
+	var rents []rent
+	var give []string
+	for _, g := range order {
+		key := g.String()
+		history := append(append([]float64(nil), n.summary.History[key]...), demand[g])
+		if len(history) > tuning.SummaryHistory {
+			history = history[len(history)-tuning.SummaryHistory:]
+		}
+		supply := 0
+		for k, v := range counts {
+			if k.Group == g {
+				supply += v
+			}
+		}
+		if demand[g] > 0 || supply > 0 || len(n.summary.History[key]) > 0 {
+			sum.History[key] = round(history)
+		}
+		plan := scaler.Plan(history, 0, 0, scaler.Params{Steps: op.PlanSteps, Samples: op.Samples, Tolerance: op.Tolerance, Trend: op.TrendSteps}, n.rng)
+		boot := 0
+		if b := c.catalog[g.Build]; b != nil {
+			boot = int(math.Ceil(b.ReadyS / op.StepS))
+		}
+		act := scaler.Act(plan, demand[g], supply, boot, c.steps <= op.FreshSteps)
+		now := fleet.Draining{}
+		for _, i := range idle[g] {
+			if st, ok := n.summary.Drain[i.Host]; ok {
+				now[i.Host] = st
+			}
+		}
+		surplus := act.Surplus
+		if fit[g] > 0 {
+			surplus = min(surplus, -fit[g])
+		}
+		next, gone, revived := fleet.DrainStep(now, idle[g], surplus, op.DrainSteps, op.ReviveSteps)
+		for h, st := range next {
+			sum.Drain[h] = st
+		}
+		give = append(give, gone...)
+		want := max(act.Rent, fit[g]) - len(revived)
+		if want > 0 {
+			rents = append(rents, n.rentsFor(g, want, counts)...)
+		}
+		if supply > 0 || demand[g] > 0 || want > 0 {
+			n.log.Debug("plan", "group", key, "demand", demand[g], "supply", supply, "rent", want, "surplus", surplus, "drain", len(next), "give", len(gone))
+		}
+	}
+	n.rentBatch(rents, &sum)
+	n.commit([]decision{{writes: []store.Write{put(summaryKey, sum)}}})
+	for _, h := range give {
+		n.moveMachine(h, fleet.Condemn, "drained")
+	}
+}
+
+func round(h []float64) []float64 {
+	out := make([]float64, len(h))
+	for i, v := range h {
+		out[i] = math.Round(v*1000) / 1000
+	}
+	return out
+}
+
+// packQueue adds queued room to demand and returns how many machines of each
+// group the queue needs beyond those that boot.
+func (n *Node) packQueue(counts, booting map[kind]int, demand map[fleet.Group]float64) map[fleet.Group]int {
+	c := &n.lead.cloud
+	type bin struct {
+		k    kind
+		free parts.Room
+	}
+	var bins []bin
+	var kinds []kind
+	for k := range booting {
+		kinds = append(kinds, k)
+	}
+	sort.Slice(kinds, func(a, b int) bool { return kinds[a].String() < kinds[b].String() })
+	for _, k := range kinds {
+		if b := c.catalog[k.Build]; b != nil {
+			for range booting[k] {
+				bins = append(bins, bin{k, b.Whole()})
+			}
+		}
+	}
+	fit := map[fleet.Group]int{}
+	zonesOf := map[*job]map[string]int{}
+	wanted := map[kind]int{}
+	for k, v := range counts {
+		wanted[k] = v
+	}
+	c.short = map[fleet.Group]float64{}
+	for _, w := range n.lead.waiting {
+		spec := &w.t.job.rec.Spec
+		zones := zonesOf[w.t.job]
+		if zones == nil {
+			zones = n.zones(w.t.job)
+			zonesOf[w.t.job] = zones
+		}
+		placed := false
+		for i := range bins {
+			b := &bins[i]
+			if spec.Allows(b.k.Build, b.k.site, b.k.Loaner) && zoneAllowed(spec, zones, b.k.site) && b.free.Fits(spec.Need()) {
+				b.free = b.free.Sub(spec.Need())
+				demand[b.k.Group] += spec.Need().Share(c.catalog[b.k.Build].Whole())
+				zones[b.k.site]++
+				placed = true
+				break
+			}
+		}
+		if placed {
+			continue
+		}
+		k, ok := n.cheapest(spec, zones, wanted)
+		if !ok {
+			continue
+		}
+		b := c.catalog[k.Build]
+		demand[k.Group] += spec.Need().Share(b.Whole())
+		zones[k.site]++
+		wanted[k]++
+		fit[k.Group]++
+		c.short[k.Group]++
+		bins = append(bins, bin{k, b.Whole().Sub(spec.Need())})
+	}
+	c.planned = wanted
+	return fit
+}
+
+type rent struct {
+	k     kind
+	count int
+}
+
+// rentsFor splits a number of machines over zones: first as the queue asked,
+// then evenly.
+func (n *Node) rentsFor(g fleet.Group, want int, counts map[kind]int) []rent {
+	c := &n.lead.cloud
+	b := c.catalog[g.Build]
+	per := map[kind]int{}
+	var kinds []kind
+	for _, site := range b.Sites {
+		k := kind{g, site}
+		if !n.now.Before(c.refused[k.String()]) {
+			kinds = append(kinds, k)
+		}
+	}
+	sort.Slice(kinds, func(a, b int) bool { return kinds[a].String() < kinds[b].String() })
+	for _, k := range kinds {
+		take := min(want, max(0, c.planned[k]-counts[k]))
+		per[k] += take
+		want -= take
+	}
+	for ; want > 0 && len(kinds) > 0; want-- {
+		best := kinds[0]
+		for _, k := range kinds {
+			if counts[k]+per[k] < counts[best]+per[best] {
+				best = k
+			}
+		}
+		per[best]++
+	}
+	var out []rent
+	for _, k := range kinds {
+		if per[k] > 0 {
+			out = append(out, rent{k, min(per[k], tuning.RentMost)})
+		}
+	}
+	return out
+}
+
+// rentBatch sends one step's rents. A name is made of the view's epoch, which
+// has one leader, and a counter of that leader's, so that none is ever used
+// twice; only the same request is sent again under it.
+func (n *Node) rentBatch(rents []rent, sum *summary) {
+	c := &n.lead.cloud
+	if len(rents) > tuning.RentsPerStep {
+		rents = rents[:tuning.RentsPerStep]
+	}
+	var keep []asked
+	for _, a := range c.asked {
+		if n.ms()-a.AtMs <= n.bootLimit(a.Build).Milliseconds() {
+			keep = append(keep, a)
+		}
+	}
+	c.asked = keep
+	for _, r := range rents {
+		c.hires++
+		a := asked{Hire: fmt.Sprintf("r-%d-%d", n.roleEpoch, c.hires), Build: r.k.Build, Site: r.k.site, Loaner: r.k.Loaner, Count: r.count, AtMs: n.ms()}
+		c.asked = append(c.asked, a)
+		n.rent(a, 0)
+	}
+	if len(c.asked) > tuning.SummaryAsked {
+		c.asked = c.asked[len(c.asked)-tuning.SummaryAsked:]
+	}
+	sum.Asked = c.asked
+}
+
+func (n *Node) rent(a asked, again int) {
+	body := jobs.Encode(map[string]any{"hire": a.Hire, "build": a.Build, "site": a.Site, "loaner": a.Loaner, "count": a.Count})
+	k := kind{fleet.Group{Build: a.Build, Loaner: a.Loaner}, a.Site}
+	n.log.Info("rent", "hire", a.Hire, "kind", k.String(), "count", a.Count)
+	n.cloudCall("POST", "/hosts", body, func(status int, answer []byte, err error) {
+		c := &n.lead.cloud
+		var got struct {
+			Hosts []string `json:"hosts"`
+			Error string   `json:"error"`
+		}
+		switch {
+		case err == nil && status == 200 && json.Unmarshal(answer, &got) == nil:
+			for i := range c.asked {
+				if c.asked[i].Hire == a.Hire {
+					c.asked[i].Hosts, c.asked[i].Count = got.Hosts, len(got.Hosts)
+				}
+			}
+			if len(got.Hosts) < a.Count {
+				c.refused[k.String()] = n.now.Add(tuning.NoCapacity)
+			}
+		case err == nil && status == 503:
+			_ = json.Unmarshal(answer, &got)
+			n.log.Info("rent refused", "kind", k.String(), "error", got.Error)
+			n.dropAsked(a.Hire)
+			if got.Error == "no capacity" {
+				c.refused[k.String()] = n.now.Add(tuning.NoCapacity)
+			}
+		case again < tuning.RentRetries && err != errOldView && (err != nil || status == 429):
+			n.rent(a, again+1)
+		case status == 429 || status == 400:
+			n.dropAsked(a.Hire)
+		}
+	})
+}
+
+func (n *Node) dropAsked(hire string) {
+	c := &n.lead.cloud
+	for i := range c.asked {
+		if c.asked[i].Hire == hire {
+			c.asked = append(c.asked[:i:i], c.asked[i+1:]...)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/leader.go
@@ -0,0 +1,675 @@
+package node
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/gangs"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/parts"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// leader is what only the leader keeps. A new leader starts it anew from the
+// mirror and the cloud's list.
+type leader struct {
+	closing   map[string]bool
+	avoid     map[string]time.Time // machines not offered for a while
+	preempted map[string]time.Time // tasks that room was made for
+	claiming  map[string]bool      // gangs whose machines are being claimed
+	condemnAt time.Time
+	waiting   []*waiting // tasks that found no room in the last pass
+	cloud     cloudState
+}
+
+// waiting is a queued task that may run by its team's limit, or would not have
+// to wait for it, but has found no room.
+type waiting struct {
+	t    *task
+	rank int
+	site string
+}
+
+func (l *leader) reset() {
+	*l = leader{closing: map[string]bool{}, avoid: map[string]time.Time{}, preempted: map[string]time.Time{}, claiming: map[string]bool{}}
+	l.cloud.reset()
+}
+
+// leaderPass does what only the leader does.
+func (n *Node) leaderPass() {
+	if n.role != members.Leader {
+		return
+	}
+	n.cloudPass()
+	if n.client.Down() {
+		return
+	}
+	n.closeJobs()
+	n.takeBack()
+	n.dropClaims()
+	n.release()
+	n.condemnPass()
+}
+
+// closeJobs ends jobs whose tasks are done and clears the records of closed
+// ones.
+func (n *Node) closeJobs() {
+	var ds []decision
+	for uid, j := range n.jobs {
+		if j.rec == nil || n.lead.closing[uid] {
+			continue
+		}
+		if j.rec.State != jobs.Live {
+			ds = append(ds, n.clear(j)...)
+			continue
+		}
+		if j.rec.Spec.Shape == jobs.Standing {
+			continue
+		}
+		// A gang completes together: one done means every one is.
+		complete := j.done >= j.rec.Spec.Pieces || (j.rec.Spec.Shape == jobs.Ensemble && j.done > 0)
+		if !complete {
+			continue
+		}
+		next, ok := jobs.NextJob(j.rec.State, jobs.TasksAllDone)
+		if !ok {
+			continue
+		}
+		n.lead.closing[uid] = true
+		n.close(j, next, store.Decision, func(bool) { delete(n.lead.closing, uid) })
+	}
+	n.commit(ds)
+}
+
+// clear removes the records of a closed job: those of tasks that are on no
+// machine, and the job's own once no task's is left.
+func (n *Node) clear(j *job) []decision {
+	var ds []decision
+	for _, t := range j.tasks {
+		if !t.On() && t.State != unreadable {
+			ds = append(ds, decision{writes: []store.Write{remove(jobs.TaskKey(t.piece))}})
+			if len(ds) >= n.set.Cluster.State.TxnOps {
+				return ds
+			}
+		}
+	}
+	if len(j.tasks) == 0 {
+		ds = append(ds, decision{writes: []store.Write{remove(jobs.JobPrefix + j.uid)}})
+	}
+	return ds
+}
+
+// takeBack withdraws tasks that their part did not place.
+func (n *Node) takeBack() {
+	var ds []decision
+	for _, t := range n.released {
+		gone := n.view.Inc(t.Part) == 0
+		if !gone && n.now.Sub(t.since) < tuning.ReleaseStale {
+			continue
+		}
+		if !gone && t.Want != "" {
+			n.lead.avoid[t.Want] = n.now.Add(tuning.AvoidAfter)
+		}
+		next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.TakeBack})
+		if ok {
+			ds = append(ds, decision{writes: []store.Write{put(jobs.TaskKey(t.piece), next)}})
+		}
+	}
+	n.commit(ds)
+}
+
+// dropClaims clears claims that an earlier leader left.
+func (n *Node) dropClaims() {
+	for _, m := range n.machines {
+		if m.Claim != "" && !n.lead.claiming[m.Claim] {
+			rec := m.Host
+			rec.Claim = ""
+			n.commit([]decision{{writes: []store.Write{put(fleet.HostPrefix+m.name, rec)}}})
+		}
+	}
+}
+
+// account charges every task that is released or may be on a machine.
+func (n *Node) account() *quota.Account {
+	a := quota.NewAccount()
+	for _, j := range n.jobs {
+		if j.rec == nil {
+			continue
+		}
+		charged := 0
+		for _, t := range j.tasks {
+			// A record under a transaction may be charged already.
+			if t.Charged() || n.busy[jobs.TaskKey(t.piece)] || t.State == unreadable {
+				charged++
+			}
+		}
+		a.Charge(j.rec.Spec.Owner, j.rec.Spec.Amount(), float64(charged))
+	}
+	return a
+}
+
+// order is the queue: production first, then what lies within a guarantee,
+// then by when it should be complete.
+func (n *Node) queue(a *quota.Account) []*job {
+	type entry struct {
+		j      *job
+		rank   int
+		beyond bool
+		due    int64
+	}
+	var q []entry
+	for _, j := range n.jobs {
+		if j.rec == nil || j.rec.State != jobs.Live || len(j.tasks)-j.pendingCount() >= j.rec.Spec.Pieces {
+			continue
+		}
+		spec := &j.rec.Spec
+		team := n.teams[spec.Owner]
+		within := team.Guarantees(a.Used(spec.Owner).Add(spec.Amount(), 1))
+		due := j.rec.AtMs + queueHorizonMs
+		if spec.DueS != nil {
+			due = j.rec.AtMs + int64(*spec.DueS*1000)
+		}
+		if spec.Shape == jobs.Standing {
+			due = j.rec.AtMs
+		}
+		q = append(q, entry{j, spec.RankOrder(), !within, due})
+	}
+	sort.Slice(q, func(x, y int) bool {
+		a, b := q[x], q[y]
+		switch {
+		case a.rank != b.rank:
+			return a.rank < b.rank
+		case a.beyond != b.beyond:
+			return !a.beyond
+		case a.due != b.due:
+			return a.due < b.due
+		}
+		return a.j.uid < b.j.uid
+	})
+	out := make([]*job, len(q))
+	for i := range q {
+		out[i] = q[i].j
+	}
+	return out
+}
+
+// queueHorizonMs is the place in the queue of a job without a deadline.
+const queueHorizonMs = 3600 * 1000
+
+func (j *job) pendingCount() int {
+	c := 0
+	for _, t := range j.tasks {
+		if t.State == jobs.Pending {
+			c++
+		}
+	}
+	return c
+}
+
+// pending lists up to most tasks of a job that wait, those that have tried
+// before first.
+func (n *Node) pending(j *job, most int) []*task {
+	var out []*task
+	for _, t := range j.tasks {
+		if t.State == jobs.Pending && t.After <= n.ms() && !n.busy[jobs.TaskKey(t.piece)] {
+			out = append(out, t)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].n < out[b].n })
+	for j.free < j.rec.Spec.Pieces && j.tasks[j.free] != nil {
+		j.free++
+	}
+	for i := j.free; i < j.rec.Spec.Pieces && len(out) < most; i++ {
+		if j.tasks[i] != nil {
+			continue
+		}
+		piece := jobs.Piece(j.uid, i)
+		if !n.busy[jobs.TaskKey(piece)] {
+			out = append(out, &task{Task: jobs.Task{State: jobs.Pending}, piece: piece, n: i, job: j})
+		}
+	}
+	if len(out) > most {
+		out = out[:most]
+	}
+	return out
+}
+
+// zones counts the job's tasks by zone, counting released ones and every old
+// attempt that is still on a machine.
+func (n *Node) zones(j *job) map[string]int {
+	out := map[string]int{}
+	for _, t := range j.tasks {
+		switch {
+		case t.State == jobs.Released:
+			out[t.Site]++
+		case t.On():
+			if m := n.machines[t.Host]; m != nil && m.Site != "" {
+				out[m.Site]++
+			} else {
+				out[t.Site]++
+			}
+		}
+	}
+	return out
+}
+
+// zoneAllowed tells whether one more task of the job may go into a zone.
+func zoneAllowed(spec *jobs.Spec, zones map[string]int, site string) bool {
+	if spec.SamePlace {
+		for z, c := range zones {
+			if c > 0 && z != site {
+				return false
+			}
+		}
+	}
+	return !spec.Scatter || zones[site] < spec.ZoneMost()
+}
+
+// release gives tasks to parts, within each team's limit.
+func (n *Node) release() {
+	account := n.account()
+	use := n.use()
+	var ds []decision
+	n.lead.waiting = n.lead.waiting[:0]
+	looked := 0
+	for _, j := range n.queue(account) {
+		if looked >= tuning.MostReleases {
+			break
+		}
+		spec := &j.rec.Spec
+		if spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+			ds = append(ds, n.releaseGang(j, account, use)...)
+			looked += spec.Pieces
+			continue
+		}
+		zones := n.zones(j)
+		team := n.teams[spec.Owner]
+		for _, t := range n.pending(j, tuning.MostReleases-looked) {
+			looked++
+			if !team.Allows(account.Used(spec.Owner).Add(spec.Amount(), 1)) {
+				break
+			}
+			host := n.findHost(t, use, zones)
+			if host == "" {
+				n.lead.waiting = append(n.lead.waiting, &waiting{t: t, rank: spec.RankOrder()})
+				account.Charge(spec.Owner, spec.Amount(), 1) // keeps its turn
+				continue
+			}
+			d, ok := n.releasing(t, host, t.Try+1)
+			if !ok {
+				continue
+			}
+			ds = append(ds, d)
+			account.Charge(spec.Owner, spec.Amount(), 1)
+			use[host] = use[host].Add(spec.Need())
+			zones[n.machines[host].Site]++
+		}
+	}
+	ds = append(ds, n.preempt(use)...)
+	n.commit(ds)
+}
+
+// releasing is the decision that gives a task to the part of a machine; if
+// the part is the leader's own, the task is placed at once.
+func (n *Node) releasing(t *task, host string, try uint64) (decision, bool) {
+	part, site := n.owner(host), n.machines[host].Site
+	if part == n.set.NodeName && n.canPlace(t, host) {
+		return n.placing(t, host, site, try)
+	}
+	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: part, Site: site, Want: host})
+	if !ok {
+		return decision{}, false
+	}
+	key := jobs.TaskKey(t.piece)
+	n.reserve[key] = reservation{host, t.job.rec.Spec.Need()}
+	return decision{
+		writes: []store.Write{put(key, next)},
+		seen:   []string{jobs.JobPrefix + t.job.uid},
+		done:   func(bool) { delete(n.reserve, key) },
+	}, true
+}
+
+// offers tells whether the leader may have room on a machine in mind.
+func (n *Node) offers(t *task, m *machine) bool {
+	if m.Claim != "" || n.now.Before(n.lead.avoid[m.name]) {
+		return false
+	}
+	return n.takes(t, m)
+}
+
+// findHost picks the machine to have in mind for a task.
+func (n *Node) findHost(t *task, use map[string]parts.Room, zones map[string]int) string {
+	spec := &t.job.rec.Spec
+	var cands []parts.Candidate
+	for h, m := range n.machines {
+		if n.offers(t, m) && zoneAllowed(spec, zones, m.Site) {
+			cands = append(cands, n.candidate(h, use, spec))
+		}
+	}
+	slices.SortFunc(cands, func(a, b parts.Candidate) int {
+		if a.Host < b.Host {
+			return -1
+		}
+		return 1
+	})
+	if i := parts.Pick(spec.Need(), spec.Loaner, cands); i >= 0 {
+		return cands[i].Host
+	}
+	return ""
+}
+
+// preempt makes room for waiting tasks by stopping tasks of lower rank. One
+// machine at a time is cleared for a task, and not again for a while.
+func (n *Node) preempt(use map[string]parts.Room) []decision {
+	var ds []decision
+	for _, w := range n.lead.waiting {
+		spec := &w.t.job.rec.Spec
+		if w.rank > 1 || n.now.Before(n.lead.preempted[w.t.piece]) || w.t.job.rec.Spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+			continue
+		}
+		victims := n.victims(w, use)
+		if len(victims) == 0 {
+			continue
+		}
+		n.lead.preempted[w.t.piece] = n.now.Add(tuning.PreemptAgain)
+		for _, v := range victims {
+			next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "preempted"})
+			if ok {
+				ds = append(ds, decision{writes: []store.Write{put(jobs.TaskKey(v.piece), next)}})
+			}
+		}
+	}
+	for p, until := range n.lead.preempted {
+		if n.now.After(until) {
+			delete(n.lead.preempted, p)
+		}
+	}
+	return ds
+}
+
+// victims finds the machine where stopping the fewest tasks of lower rank
+// makes room.
+func (n *Node) victims(w *waiting, use map[string]parts.Room) []*task {
+	spec := &w.t.job.rec.Spec
+	zones := n.zones(w.t.job)
+	var best []*task
+	for h, m := range n.machines {
+		if !n.offers(w.t, m) || !zoneAllowed(spec, zones, m.Site) {
+			continue
+		}
+		free := n.builds[m.Build].Whole().Sub(use[h])
+		var lower []*task
+		for _, t := range n.onHost[h] {
+			if t.job.rec == nil || t.job.rec.Spec.RankOrder() <= w.rank || n.busy[jobs.TaskKey(t.piece)] {
+				continue
+			}
+			if t.State == jobs.Stopping {
+				free = free.Add(t.job.rec.Spec.Need()) // already on its way out
+				continue
+			}
+			if gang := &t.job.rec.Spec; gang.Shape == jobs.Ensemble && gang.Pieces > 1 {
+				continue
+			}
+			lower = append(lower, t)
+		}
+		if free.Fits(parts.Room{}) && spec.Need().Share(n.builds[m.Build].Whole()) <= 1 && free.Fits(spec.Need()) {
+			return nil // room is coming already
+		}
+		// The youngest have the least to lose.
+		sort.Slice(lower, func(a, b int) bool {
+			if !lower[a].since.Equal(lower[b].since) {
+				return lower[a].since.After(lower[b].since)
+			}
+			return lower[a].piece < lower[b].piece
+		})
+		var chosen []*task
+		for _, t := range lower {
+			if free.Fits(spec.Need()) {
+				break
+			}
+			free = free.Add(t.job.rec.Spec.Need())
+			chosen = append(chosen, t)
+		}
+		if free.Fits(spec.Need()) && len(chosen) > 0 && (best == nil || len(chosen) < len(best)) {
+			best = chosen
+		}
+	}
+	return best
+}
+
+// releaseGang offers a resting gang to a part that can hold it whole, or lets
+// the leader place it across parts; a broken one is stopped.
+func (n *Node) releaseGang(j *job, account *quota.Account, use map[string]parts.Room) []decision {
+	spec := &j.rec.Spec
+	if n.lead.claiming[j.uid] {
+		return nil
+	}
+	tasks := make([]*jobs.Task, 0, len(j.tasks))
+	for _, t := range j.tasks {
+		tasks = append(tasks, &t.Task)
+	}
+	var ds []decision
+	switch gangs.PhaseOf(spec.Pieces, tasks) {
+	case gangs.Broken:
+		for _, t := range j.tasks {
+			kind := jobs.Stop
+			if t.State == jobs.Released {
+				kind = jobs.TakeBack
+			}
+			if next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, Why: "gang is not whole"}); ok {
+				ds = append(ds, decision{writes: []store.Write{put(jobs.TaskKey(t.piece), next)}})
+			}
+		}
+		return ds
+	case gangs.Resting:
+	default:
+		return nil
+	}
+	all := n.pending(j, spec.Pieces)
+	if len(all) < spec.Pieces {
+		return nil // some rest, or are under a transaction
+	}
+	team := n.teams[spec.Owner]
+	if !team.Allows(account.Used(spec.Owner).Add(spec.Amount(), float64(spec.Pieces))) {
+		return nil
+	}
+	account.Charge(spec.Owner, spec.Amount(), float64(spec.Pieces))
+	try := gangs.NextTry(tasks)
+	hosts := n.fitGang(all, use)
+	if hosts == nil {
+		for _, t := range all {
+			n.lead.waiting = append(n.lead.waiting, &waiting{t: t, rank: spec.RankOrder()})
+		}
+		return nil
+	}
+	owners := map[string]bool{}
+	for i, h := range hosts {
+		use[h] = use[h].Add(all[i].job.rec.Spec.Need())
+		owners[n.owner(h)] = true
+	}
+	if len(owners) == 1 && spec.Pieces <= n.set.Cluster.State.TxnOps {
+		var writes []store.Write
+		for i, t := range all {
+			next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: n.owner(hosts[i]), Site: n.machines[hosts[i]].Site, Want: hosts[i]})
+			if !ok {
+				return nil
+			}
+			writes = append(writes, put(jobs.TaskKey(t.piece), next))
+		}
+		return []decision{{writes: writes, seen: []string{jobs.JobPrefix + j.uid}}}
+	}
+	n.claimGang(j, all, hosts, try)
+	return nil
+}
+
+// fitGang finds a machine for every task of a gang, in one part if one holds
+// it, else across parts; nil when it does not fit.
+func (n *Node) fitGang(all []*task, use map[string]parts.Room) []string {
+	for _, part := range append(n.view.Names(), "") {
+		for _, site := range n.gangSites(all[0]) {
+			if hosts := n.tryFit(all, use, part, site); hosts != nil {
+				return hosts
+			}
+		}
+	}
+	return nil
+}
+
+// gangSites lists the zones to try: each alone for same_place, else all at once.
+func (n *Node) gangSites(t *task) []string {
+	spec := &t.job.rec.Spec
+	switch {
+	case spec.Site != "":
+		return []string{spec.Site}
+	case spec.SamePlace:
+		return n.set.Cluster.Zones
+	}
+	return []string{""}
+}
+
+func (n *Node) tryFit(all []*task, use map[string]parts.Room, part, site string) []string {
+	spec := &all[0].job.rec.Spec
+	extra := map[string]parts.Room{}
+	zones := n.zones(all[0].job)
+	hosts := make([]string, len(all))
+	for i, t := range all {
+		var cands []parts.Candidate
+		for h, m := range n.machines {
+			if !n.offers(t, m) || (part != "" && n.owner(h) != part) || (site != "" && m.Site != site) || !zoneAllowed(spec, zones, m.Site) {
+				continue
+			}
+			c := n.candidate(h, use, spec)
+			c.Free = c.Free.Sub(extra[h])
+			cands = append(cands, c)
+		}
+		sort.Slice(cands, func(a, b int) bool { return cands[a].Host < cands[b].Host })
+		k := parts.Pick(spec.Need(), spec.Loaner, cands)
+		if k < 0 {
+			return nil
+		}
+		hosts[i] = cands[k].Host
+		extra[hosts[i]] = extra[hosts[i]].Add(spec.Need())
+		zones[cands[k].Site]++
+	}
+	return hosts
+}
+
+// claimGang places a gang larger than a part: its machines are claimed in the
+// state service first, so that no part places anything else on them, then the
+// tasks are placed, then the claims are dropped.
+func (n *Node) claimGang(j *job, all []*task, hosts []string, try uint64) {
+	n.lead.claiming[j.uid] = true
+	unique := map[string]bool{}
+	for _, h := range hosts {
+		unique[h] = true
+	}
+	n.claim(unique, j.uid, func(ok bool) {
+		release := func() {
+			n.claim(unique, "", func(bool) { delete(n.lead.claiming, j.uid) })
+		}
+		use := n.use()
+		var ds []decision
+		left, good := len(all), ok
+		for i, t := range all {
+			m := n.machines[hosts[i]]
+			if !good || m == nil || m.Claim != j.uid || j.rec == nil || n.builds[m.Build] == nil ||
+				!n.builds[m.Build].Whole().Sub(use[hosts[i]]).Fits(j.rec.Spec.Need()) {
+				good = false
+				break
+			}
+			use[hosts[i]] = use[hosts[i]].Add(j.rec.Spec.Need())
+			d, ok := n.placing(t, hosts[i], m.Site, try)
+			if !ok {
+				good = false
+				break
+			}
+			inner := d.done
+			d.done = func(ok bool) {
+				inner(ok)
+				if left--; left == 0 {
+					release()
+				}
+			}
+			ds = append(ds, d)
+		}
+		if !good {
+			for _, d := range ds {
+				delete(n.reserve, writeKey(d.writes[0]))
+			}
+			release()
+			return
+		}
+		n.commit(ds)
+	})
+}
+
+// claim sets or clears the claim on machines.
+func (n *Node) claim(hosts map[string]bool, uid string, done func(bool)) {
+	var ds []decision
+	left, good := 0, true
+	for h := range hosts {
+		m := n.machines[h]
+		if m == nil || m.Claim == uid {
+			continue
+		}
+		rec := m.Host
+		rec.Claim = uid
+		left++
+		ds = append(ds, decision{writes: []store.Write{put(fleet.HostPrefix+h, rec)}, done: func(ok bool) {
+			good = good && ok
+			if left--; left == 0 {
+				done(good)
+			}
+		}})
+	}
+	if left == 0 {
+		done(true)
+		return
+	}
+	n.commit(ds)
+}
+
+// placeGang places a gang that was offered to this part, whole or not at all.
+func (n *Node) placeGang(j *job, mine []*task, use map[string]parts.Room) []decision {
+	var all []*task
+	var records []*jobs.Task
+	for _, t := range j.tasks {
+		records = append(records, &t.Task)
+	}
+	for _, t := range mine {
+		if t.job == j {
+			all = append(all, t)
+		}
+	}
+	if len(all) != j.rec.Spec.Pieces {
+		return nil
+	}
+	try := gangs.NextTry(records)
+	var one decision
+	for _, t := range all {
+		d, ok := n.placeOne(t, use, try)
+		if !ok {
+			for _, w := range one.writes {
+				delete(n.reserve, writeKey(w))
+			}
+			return nil // the leader takes it back
+		}
+		one.writes = append(one.writes, d.writes...)
+		one.seen = append(one.seen, d.seen...)
+	}
+	keys := make([]string, len(one.writes))
+	for i, w := range one.writes {
+		keys[i] = writeKey(w)
+	}
+	one.done = func(bool) {
+		for _, k := range keys {
+			delete(n.reserve, k)
+		}
+	}
+	return []decision{one}
+}
--- /dev/null
+++ b/internal/node/membership.go
@@ -0,0 +1,221 @@
+package node
+
+import (
+	"errors"
+	"time"
+
+	"encoding/json"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/workers"
+)
+
+func (n *Node) memberTTL() time.Duration { return seconds(n.set.Operator.MemberTTLS) }
+
+// budget sets this node's share of the state service's limits.
+func (n *Node) budget() {
+	share := 1.0
+	if size := n.set.Cluster.Size; size > 1 {
+		share = (1 - tuning.LeaderShare) / float64(size-1)
+		if n.role == members.Leader {
+			share = tuning.LeaderShare
+		}
+	}
+	share *= tuning.StateBudget
+	n.client.SetBudget(n.set.Cluster.State.RPS*share, n.set.Cluster.State.WriteRPS*share)
+}
+
+// keepMembership holds the lease, the member key and, where it falls to this
+// node, the view.
+func (n *Node) keepMembership() {
+	switch {
+	case n.granting:
+	case n.hold == 0:
+		n.granting = true
+		n.renewedAt = n.now
+		n.client.Grant(n.memberTTL(), func(hold uint64, err error) {
+			n.granting = false
+			if err == nil {
+				n.hold = hold
+				n.putMember()
+			}
+		})
+	case n.now.Sub(n.renewedAt) >= tuning.MemberRenew:
+		n.renewedAt = n.now
+		hold := n.hold
+		n.client.Renew(hold, func(err error) {
+			if errors.Is(err, store.ErrGone) && n.hold == hold {
+				// A new lease is a new incarnation and thus a new epoch.
+				n.log.Info("membership lease ended")
+				n.hold = 0
+			}
+		})
+	}
+	if !n.sync.live || n.hold == 0 || n.client.Down() {
+		return
+	}
+	if n.memberInc(n.set.NodeName) != n.hold {
+		n.putMember()
+		return
+	}
+	n.changeView()
+}
+
+func (n *Node) memberInc(name string) uint64 {
+	var inc uint64
+	if v := n.mirror.Get(members.MemberPrefix + name); v != nil {
+		_ = json.Unmarshal(v, &inc)
+	}
+	return inc
+}
+
+func (n *Node) putMember() {
+	if n.busy[members.MemberPrefix] {
+		return
+	}
+	n.busy[members.MemberPrefix] = true
+	hold := n.hold
+	w := store.Write{Put: members.MemberPrefix + n.set.NodeName, Value: jobs.Encode(hold), Hold: hold}
+	n.client.Multi(store.Membership, store.Txn{Writes: []store.Write{w}}, func(epoch uint64, _ []string, err error) {
+		delete(n.busy, members.MemberPrefix)
+		if errors.Is(err, store.ErrRefused) && n.hold == hold {
+			n.hold = 0 // no such lease
+		}
+		if err == nil {
+			n.mirror.Put(w.Put, w.Value, epoch)
+			n.dirty = true
+		}
+	})
+}
+
+func (n *Node) changeView() {
+	if n.viewBusy {
+		return
+	}
+	keys := map[string]uint64{}
+	for _, k := range n.mirror.Keys(members.MemberPrefix) {
+		name := members.NameOfKey(k)
+		keys[name] = n.memberInc(name)
+	}
+	next := members.Next(members.Situation{Me: n.set.NodeName, Inc: n.hold, View: n.view, Keys: keys, Out: n.unreachable()})
+	if next == nil {
+		return
+	}
+	own := members.MemberPrefix + n.set.NodeName
+	t := store.Txn{
+		If:     []store.Cond{{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)}, {Key: own, Stamp: n.mirror.Stamp(own)}},
+		Writes: []store.Write{put(members.ViewKey, next)},
+	}
+	if n.view != nil && n.view.Leader != n.set.NodeName {
+		key := members.MemberPrefix + n.view.Leader
+		t.If = append(t.If, store.Cond{Key: key, Stamp: n.mirror.Stamp(key)})
+	}
+	n.viewBusy = true
+	n.client.Multi(store.Membership, t, func(epoch uint64, _ []string, err error) {
+		n.viewBusy = false
+		if err == nil {
+			n.log.Info("view changed", "epoch", next.Epoch, "leader", next.Leader, "members", len(next.Members))
+			n.mirror.Commit(t.Writes, epoch)
+		}
+		n.dirty = true
+	})
+}
+
+// updateRole follows the view: a new epoch starts every session anew.
+func (n *Node) updateRole() {
+	role := members.RoleOf(n.view, n.set.NodeName, n.hold)
+	epoch := uint64(0)
+	if n.view != nil {
+		epoch = n.view.Epoch
+	}
+	if role == n.role && epoch == n.roleEpoch {
+		return
+	}
+	if role != n.role {
+		n.log.Info("role", "role", string(role), "epoch", epoch)
+	}
+	if role == members.Leader && n.role != members.Leader {
+		n.lead.reset()
+	}
+	n.role, n.roleEpoch = role, epoch
+	n.budget()
+	if role == members.Outside {
+		return
+	}
+	for host, s := range n.sessions {
+		if n.owner(host) != n.set.NodeName {
+			delete(n.sessions, host)
+			continue
+		}
+		s.NewEpoch(epoch)
+		s.LastCall = time.Time{}
+	}
+	n.complaints = map[string]map[string]*complaint{}
+}
+
+// complain notes a report by a worker that was sent to its owner.
+func (n *Node) complain(owner, host string) {
+	m := n.complaints[owner]
+	if m == nil {
+		m = map[string]*complaint{}
+		n.complaints[owner] = m
+	}
+	c := m[host]
+	if c == nil || n.now.Sub(c.last) > tuning.SilentOwner {
+		c = &complaint{first: n.now}
+		m[host] = c
+	}
+	c.last = n.now
+}
+
+// unreachable lists the members that workers cannot reach: the workers were
+// told the owner's name and keep coming here instead.
+func (n *Node) unreachable() map[string]bool {
+	out := map[string]bool{}
+	for name, until := range n.outUntil {
+		if n.now.Before(until) {
+			out[name] = true
+		}
+	}
+	if n.role == members.Outside {
+		return out
+	}
+	owned := map[string]int{}
+	for host := range n.machines {
+		owned[n.owner(host)]++
+	}
+	for owner, hosts := range n.complaints {
+		lasting := 0
+		for h, c := range hosts {
+			if n.now.Sub(c.last) > tuning.SilentOwner || n.owner(h) != owner {
+				delete(hosts, h)
+				continue
+			}
+			if c.last.Sub(c.first) >= tuning.SilentOwner {
+				lasting++
+			}
+		}
+		if lasting > 0 && float64(lasting) >= tuning.SilentShare*float64(owned[owner]) && !out[owner] {
+			n.log.Info("workers cannot reach a member", "member", owner, "machines", lasting)
+			n.outUntil[owner] = n.now.Add(tuning.OutFor)
+			out[owner] = true
+		}
+	}
+	return out
+}
+
+// session returns the session of a machine of ours, starting it if need be.
+func (n *Node) session(host string) *workers.Session {
+	s := n.sessions[host]
+	if s == nil {
+		if len(n.sessions) >= tuning.MaxSessions {
+			return nil
+		}
+		s = workers.NewSession(host, n.roleEpoch, n.now)
+		n.sessions[host] = s
+	}
+	return s
+}
--- /dev/null
+++ b/internal/node/owner.go
@@ -0,0 +1,544 @@
+package node
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/parts"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/wire"
+	"github.com/harrierreel/harrierreel/internal/workers"
+)
+
+// health is what an owner remembers of a machine's failures. It is lost with
+// the owner, which costs a few more failures and nothing else.
+type health struct {
+	restUntil time.Time
+	blamed    map[string]bool // jobs whose tasks failed here since the last success
+	failures  int
+	bundles   map[string]time.Time // images that it has or is fetching, by last use
+}
+
+func (n *Node) healthOf(host string) *health {
+	h := n.health[host]
+	if h == nil {
+		h = &health{blamed: map[string]bool{}, bundles: map[string]time.Time{}}
+		n.health[host] = h
+	}
+	return h
+}
+
+// beat answers a worker's report.
+func (n *Node) beat(body []byte, respond func(wire.Reply)) {
+	var r workers.Report
+	if err := json.Unmarshal(body, &r); err != nil || r.Host == "" || len(r.Host) > tuning.MaxHostName {
+		respond(wire.Reply{Status: 400, Body: errorBody("not a report")})
+		return
+	}
+	if n.role == members.Outside || !n.sync.live {
+		respond(refuse("not in the view"))
+		return
+	}
+	if len(n.heard) < tuning.MaxSessions || !n.heard[r.Host].IsZero() {
+		n.heard[r.Host] = n.now
+	}
+	owner := n.owner(r.Host)
+	if owner != n.set.NodeName {
+		n.complain(owner, r.Host)
+		respond(misdirected(owner))
+		return
+	}
+	s := n.session(r.Host)
+	if s == nil {
+		respond(refuse("too many machines"))
+		return
+	}
+	if r.Baton > s.Baton() {
+		// Another controller holds a later baton: this one is behind, and a
+		// 200 would only keep the worker here while its lease runs out.
+		respond(misdirected(owner))
+		return
+	}
+	s.LastBeat = n.now
+	if s.Accept(&r, n.now, n.placedOn(r.Host)) {
+		n.dirty = true
+	}
+	orders := []workers.Order{}
+	if s.State == workers.Known && !s.Busy && r.Tenure == s.Tenure && r.Tick == s.Tick {
+		// Only orders that may be repeated go this way; launches are sent to
+		// the worker directly, so that there is one place where the answer
+		// tells whether they were executed.
+		for _, o := range n.review(s).orders {
+			if o.Verb != workers.Launch {
+				orders = append(orders, o)
+			}
+		}
+	}
+	respond(wire.Reply{Status: 200, Body: jobs.Encode(struct {
+		Baton  uint64          `json:"baton"`
+		Orders []workers.Order `json:"orders"`
+	}{s.Baton(), limitOrders(orders)})})
+}
+
+func limitOrders(o []workers.Order) []workers.Order {
+	if len(o) > tuning.MaxOrders {
+		return o[:tuning.MaxOrders]
+	}
+	return o
+}
+
+func misdirected(owner string) wire.Reply {
+	if owner == "" {
+		return wire.Reply{Status: 421, Body: []byte("{}")}
+	}
+	return wire.Reply{Status: 421, Body: jobs.Encode(map[string]string{"reports_to": owner})}
+}
+
+func (n *Node) placedOn(host string) map[string]uint64 {
+	out := map[string]uint64{}
+	for piece, t := range n.onHost[host] {
+		out[piece] = t.Try
+	}
+	return out
+}
+
+// reviewed is what a look at a machine calls for.
+type reviewed struct {
+	orders    []workers.Order
+	decisions []decision
+}
+
+// review compares a machine's records with its reports.
+func (n *Node) review(s *workers.Session) reviewed {
+	var out reviewed
+	pieces := make([]string, 0, len(n.onHost[s.Host]))
+	for p := range n.onHost[s.Host] {
+		pieces = append(pieces, p)
+	}
+	sort.Strings(pieces)
+	for _, piece := range pieces {
+		t := n.onHost[s.Host][piece]
+		if n.busy[jobs.TaskKey(piece)] {
+			continue
+		}
+		over := t.job.rec == nil || t.job.rec.State != jobs.Live
+		verdict, p := s.Judge(piece, t.Try)
+		switch verdict {
+		case workers.ToLaunch:
+			m := n.machines[s.Host]
+			if over || t.State == jobs.Stopping || m == nil || m.State == fleet.Deleting || m.State == fleet.Deleted {
+				out.decisions = append(out.decisions, n.gone(t, jobs.Gone, 0))
+				continue
+			}
+			out.orders = append(out.orders, workers.Order{Verb: workers.Launch, Piece: piece, Try: t.Try})
+		case workers.OnIt:
+			if over || t.State == jobs.Stopping || n.saveNow(s, t, p) {
+				out.orders = append(out.orders, n.stopOrder(t, over))
+			}
+		case workers.Over:
+			out.decisions = append(out.decisions, n.ended(s, t, p))
+		case workers.Missing:
+			out.decisions = append(out.decisions, n.gone(t, jobs.Gone, 0))
+		case workers.Unclear, workers.Sent:
+		}
+	}
+	if s.State != workers.Known {
+		return out
+	}
+	strays := make([]string, 0)
+	for piece, p := range s.Pieces {
+		t := n.onHost[s.Host][piece]
+		if (t == nil || t.Try != p.Try) && !n.busy[jobs.TaskKey(piece)] {
+			strays = append(strays, piece)
+		}
+	}
+	sort.Strings(strays)
+	for _, piece := range strays {
+		p := s.Pieces[piece]
+		if p.Status == workers.Ended {
+			// Reaped only now: its end is committed, for no record names it.
+			out.orders = append(out.orders, workers.Order{Verb: workers.Reap, Piece: piece, Try: p.Try})
+			s.Forget(piece, p.Try)
+			continue
+		}
+		zero := 0.0
+		out.orders = append(out.orders, workers.Order{Verb: workers.Stop, Piece: piece, Try: p.Try, WindDownS: &zero})
+	}
+	return out
+}
+
+// saveNow tells whether a task should save before its machine is taken.
+func (n *Node) saveNow(s *workers.Session, t *task, p workers.Piece) bool {
+	if s.Warning == nil || p.Status != workers.Running {
+		return false
+	}
+	spec := &t.job.rec.Spec
+	if spec.Shape == jobs.Standing {
+		return true // a replica has nothing to finish: start it elsewhere
+	}
+	return spec.SnapshotS > 0 && *s.Warning <= spec.StashS+tuning.SaveMargin
+}
+
+func (n *Node) stopOrder(t *task, over bool) workers.Order {
+	grace := 0.0
+	if !over && t.job.rec.Spec.SnapshotS > 0 {
+		grace = t.job.rec.Spec.StashS + 1
+	}
+	return workers.Order{Verb: workers.Stop, Piece: t.piece, Try: t.Try, WindDownS: &grace}
+}
+
+// gone commits that a task is no longer on its machine.
+func (n *Node) gone(t *task, kind jobs.TaskEventKind, pause time.Duration) decision {
+	key := jobs.TaskKey(t.piece)
+	if t.job.rec == nil || t.job.rec.State != jobs.Live {
+		return decision{writes: []store.Write{remove(key)}}
+	}
+	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, AfterMs: n.ms() + pause.Milliseconds()})
+	if !ok {
+		return decision{}
+	}
+	return decision{writes: []store.Write{put(key, next)}, seen: []string{jobs.JobPrefix + t.job.uid}}
+}
+
+// ended commits a reported end.
+func (n *Node) ended(s *workers.Session, t *task, p workers.Piece) decision {
+	h := n.healthOf(s.Host)
+	if t.job.rec == nil || t.job.rec.State != jobs.Live {
+		return n.gone(t, jobs.Gone, 0)
+	}
+	switch p.Cause {
+	case workers.CauseDone:
+		h.blamed, h.failures = map[string]bool{}, 0
+		if t.job.rec.Spec.Shape == jobs.Standing {
+			return n.gone(t, jobs.Gone, 0)
+		}
+		return n.gone(t, jobs.Complete, 0)
+	case workers.CauseError:
+		d := n.gone(t, jobs.Fail, backoff(t.Fails))
+		n.blame(s.Host, h, t)
+		return d
+	case workers.CauseNoSuch:
+		return n.gone(t, jobs.Fail, backoff(t.Fails))
+	case workers.CauseNoRoom, workers.CauseInUse:
+		h.restUntil = n.now.Add(tuning.RefusedRest)
+		return n.gone(t, jobs.Gone, tuning.Backoff)
+	}
+	return n.gone(t, jobs.Gone, 0)
+}
+
+func backoff(fails int) time.Duration {
+	d := tuning.Backoff << min(fails, 10)
+	return min(d, tuning.BackoffMax)
+}
+
+// blame tells a faulty machine from a faulty job. A job that has failed on
+// several machines is itself to blame and costs no machine; a machine on which
+// several blameless jobs fail, or one that others finish elsewhere, is faulty.
+func (n *Node) blame(host string, h *health, t *task) {
+	bad := map[string]bool{host: true}
+	for _, o := range t.job.tasks {
+		for _, b := range o.Bad {
+			bad[b] = true
+		}
+	}
+	if len(bad) >= tuning.ErrorsBlame {
+		return
+	}
+	h.blamed[t.job.uid] = true
+	h.failures++
+	h.restUntil = n.now.Add(tuning.ErrorRest)
+	if len(h.blamed) >= tuning.ErrorsFaulty || (h.failures >= tuning.ErrorsBlame && t.job.done > 0) {
+		n.moveMachine(host, fleet.Sick, "tasks fail on it")
+	}
+}
+
+// moveMachine commits an event of a machine's record.
+func (n *Node) moveMachine(host string, e fleet.Event, why string) {
+	m := n.machines[host]
+	if m == nil {
+		return
+	}
+	rec := m.Host
+	state, ok := fleet.Next(rec.State, e)
+	if !ok {
+		return
+	}
+	n.log.Info("machine", "machine", host, "from", string(rec.State), "to", string(state), "why", why)
+	rec.State, rec.Why, rec.SinceMs = state, why, n.ms()
+	n.commit([]decision{{writes: []store.Write{put(fleet.HostPrefix+host, rec)}}})
+}
+
+// ownerPass does what an owner does for its part.
+func (n *Node) ownerPass() {
+	if n.role == members.Outside {
+		return
+	}
+	for host, m := range n.machines {
+		if n.owner(host) != n.set.NodeName || m.State == fleet.Deleted {
+			continue
+		}
+		if s := n.session(host); s != nil && s.Endpoint == "" {
+			s.Endpoint, s.Build, s.Site, s.Loaner = m.Endpoint, m.Build, m.Site, m.Loaner
+		}
+	}
+	hosts := make([]string, 0, len(n.sessions))
+	for h := range n.sessions {
+		hosts = append(hosts, h)
+	}
+	sort.Strings(hosts)
+	var ds []decision
+	for _, host := range hosts {
+		s := n.sessions[host]
+		n.watchHealth(s)
+		rv := n.review(s)
+		ds = append(ds, rv.decisions...)
+		n.command(s, rv.orders)
+	}
+	ds = append(ds, n.place()...)
+	var whole []decision
+	for _, d := range ds {
+		if len(d.writes) > 0 {
+			whole = append(whole, d)
+		}
+	}
+	n.commit(whole)
+}
+
+// watchHealth keeps a machine's record in step with what its owner hears.
+func (n *Node) watchHealth(s *workers.Session) {
+	m := n.machines[s.Host]
+	if m == nil {
+		if s.State == workers.Known {
+			rec := fleet.Host{State: fleet.Up, Endpoint: s.Endpoint, Build: s.Build, Site: s.Site, Loaner: s.Loaner, SinceMs: n.ms()}
+			n.commit([]decision{{writes: []store.Write{put(fleet.HostPrefix+s.Host, rec)}}})
+		} else if n.now.Sub(s.LastReport) > tuning.ForgetSession {
+			delete(n.sessions, s.Host)
+		}
+		return
+	}
+	silentAfter := seconds(n.set.Cluster.Workers.ReportS * tuning.SilentReports)
+	switch {
+	case n.now.Sub(s.LastReport) > silentAfter:
+		if m.State == fleet.Up || m.State == fleet.Warned {
+			n.moveMachine(s.Host, fleet.Unheard, "no report")
+		}
+	case s.State != workers.Known:
+	case s.Warning != nil && m.State != fleet.Warned:
+		n.moveMachine(s.Host, fleet.Notice, "the cloud will take it")
+	case m.State == fleet.Silent:
+		n.moveMachine(s.Host, fleet.Heard, "reports again")
+	}
+}
+
+// command sends orders to a worker directly, or shows it the baton.
+func (n *Node) command(s *workers.Session, orders []workers.Order) {
+	if s.Busy || s.Endpoint == "" || n.calls >= tuning.MaxWorkerCalls {
+		return
+	}
+	since := n.now.Sub(s.LastCall)
+	if s.State != workers.Known {
+		if since < tuning.AdoptAgain<<min(s.CallFails, 3) {
+			return
+		}
+		orders = nil
+	} else {
+		fresh := false
+		for _, o := range orders {
+			fresh = fresh || o.Verb == workers.Launch
+		}
+		if len(orders) == 0 || (!fresh && since < tuning.CommandGap) {
+			return
+		}
+	}
+	orders = limitOrders(orders)
+	if orders == nil {
+		orders = []workers.Order{}
+	}
+	baton, tenure := s.Baton(), max(s.Tenure, 1)
+	body := jobs.Encode(struct {
+		Baton  uint64          `json:"baton"`
+		Tenure uint64          `json:"tenure"`
+		Orders []workers.Order `json:"orders"`
+	}{baton, tenure, orders})
+	s.Sending(orders, n.now)
+	for _, o := range orders {
+		if t := n.onHost[s.Host][o.Piece]; o.Verb == workers.Launch && t != nil && t.job.rec != nil {
+			n.healthOf(s.Host).bundles[t.job.rec.Spec.Bundle] = n.now
+		}
+	}
+	n.calls++
+	n.out.Worker(s.Endpoint, "POST", "/commands", body, tuning.CommandTimeout, func(status int, answer []byte, err error) {
+		n.calls--
+		n.dirty = true
+		if n.sessions[s.Host] != s {
+			return
+		}
+		if s.Baton() != baton {
+			// A new view came meanwhile; what this command did shows in the
+			// first report under the new baton.
+			s.Busy = false
+			return
+		}
+		var r workers.Report
+		if err != nil || (status != 200 && status != 409) || json.Unmarshal(answer, &r) != nil || r.Host != s.Host {
+			n.log.Debug("command without answer", "machine", s.Host, "status", status, "error", err)
+			s.Unanswered()
+			return
+		}
+		if status == 409 {
+			s.Refused()
+			s.Accept(&r, n.now, n.placedOn(s.Host))
+			if r.Tenure != tenure {
+				s.LastCall = time.Time{} // try again with the right session
+			}
+			return
+		}
+		s.Answered()
+		s.Accept(&r, n.now, n.placedOn(s.Host))
+	})
+}
+
+// place puts released tasks of this part on machines.
+func (n *Node) place() []decision {
+	var mine []*task
+	for _, t := range n.released {
+		if t.Part == n.set.NodeName && t.job.rec != nil && t.job.rec.State == jobs.Live && !n.busy[jobs.TaskKey(t.piece)] {
+			mine = append(mine, t)
+		}
+	}
+	if len(mine) == 0 {
+		return nil
+	}
+	sort.Slice(mine, func(a, b int) bool { return mine[a].piece < mine[b].piece })
+	use := n.use()
+	var out []decision
+	gangsDone := map[string]bool{}
+	for _, t := range mine {
+		if t.job.rec.Spec.Shape == jobs.Ensemble && t.job.rec.Spec.Pieces > 1 {
+			if !gangsDone[t.job.uid] {
+				gangsDone[t.job.uid] = true
+				out = append(out, n.placeGang(t.job, mine, use)...)
+			}
+			continue
+		}
+		if d, ok := n.placeOne(t, use, t.Try+1); ok {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+// placeOne picks a machine of this part and makes the decision.
+func (n *Node) placeOne(t *task, use map[string]parts.Room, try uint64) (decision, bool) {
+	spec := &t.job.rec.Spec
+	need := spec.Need()
+	if t.Want != "" {
+		use[t.Want] = use[t.Want].Sub(need) // its own booking
+	}
+	host := ""
+	if t.Want != "" && n.canPlace(t, t.Want) {
+		if b := n.builds[n.machines[t.Want].Build]; b != nil && b.Whole().Sub(use[t.Want]).Fits(need) {
+			host = t.Want
+		}
+	}
+	if host == "" {
+		var cands []parts.Candidate
+		for h := range n.sessions {
+			if n.canPlace(t, h) {
+				cands = append(cands, n.candidate(h, use, spec))
+			}
+		}
+		sort.Slice(cands, func(a, b int) bool { return cands[a].Host < cands[b].Host })
+		if i := parts.Pick(need, spec.Loaner, cands); i >= 0 {
+			host = cands[i].Host
+		}
+	}
+	if host == "" {
+		if t.Want != "" {
+			use[t.Want] = use[t.Want].Add(need)
+		}
+		return decision{}, false
+	}
+	d, ok := n.placing(t, host, t.Site, try)
+	if ok {
+		use[host] = use[host].Add(need)
+	}
+	return d, ok
+}
+
+// placing is the decision that puts a task on a machine. The machine's record
+// is among its conditions: a machine condemned meanwhile takes no task.
+func (n *Node) placing(t *task, host, site string, try uint64) (decision, bool) {
+	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Place, Host: host, Site: site, Try: try})
+	if !ok {
+		return decision{}, false
+	}
+	key := jobs.TaskKey(t.piece)
+	n.reserve[key] = reservation{host, t.job.rec.Spec.Need()}
+	return decision{
+		writes: []store.Write{put(key, next)},
+		seen:   []string{jobs.JobPrefix + t.job.uid, fleet.HostPrefix + host},
+		done:   func(bool) { delete(n.reserve, key) },
+	}, true
+}
+
+// canPlace tells whether a task may go on a machine of this part now.
+func (n *Node) canPlace(t *task, host string) bool {
+	s, m := n.sessions[host], n.machines[host]
+	if s == nil || m == nil || s.State != workers.Known || s.Warning != nil {
+		return false
+	}
+	if n.now.Sub(s.LastReport) > seconds(n.set.Cluster.Workers.ReportS*tuning.FreshReports) {
+		return false
+	}
+	return n.takes(t, m) && (m.Claim == "" || m.Claim == t.job.uid)
+}
+
+// takes tells whether a machine is one that a task may go on, by its record.
+func (n *Node) takes(t *task, m *machine) bool {
+	spec := &t.job.rec.Spec
+	if m.State != fleet.Up || !spec.Allows(m.Build, m.Site, m.Loaner) || n.builds[m.Build] == nil {
+		return false
+	}
+	if t.Site != "" && t.Site != m.Site {
+		return false
+	}
+	if _, draining := n.summary.Drain[m.name]; draining {
+		return false
+	}
+	if h := n.health[m.name]; h != nil && n.now.Before(h.restUntil) {
+		return false
+	}
+	for _, b := range t.Bad {
+		if b == m.name {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) candidate(host string, use map[string]parts.Room, spec *jobs.Spec) parts.Candidate {
+	m := n.machines[host]
+	whole := n.builds[m.Build].Whole()
+	c := parts.Candidate{
+		Host: host, Whole: whole, Free: whole.Sub(use[host]), Loaner: m.Loaner, Site: m.Site,
+		Load: use[host].Share(whole), Cached: n.cached(host, spec.Bundle),
+	}
+	return c
+}
+
+// cached tells whether a machine probably holds an image.
+func (n *Node) cached(host, bundle string) bool {
+	for _, t := range n.onHost[host] {
+		if t.job.rec != nil && t.job.rec.Spec.Bundle == bundle {
+			return true
+		}
+	}
+	h := n.health[host]
+	return h != nil && !h.bundles[bundle].IsZero()
+}
--- /dev/null
+++ b/internal/node/runtime.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"runtime/debug"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/peer"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/wire"
+)
+
+// Serve runs a node on real sockets and the real clock until ctx ends.
+func Serve(ctx context.Context, set *settings.Settings, log *slog.Logger) error {
+	debug.SetMemoryLimit(int64(set.Cluster.Limits.MemoryMB * tuning.MemoryShare * (1 << 20)))
+	events := make(chan func(), tuning.EventQueue)
+	stop := make(chan struct{})
+	defer close(stop)
+
+	caller := func(addr string, idle int) store.Call {
+		c := &wire.Client{Addr: addr, MaxIdle: idle, MaxBody: tuning.MaxAnswerBody}
+		return func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+			go func() {
+				m, err := c.Do(method, target, body, timeout)
+				events <- func() {
+					if err != nil {
+						done(0, nil, err)
+						return
+					}
+					done(m.Status, m.Body, nil)
+				}
+			}()
+		}
+	}
+	links := map[string]*peer.Link{}
+	for _, p := range set.Peers {
+		links[p.NodeName] = peer.NewLink(p.Address, stop)
+	}
+	out := Outside{
+		State: caller(set.Outside.State, tuning.StateConns),
+		Watch: caller(set.Outside.State, 1),
+		Cloud: caller(set.Outside.Cloud, tuning.CloudConns),
+		Worker: func(endpoint, method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+			caller(endpoint, 0)(method, target, body, timeout, done)
+		},
+		Hint: func(name string, line []byte) {
+			if l := links[name]; l != nil {
+				l.Send(line)
+			}
+		},
+	}
+	n := New(set, out, log, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
+	n.now = time.Now()
+	conns := max(set.Cluster.Limits.FdLimit-tuning.ReservedSockets, set.Cluster.Limits.FdLimit/2)
+	srv := &wire.Server{
+		Front: set.Front, Peer: set.PeerListen, MaxConns: conns,
+		Handle: func(m *wire.Message, respond func(wire.Reply)) {
+			select {
+			case events <- func() { n.Request(m, respond) }:
+			default:
+				respond(refuse("too busy")) // the loop is far behind
+			}
+		},
+		Line: func(line []byte) {
+			select {
+			case events <- func() { n.Line(line) }:
+			default:
+			}
+		},
+	}
+	go srv.Run(stop)
+
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	lastPulse := time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case f := <-events:
+			n.Run(time.Now(), f)
+			// Take what else has come in before looking at the clock again.
+			for more := true; more; {
+				select {
+				case f := <-events:
+					n.Run(time.Now(), f)
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		}
+		now := time.Now()
+		if now.Sub(lastPulse) >= tuning.Pulse {
+			lastPulse = now
+			n.Pulse(now)
+		} else {
+			n.Run(now, func() {})
+		}
+		timer.Reset(n.Wait())
+	}
+}
+
+// Describe is a line about the settings for the log.
+func Describe(set *settings.Settings) string {
+	return fmt.Sprintf("%s in %s, front %s, peers %d", set.NodeName, set.Zone, set.Front, len(set.Peers))
+}
--- /dev/null
+++ b/internal/node/users.go
@@ -0,0 +1,367 @@
+package node
+
+import (
+	"encoding/json"
+	"errors"
+	"strings"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/wire"
+)
+
+// Request takes a request from the front door. respond is called exactly once.
+func (n *Node) Request(m *wire.Message, respond func(wire.Reply)) {
+	path, _, _ := strings.Cut(m.Target, "?")
+	switch {
+	case path == "/agent/beat":
+		if method(m, "POST", respond) {
+			n.beat(m.Body, respond)
+		}
+	case path == "/up":
+		if method(m, "GET", respond) {
+			n.up(respond)
+		}
+	case path == "/work":
+		if method(m, "POST", respond) {
+			n.submit(m.Body, respond)
+		}
+	case strings.HasPrefix(path, "/work/"):
+		uid, abort := strings.CutSuffix(path[len("/work/"):], "/abort")
+		if !jobs.ValidUID(uid) {
+			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
+			return
+		}
+		if abort {
+			if method(m, "POST", respond) {
+				n.abort(uid, respond)
+			}
+			return
+		}
+		if method(m, "GET", respond) {
+			n.query(uid, respond)
+		}
+	default:
+		respond(wire.Reply{Status: 404, Body: errorBody("no such path")})
+	}
+}
+
+func method(m *wire.Message, want string, respond func(wire.Reply)) bool {
+	if m.Method != want {
+		respond(wire.Reply{Status: 405, Body: errorBody("use " + want)})
+		return false
+	}
+	return true
+}
+
+// up tells the load balancer whether to send users here. During an outage of
+// the state service every node stays up and refuses at once; a node that alone
+// is refused, as its peers' hints show, steps aside.
+func (n *Node) up(respond func(wire.Reply)) {
+	ok := n.sync.live && n.role != members.Outside
+	if n.client.Down() {
+		for _, p := range n.peersState {
+			if p.stateOK && n.now.Sub(p.at) < tuning.PeerFresh {
+				ok = false
+			}
+		}
+	}
+	if !ok {
+		respond(refuse("not ready"))
+		return
+	}
+	respond(wire.Reply{Status: 200, Body: []byte(`{"up":true}`)})
+}
+
+type status struct {
+	UID     string `json:"uid"`
+	Status  string `json:"status"`
+	Done    *int   `json:"done,omitempty"`
+	Running *int   `json:"running,omitempty"`
+}
+
+func (n *Node) statusOf(uid string, s jobs.JobState, counts bool) []byte {
+	out := status{UID: uid, Status: string(s)}
+	j := n.jobs[uid]
+	done, on := 0, 0
+	if j != nil {
+		done, on = j.done, j.on
+	}
+	if s == jobs.Live {
+		out.Status = "pending"
+		if on > 0 {
+			out.Status = "running"
+		}
+	} else {
+		on = 0
+	}
+	if counts {
+		out.Done, out.Running = &done, &on
+	}
+	return jobs.Encode(out)
+}
+
+// reader is a read of one job's state that has not left yet; requests that
+// come before it leaves share it. One that has left may be older than what
+// another node has told the user since, so nobody joins it.
+type reader struct {
+	waiting []func(jobs.JobState, error)
+}
+
+var errNoJob = errors.New("no such job")
+
+// read finds a job's state in the state service. Only final states are
+// answered from memory.
+func (n *Node) read(uid string, done func(jobs.JobState, error)) {
+	if s, ok := n.finals.get(uid); ok {
+		done(s, nil)
+		return
+	}
+	if n.client.Down() {
+		done("", store.ErrDown)
+		return
+	}
+	if r := n.readers[uid]; r != nil {
+		r.waiting = append(r.waiting, done)
+		return
+	}
+	r := &reader{waiting: []func(jobs.JobState, error){done}}
+	n.readers[uid] = r
+	left := func() {
+		if n.readers[uid] == r {
+			delete(n.readers, uid)
+		}
+	}
+	finish := func(s jobs.JobState, err error) {
+		left()
+		for _, w := range r.waiting {
+			w(s, err)
+		}
+	}
+	n.client.Get(store.User, jobs.JobPrefix+uid, left, func(it *store.Item, err error) {
+		if err != nil {
+			finish("", err)
+			return
+		}
+		if it != nil {
+			n.mirror.Put(it.Key, it.Value, it.Stamp)
+			rec, derr := jobs.DecodeRecord(uid, it.Value)
+			if derr != nil {
+				finish("", derr)
+				return
+			}
+			if rec.State != jobs.Live {
+				n.finals.put(uid, rec.State)
+			}
+			finish(rec.State, nil)
+			return
+		}
+		// A live record leaves only after the final one has come, so reading
+		// in this order misses neither.
+		n.client.Get(store.User, jobs.FinalPrefix+uid, nil, func(it *store.Item, err error) {
+			if err != nil {
+				finish("", err)
+				return
+			}
+			if it == nil {
+				finish("", errNoJob)
+				return
+			}
+			var f jobs.Final
+			if jerr := json.Unmarshal(it.Value, &f); jerr != nil {
+				finish("", jerr)
+				return
+			}
+			n.finals.put(uid, f.State)
+			finish(f.State, nil)
+		})
+	})
+}
+
+func (n *Node) query(uid string, respond func(wire.Reply)) {
+	n.read(uid, func(s jobs.JobState, err error) {
+		switch {
+		case errors.Is(err, errNoJob):
+			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
+		case err != nil:
+			respond(refuse("state unavailable"))
+		default:
+			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, true)})
+		}
+	})
+}
+
+func (n *Node) submit(body []byte, respond func(wire.Reply)) {
+	spec, err := jobs.ParseSpec(body)
+	if err != nil {
+		respond(wire.Reply{Status: 400, Body: errorBody(err.Error())})
+		return
+	}
+	known := func(s jobs.JobState) {
+		respond(wire.Reply{Status: 200, Body: n.statusOf(spec.UID, s, false)})
+	}
+	if s, ok := n.finals.get(spec.UID); ok {
+		known(s)
+		return
+	}
+	if n.client.Down() || !n.sync.live || n.role == members.Outside {
+		respond(refuse("not able to accept"))
+		return
+	}
+	// A job that is known already is answered by a read; only an unknown one
+	// is judged, since what made it acceptable may have changed since.
+	if n.jobs[spec.UID] != nil {
+		n.read(spec.UID, func(s jobs.JobState, err error) {
+			if err != nil {
+				respond(refuse("state unavailable"))
+				return
+			}
+			known(s)
+		})
+		return
+	}
+	if len(n.builds) == 0 {
+		respond(refuse("machine types not known yet"))
+		return
+	}
+	if why := jobs.CanEverRun(spec, n.teams, n.builds); why != "" {
+		n.read(spec.UID, func(s jobs.JobState, err error) {
+			switch {
+			case err == nil:
+				known(s)
+			case errors.Is(err, errNoJob):
+				respond(wire.Reply{Status: 422, Body: errorBody(why)})
+			default:
+				respond(refuse("state unavailable"))
+			}
+		})
+		return
+	}
+	n.accept(spec, known, respond)
+}
+
+func (n *Node) accept(spec *jobs.Spec, known func(jobs.JobState), respond func(wire.Reply)) {
+	rec := jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: *spec}
+	w := put(jobs.JobPrefix+spec.UID, rec)
+	if len(w.Value) > int(n.set.Cluster.State.ValueKB*1024) {
+		respond(wire.Reply{Status: 400, Body: errorBody("description too long")})
+		return
+	}
+	t := store.Txn{
+		If: []store.Cond{
+			{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)},
+			{Key: jobs.JobPrefix + spec.UID, Stamp: 0},
+			{Key: jobs.FinalPrefix + spec.UID, Stamp: 0},
+		},
+		Writes: []store.Write{w},
+	}
+	n.client.Multi(store.User, t, func(epoch uint64, failed []string, err error) {
+		switch {
+		case err == nil:
+			n.mirror.Commit(t.Writes, epoch)
+			respond(wire.Reply{Status: 201, Body: n.statusOf(spec.UID, jobs.Live, false)})
+		case errors.Is(err, store.ErrConflict):
+			n.read(spec.UID, func(s jobs.JobState, err error) {
+				if err != nil {
+					respond(refuse("try again")) // only the view had changed
+					return
+				}
+				known(s)
+			})
+		default:
+			// Unknown counts as not accepted; a repeat finds out.
+			respond(refuse("state unavailable"))
+		}
+	})
+}
+
+func (n *Node) abort(uid string, respond func(wire.Reply)) {
+	if s, ok := n.finals.get(uid); ok {
+		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
+		return
+	}
+	if n.client.Down() || !n.sync.live || n.role == members.Outside {
+		respond(refuse("not able to cancel"))
+		return
+	}
+	n.read(uid, func(s jobs.JobState, err error) {
+		switch {
+		case errors.Is(err, errNoJob):
+			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
+			return
+		case err != nil:
+			respond(refuse("state unavailable"))
+			return
+		}
+		j := n.jobs[uid]
+		next, ok := jobs.NextJob(s, jobs.UserCancels)
+		if !ok {
+			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
+			return
+		}
+		if j == nil || j.rec == nil {
+			respond(refuse("try again"))
+			return
+		}
+		n.close(j, next, store.User, func(ok bool) {
+			if !ok {
+				respond(refuse("try again"))
+				return
+			}
+			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, next, false)})
+		})
+	})
+}
+
+// close commits a job's final state, for its tasks to act on and for users to
+// read for ever.
+func (n *Node) close(j *job, state jobs.JobState, p store.Priority, done func(bool)) {
+	rec := *j.rec
+	rec.State, rec.EndMs = state, n.ms()
+	key, final := jobs.JobPrefix+j.uid, jobs.FinalPrefix+j.uid
+	t := store.Txn{
+		If: []store.Cond{
+			{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)},
+			{Key: key, Stamp: n.mirror.Stamp(key)},
+			{Key: final, Stamp: 0},
+		},
+		Writes: []store.Write{put(key, rec), put(final, jobs.Final{State: state})},
+	}
+	n.client.Multi(p, t, func(epoch uint64, _ []string, err error) {
+		if err == nil {
+			n.mirror.Commit(t.Writes, epoch)
+		}
+		n.dirty = true
+		done(err == nil)
+	})
+}
+
+// finalCache keeps final states, which never change, up to a bound.
+type finalCache struct {
+	most  int
+	state map[string]jobs.JobState
+	order []string
+}
+
+func newFinalCache(most int) *finalCache {
+	return &finalCache{most: most, state: map[string]jobs.JobState{}}
+}
+
+func (c *finalCache) get(uid string) (jobs.JobState, bool) {
+	s, ok := c.state[uid]
+	return s, ok
+}
+
+func (c *finalCache) put(uid string, s jobs.JobState) {
+	if _, ok := c.state[uid]; ok || (s != jobs.Done && s != jobs.Cancelled) {
+		return
+	}
+	if len(c.order) >= c.most {
+		delete(c.state, c.order[0])
+		c.order = c.order[1:]
+	}
+	c.state[uid] = s
+	c.order = append(c.order, uid)
+}
--- /dev/null
+++ b/internal/parts/parts.go
@@ -0,0 +1,110 @@
+// Package parts splits the machines among the live controllers and picks the
+// machine for a task.
+package parts
+
+import (
+	"hash/fnv"
+)
+
+// Owner is the member that a machine belongs to, by rendezvous hashing: the
+// member with the highest hash of member and machine. When a member goes,
+// only its own machines move.
+func Owner(machine string, members []string) string {
+	best, owner := uint64(0), ""
+	for _, m := range members {
+		h := fnv.New64a()
+		_, _ = h.Write([]byte(m))
+		_, _ = h.Write([]byte{0})
+		_, _ = h.Write([]byte(machine))
+		// FNV alone mixes its last bytes badly into the high bits.
+		v := h.Sum64()
+		v ^= v >> 33
+		v *= 0xff51afd7ed558ccd
+		v ^= v >> 33
+		v *= 0xc4ceb9fe1a85ec53
+		v ^= v >> 33
+		if owner == "" || v > best || (v == best && m < owner) {
+			best, owner = v, m
+		}
+	}
+	return owner
+}
+
+// Room is an amount of a machine's resources.
+type Room struct {
+	Cores, Accelerators, MemoryGB float64
+}
+
+const slack = 1e-6 // absorbs rounding of decimal amounts
+
+// Fits tells whether need fits into r.
+func (r Room) Fits(need Room) bool {
+	return need.Cores <= r.Cores+slack && need.Accelerators <= r.Accelerators+slack && need.MemoryGB <= r.MemoryGB+slack
+}
+
+// Add and Sub are by component.
+func (r Room) Add(o Room) Room {
+	return Room{r.Cores + o.Cores, r.Accelerators + o.Accelerators, r.MemoryGB + o.MemoryGB}
+}
+
+// Sub takes o away from r.
+func (r Room) Sub(o Room) Room {
+	return Room{r.Cores - o.Cores, r.Accelerators - o.Accelerators, r.MemoryGB - o.MemoryGB}
+}
+
+// Share is the largest share of whole that r takes: what part of a machine
+// a task uses up.
+func (r Room) Share(whole Room) float64 {
+	share := 0.0
+	for _, p := range [3][2]float64{{r.Cores, whole.Cores}, {r.Accelerators, whole.Accelerators}, {r.MemoryGB, whole.MemoryGB}} {
+		if p[0] <= 0 {
+			continue
+		}
+		if p[1] <= 0 {
+			return 2 // can never fit
+		}
+		share = max(share, p[0]/p[1])
+	}
+	return share
+}
+
+// Candidate is a machine that a task is allowed on.
+type Candidate struct {
+	Host   string
+	Free   Room
+	Whole  Room
+	Loaner bool
+	Site   string
+	Cached bool    // holds the task's image
+	Load   float64 // share of the machine in use
+}
+
+// Pick returns the index of the best machine for need, or -1. Cached images
+// first (a fetch takes longer than any queue), then, for tasks that may, cheap
+// machines, then the fullest that still fits, which keeps others empty enough
+// to be returned.
+func Pick(need Room, loaner bool, cands []Candidate) int {
+	best := -1
+	for i, c := range cands {
+		if !c.Free.Fits(need) {
+			continue
+		}
+		if best < 0 || better(c, cands[best], loaner) {
+			best = i
+		}
+	}
+	return best
+}
+
+func better(a, b Candidate, loaner bool) bool {
+	if a.Cached != b.Cached {
+		return a.Cached
+	}
+	if loaner && a.Loaner != b.Loaner {
+		return a.Loaner
+	}
+	if a.Load != b.Load {
+		return a.Load > b.Load
+	}
+	return a.Host < b.Host
+}
--- /dev/null
+++ b/internal/parts/parts_test.go
@@ -0,0 +1,57 @@
+package parts
+
+import (
+	"fmt"
+	"testing"
+)
+
+func TestOwnerMovesOnlyTheLostMembersMachines(t *testing.T) {
+	all, fewer := []string{"a", "b", "c"}, []string{"a", "c"}
+	count := map[string]int{}
+	for i := range 300 {
+		m := fmt.Sprintf("i-%06d", i)
+		before, after := Owner(m, all), Owner(m, fewer)
+		count[before]++
+		if before != "b" && before != after {
+			t.Fatalf("%s moved from %s to %s although %s lives", m, before, after, before)
+		}
+	}
+	for _, m := range all {
+		if count[m] < 60 {
+			t.Errorf("%s owns only %d of 300", m, count[m])
+		}
+	}
+	if Owner("x", nil) != "" {
+		t.Error("no members, no owner")
+	}
+}
+
+func TestPick(t *testing.T) {
+	whole := Room{Cores: 10, Accelerators: 4, MemoryGB: 10}
+	need := Room{Cores: 1, Accelerators: 1, MemoryGB: 1}
+	cands := []Candidate{
+		{Host: "full", Free: Room{Cores: 10}, Whole: whole, Load: 1},
+		{Host: "empty", Free: whole, Whole: whole},
+		{Host: "half", Free: Room{5, 2, 5}, Whole: whole, Load: 0.5},
+	}
+	if got := cands[Pick(need, false, cands)].Host; got != "half" {
+		t.Errorf("fullest that fits: got %s", got)
+	}
+	cands[1].Cached = true
+	if got := cands[Pick(need, false, cands)].Host; got != "empty" {
+		t.Errorf("cached image first: got %s", got)
+	}
+	if Pick(Room{Accelerators: 5}, false, cands) != -1 {
+		t.Error("nothing fits")
+	}
+}
+
+func TestShare(t *testing.T) {
+	whole := Room{Cores: 10, Accelerators: 4, MemoryGB: 100}
+	if got := (Room{Cores: 5, Accelerators: 1, MemoryGB: 10}).Share(whole); got != 0.5 {
+		t.Errorf("share %v", got)
+	}
+	if got := (Room{Accelerators: 1}).Share(Room{Cores: 1}); got <= 1 {
+		t.Errorf("a task that can never fit has share %v", got)
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,80 @@
+// Package peer is what controllers tell one another: JSON lines on
+// peer_listen. They are hints; no rule needs them.
+package peer
+
+import (
+	"encoding/json"
+	"net"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Hint is one line.
+type Hint struct {
+	From    string `json:"from"`
+	Epoch   uint64 `json:"epoch,omitempty"`    // the state service has got to here
+	StateOK bool   `json:"state_ok,omitempty"` // the sender's state service answers
+}
+
+// Encode writes a hint as a line.
+func Encode(h Hint) []byte {
+	b, err := json.Marshal(h)
+	if err != nil {
+		return []byte("{}\n")
+	}
+	return append(b, '\n')
+}
+
+// Decode reads a line; false if it is not a hint.
+func Decode(line []byte) (Hint, bool) {
+	var h Hint
+	if json.Unmarshal(line, &h) != nil || h.From == "" {
+		return Hint{}, false
+	}
+	return h, true
+}
+
+// Link sends lines to one peer. Lines that cannot be sent are dropped.
+type Link struct {
+	addr  string
+	lines chan []byte
+}
+
+// NewLink starts a link; it ends when stop is closed.
+func NewLink(addr string, stop <-chan struct{}) *Link {
+	l := &Link{addr: addr, lines: make(chan []byte, 16)}
+	go l.run(stop)
+	return l
+}
+
+// Send queues a line, dropping it when the queue is full.
+func (l *Link) Send(line []byte) {
+	select {
+	case l.lines <- line:
+	default:
+	}
+}
+
+func (l *Link) run(stop <-chan struct{}) {
+	var conn net.Conn
+	for {
+		select {
+		case <-stop:
+			return
+		case line := <-l.lines:
+			if conn == nil {
+				c, err := net.DialTimeout("tcp4", l.addr, tuning.DialTimeout)
+				if err != nil {
+					continue
+				}
+				conn = c
+			}
+			_ = conn.SetWriteDeadline(time.Now().Add(tuning.DialTimeout))
+			if _, err := conn.Write(line); err != nil {
+				conn.Close()
+				conn = nil
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/settings/operator.go
@@ -0,0 +1,106 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+
+	"github.com/hashicorp/hcl/v2/hclsimple"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Operator holds the operators' own settings. Every one is optional.
+type Operator struct {
+	StepS       float64
+	PlanSteps   int
+	Samples     int
+	Tolerance   float64
+	TrendSteps  int
+	FreshSteps  int
+	DrainSteps  int
+	ReviveSteps int
+	MemberTTLS  float64
+	FinalCache  int
+}
+
+// operatorFile is the file's form.
+type operatorFile struct {
+	Scaler *struct {
+		StepS      *float64 `hcl:"step_s,optional"`
+		PlanSteps  *int     `hcl:"plan_steps,optional"`
+		Samples    *int     `hcl:"samples,optional"`
+		Tolerance  *float64 `hcl:"tolerance,optional"`
+		TrendSteps *int     `hcl:"trend_steps,optional"`
+		FreshSteps *int     `hcl:"fresh_steps,optional"`
+	} `hcl:"scaler,block"`
+	Drain *struct {
+		Steps  *int `hcl:"steps,optional"`
+		Revive *int `hcl:"revive_steps,optional"`
+	} `hcl:"drain,block"`
+	Members *struct {
+		TTLS *float64 `hcl:"ttl_s,optional"`
+	} `hcl:"members,block"`
+	Users *struct {
+		FinalCache *int `hcl:"final_cache,optional"`
+	} `hcl:"users,block"`
+}
+
+// DefaultOperator is what holds without a file.
+func DefaultOperator() Operator {
+	return Operator{
+		StepS:       tuning.Step.Seconds(),
+		PlanSteps:   tuning.PlanSteps,
+		Samples:     tuning.Samples,
+		Tolerance:   tuning.Tolerance,
+		TrendSteps:  tuning.TrendSteps,
+		FreshSteps:  tuning.FreshSteps,
+		DrainSteps:  tuning.DrainSteps,
+		ReviveSteps: tuning.ReviveSteps,
+		MemberTTLS:  tuning.MemberTTL.Seconds(),
+		FinalCache:  tuning.FinalCache,
+	}
+}
+
+func loadOperator(file string) (Operator, []error) {
+	op := DefaultOperator()
+	if file == "" {
+		return op, nil
+	}
+	var f operatorFile
+	if err := hclsimple.DecodeFile(file, nil, &f); err != nil {
+		return op, []error{err}
+	}
+	c := &check{}
+	if s := f.Scaler; s != nil {
+		set(c, "scaler.step_s", &op.StepS, s.StepS, 1, 600)
+		set(c, "scaler.plan_steps", &op.PlanSteps, s.PlanSteps, 1, 200)
+		set(c, "scaler.samples", &op.Samples, s.Samples, 1, 10000)
+		set(c, "scaler.tolerance", &op.Tolerance, s.Tolerance, 0, 1)
+		set(c, "scaler.trend_steps", &op.TrendSteps, s.TrendSteps, 3, 200)
+		set(c, "scaler.fresh_steps", &op.FreshSteps, s.FreshSteps, 0, 200)
+	}
+	if d := f.Drain; d != nil {
+		set(c, "drain.steps", &op.DrainSteps, d.Steps, 1, 100)
+		set(c, "drain.revive_steps", &op.ReviveSteps, d.Revive, 0, 100)
+	}
+	c.that(op.ReviveSteps <= op.DrainSteps, "drain.revive_steps", "must not be above drain.steps")
+	if m := f.Members; m != nil {
+		set(c, "members.ttl_s", &op.MemberTTLS, m.TTLS, 1, 60)
+	}
+	if u := f.Users; u != nil {
+		set(c, "users.final_cache", &op.FinalCache, u.FinalCache, 100, 1000000)
+	}
+	return op, c.errs
+}
+
+// set takes a value from the file if it is there and within its bounds.
+func set[T int | float64](c *check, field string, to, from *T, low, high T) {
+	if from == nil {
+		return
+	}
+	if math.IsNaN(float64(*from)) || *from < low || *from > high {
+		c.that(false, field, fmt.Sprintf("%v is outside %v to %v", *from, low, high))
+		return
+	}
+	*to = *from
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,318 @@
+// Package store is the client of the state service: calls under a shared
+// rate budget, and a mirror of the live keys. It does no IO and reads no
+// clock itself: the caller hands it the time and a Call to send with.
+package store
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Call sends one HTTP request and calls done later, on the loop.
+type Call func(method, target string, body []byte, timeout time.Duration, done func(status int, body []byte, err error))
+
+// Priority orders waiting calls; lower goes first.
+type Priority int
+
+// Priorities, most critical for the rules first.
+const (
+	Membership Priority = iota
+	Decision
+	Watch
+	User
+	levels
+)
+
+// Errors that callers tell apart.
+var (
+	// ErrUnknown: no answer; the request may still take effect.
+	ErrUnknown = errors.New("state service gave no answer")
+	// ErrDown: the request was not executed.
+	ErrDown = errors.New("state service unavailable")
+	// ErrGone: a watch is too old, or a lease has ended.
+	ErrGone = errors.New("gone")
+	// ErrConflict: a condition did not hold.
+	ErrConflict = errors.New("conflict")
+	// ErrRefused: the service calls the request malformed.
+	ErrRefused = errors.New("refused")
+)
+
+// Item is a key with its value.
+type Item struct {
+	Key   string          `json:"key"`
+	Value json.RawMessage `json:"v"`
+	Stamp uint64          `json:"stamp"`
+	Hold  uint64          `json:"hold,omitempty"`
+}
+
+// Cond demands that Key has version Stamp; 0 means absent.
+type Cond struct {
+	Key   string `json:"key"`
+	Stamp uint64 `json:"stamp"`
+}
+
+// Write puts or removes a key.
+type Write struct {
+	Put    string          `json:"write,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+	Value  json.RawMessage `json:"v,omitempty"`
+	Hold   uint64          `json:"hold,omitempty"`
+}
+
+// Txn is an atomic transaction.
+type Txn struct {
+	If     []Cond  `json:"if"`
+	Writes []Write `json:"writes,omitempty"`
+}
+
+// Event is one change seen by a watch.
+type Event struct {
+	Put    string          `json:"write"`
+	Remove string          `json:"remove"`
+	Value  json.RawMessage `json:"v"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+// Client keeps calls inside this node's share of the limits.
+type Client struct {
+	send  Call
+	watch Call
+
+	now       time.Time
+	filled    time.Time
+	tokens    float64
+	writes    float64
+	rps, wps  float64
+	queues    [levels][]pending
+	waiting   int
+	failures  int
+	downSince time.Time
+}
+
+type pending struct {
+	method, target string
+	body           []byte
+	puts           int
+	sent           func()
+	done           func(int, []byte, error)
+}
+
+// New makes a client; send is for calls, watch for held requests.
+func New(send, watch Call) *Client {
+	return &Client{send: send, watch: watch}
+}
+
+// SetBudget sets this node's share of requests and writes per second.
+func (c *Client) SetBudget(rps, wps float64) { c.rps, c.wps = rps, wps }
+
+// Down reports whether the last calls failed.
+func (c *Client) Down() bool { return c.failures >= 2 }
+
+// DownFor tells how long the service has been failing.
+func (c *Client) DownFor() time.Duration {
+	if !c.Down() {
+		return 0
+	}
+	return c.now.Sub(c.downSince)
+}
+
+// Waiting is the number of calls held back by the budget.
+func (c *Client) Waiting() int { return c.waiting }
+
+// Pump sends what the budget allows by now.
+func (c *Client) Pump(now time.Time) {
+	c.now = now
+	if c.filled.IsZero() {
+		c.filled = now
+		c.tokens, c.writes = c.rps/2, c.wps/2
+	}
+	dt := now.Sub(c.filled).Seconds()
+	c.filled = now
+	c.tokens = min(c.tokens+dt*c.rps, c.rps)
+	c.writes = min(c.writes+dt*c.wps, c.wps)
+	for p := range c.queues {
+		for len(c.queues[p]) > 0 {
+			q := c.queues[p][0]
+			// Membership may overdraw: a lost lease costs more than a 429.
+			if Priority(p) != Membership && (c.tokens < 1 || (q.puts > 0 && c.writes < min(float64(q.puts), c.wps))) {
+				return
+			}
+			c.queues[p] = c.queues[p][1:]
+			c.waiting--
+			c.tokens--
+			c.writes -= float64(q.puts)
+			if q.sent != nil {
+				q.sent()
+			}
+			c.send(q.method, q.target, q.body, tuning.StateTimeout, q.done)
+		}
+	}
+}
+
+func (c *Client) enqueue(p Priority, q pending) {
+	limit := tuning.StateQueue
+	if p == User {
+		limit = tuning.UserQueue
+	}
+	if p != Membership && len(c.queues[p]) >= limit {
+		q.done(503, nil, nil)
+		return
+	}
+	c.queues[p] = append(c.queues[p], q)
+	c.waiting++
+	c.Pump(c.now)
+}
+
+// outcome classifies an answer and keeps count of failures.
+func (c *Client) outcome(status int, err error) error {
+	switch {
+	case err != nil:
+		c.fail()
+		return fmt.Errorf("%w: %v", ErrUnknown, err)
+	case status == 503:
+		c.fail()
+		return ErrDown
+	case status == 429:
+		return ErrDown
+	}
+	c.failures = 0
+	switch status {
+	case 200:
+		return nil
+	case 404, 410:
+		return ErrGone
+	case 409:
+		return ErrConflict
+	}
+	return fmt.Errorf("%w: status %d", ErrRefused, status)
+}
+
+func (c *Client) fail() {
+	if c.failures == 0 {
+		c.downSince = c.now
+	}
+	c.failures++
+}
+
+// Get reads a key. The item is nil when it is absent. sent, if given, is
+// called when the request leaves.
+func (c *Client) Get(p Priority, key string, sent func(), done func(*Item, error)) {
+	c.enqueue(p, pending{method: "GET", target: "/store/" + key, sent: sent, done: func(status int, body []byte, err error) {
+		err = c.outcome(status, err)
+		if errors.Is(err, ErrGone) {
+			done(nil, nil)
+			return
+		}
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		var it Item
+		if err := json.Unmarshal(body, &it); err != nil {
+			done(nil, fmt.Errorf("%w: %v", ErrUnknown, err))
+			return
+		}
+		done(&it, nil)
+	}})
+}
+
+// Page is one page of a listing.
+type Page struct {
+	Rows    []Item `json:"rows"`
+	HasNext bool   `json:"has_next"`
+	Epoch   uint64 `json:"epoch"`
+}
+
+// List reads a page of keys with a prefix.
+func (c *Client) List(p Priority, prefix, since string, done func(Page, error)) {
+	target := fmt.Sprintf("/store?prefix=%s&limit=%d", url.QueryEscape(prefix), tuning.ListPage)
+	if since != "" {
+		target += "&since=" + url.QueryEscape(since)
+	}
+	c.enqueue(p, pending{method: "GET", target: target, done: func(status int, body []byte, err error) {
+		var page Page
+		if err = c.outcome(status, err); err == nil {
+			if jerr := json.Unmarshal(body, &page); jerr != nil {
+				err = fmt.Errorf("%w: %v", ErrUnknown, jerr)
+			}
+		}
+		done(page, err)
+	}})
+}
+
+// Multi runs a transaction. On ErrConflict failed names the keys whose
+// condition did not hold.
+func (c *Client) Multi(p Priority, t Txn, done func(epoch uint64, failed []string, err error)) {
+	if t.If == nil {
+		t.If = []Cond{}
+	}
+	body, err := json.Marshal(t)
+	if err != nil {
+		done(0, nil, ErrRefused)
+		return
+	}
+	c.enqueue(p, pending{method: "POST", target: "/multi", body: body, puts: len(t.Writes), done: func(status int, body []byte, err error) {
+		var answer struct {
+			Epoch  uint64   `json:"epoch"`
+			Failed []string `json:"failed"`
+		}
+		err = c.outcome(status, err)
+		if err == nil || errors.Is(err, ErrConflict) {
+			if jerr := json.Unmarshal(body, &answer); jerr != nil {
+				err = fmt.Errorf("%w: %v", ErrUnknown, jerr)
+			}
+		}
+		done(answer.Epoch, answer.Failed, err)
+	}})
+}
+
+// Grant asks for a lease.
+func (c *Client) Grant(ttl time.Duration, done func(hold uint64, err error)) {
+	body := fmt.Appendf(nil, `{"ttl_ms":%d}`, ttl.Milliseconds())
+	c.enqueue(Membership, pending{method: "POST", target: "/grants", body: body, done: func(status int, body []byte, err error) {
+		var answer struct {
+			Hold uint64 `json:"hold"`
+		}
+		if err = c.outcome(status, err); err == nil {
+			if jerr := json.Unmarshal(body, &answer); jerr != nil || answer.Hold == 0 {
+				err = ErrUnknown
+			}
+		}
+		done(answer.Hold, err)
+	}})
+}
+
+// Renew renews a lease.
+func (c *Client) Renew(hold uint64, done func(error)) {
+	c.enqueue(Membership, pending{method: "POST", target: fmt.Sprintf("/grants/%d/renew", hold), done: func(status int, _ []byte, err error) {
+		done(c.outcome(status, err))
+	}})
+}
+
+// Follow waits for changes after since.
+func (c *Client) Follow(since uint64, done func(epoch uint64, events []Event, err error)) {
+	c.tokens--
+	target := fmt.Sprintf("/follow?prefix=&since=%d&hold_ms=%d", since, tuning.FollowHold.Milliseconds())
+	c.watch("GET", target, nil, tuning.FollowHold+tuning.FollowSlack, func(status int, body []byte, err error) {
+		if err != nil {
+			// A held watch that gets no answer says nothing about the service.
+			done(0, nil, ErrUnknown)
+			return
+		}
+		var answer struct {
+			Epoch  uint64  `json:"epoch"`
+			Events []Event `json:"events"`
+		}
+		if err = c.outcome(status, err); err == nil {
+			if jerr := json.Unmarshal(body, &answer); jerr != nil {
+				err = ErrUnknown
+			}
+		}
+		done(answer.Epoch, answer.Events, err)
+	})
+}
--- /dev/null
+++ b/internal/store/mirror.go
@@ -0,0 +1,112 @@
+package store
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+)
+
+// Mirror is this node's copy of the live keys. It may lag behind the state
+// service, never lead it: only committed values enter it, and every decision
+// made from it carries the stamps it was made from.
+type Mirror struct {
+	items map[string]Item
+	// graves holds keys removed by our own commits ahead of the watch, so that
+	// an older event still on its way does not bring them back.
+	graves map[string]uint64
+	// Epoch up to which the watch has been followed.
+	Epoch uint64
+	// Changed is called for every change, with a nil value for a removal.
+	Changed func(key string, value json.RawMessage, stamp uint64)
+}
+
+// NewMirror makes an empty mirror.
+func NewMirror(changed func(string, json.RawMessage, uint64)) *Mirror {
+	return &Mirror{items: map[string]Item{}, graves: map[string]uint64{}, Changed: changed}
+}
+
+// Stamp is the version of a key, 0 when absent.
+func (m *Mirror) Stamp(key string) uint64 { return m.items[key].Stamp }
+
+// Get returns the value of a key, nil when absent.
+func (m *Mirror) Get(key string) json.RawMessage { return m.items[key].Value }
+
+// Keys lists the keys with a prefix in order.
+func (m *Mirror) Keys(prefix string) []string {
+	var out []string
+	for k := range m.items {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, k)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Put enters a committed value, unless something as new is there.
+func (m *Mirror) Put(key string, value json.RawMessage, stamp uint64) {
+	if m.items[key].Stamp >= stamp || m.graves[key] >= stamp {
+		return
+	}
+	m.items[key] = Item{Key: key, Value: value, Stamp: stamp}
+	m.Changed(key, value, stamp)
+}
+
+// Remove enters a committed removal.
+func (m *Mirror) Remove(key string, stamp uint64) {
+	if m.items[key].Stamp > stamp || m.graves[key] >= stamp {
+		return
+	}
+	if stamp > m.Epoch {
+		m.graves[key] = stamp
+	}
+	if _, ok := m.items[key]; ok {
+		delete(m.items, key)
+		m.Changed(key, nil, stamp)
+	}
+}
+
+// Follow enters what a watch brought.
+func (m *Mirror) Follow(epoch uint64, events []Event) {
+	for _, e := range events {
+		if e.Put != "" {
+			m.Put(e.Put, e.Value, e.Stamp)
+		} else if e.Remove != "" {
+			m.Remove(e.Remove, e.Stamp)
+		}
+	}
+	if epoch > m.Epoch {
+		m.Epoch = epoch
+	}
+	for k, s := range m.graves {
+		if s <= m.Epoch {
+			delete(m.graves, k)
+		}
+	}
+}
+
+// Listed enters a full listing of a prefix that describes the store at or
+// after epoch; keys of the prefix that it lacks are gone.
+func (m *Mirror) Listed(prefix string, rows []Item, epoch uint64) {
+	have := make(map[string]bool, len(rows))
+	for _, r := range rows {
+		have[r.Key] = true
+		m.Put(r.Key, r.Value, r.Stamp)
+	}
+	for _, k := range m.Keys(prefix) {
+		if !have[k] && m.items[k].Stamp <= epoch {
+			m.Remove(k, epoch)
+		}
+	}
+}
+
+// Commit enters the writes of a transaction that was answered 200.
+func (m *Mirror) Commit(writes []Write, stamp uint64) {
+	for _, w := range writes {
+		if w.Put != "" {
+			m.Put(w.Put, w.Value, stamp)
+		} else {
+			m.Remove(w.Remove, stamp)
+		}
+	}
+}
--- /dev/null
+++ b/internal/tuning/tuning.go
@@ -0,0 +1,246 @@
+// Package tuning holds every constant of harrierreel, each with its unit and
+// the reason for its value. Values that operators may change are defaults
+// here and are set in the HCL file (see package settings).
+package tuning
+
+import "time"
+
+// Limits of the wire format.
+const (
+	// MaxRequestBody, bytes: the protocol's bound on request bodies.
+	MaxRequestBody = 64 << 10
+	// MaxHeadBytes, bytes: start line and headers; peers send a few hundred.
+	MaxHeadBytes = 8 << 10
+	// MaxAnswerBody, bytes: a watch answer has no limit of its own; 16 MiB is
+	// far above 10,000 changes of the usual size and far below our memory.
+	MaxAnswerBody = 16 << 20
+	// MaxPeerLine, bytes: hints are short; a longer line is not ours.
+	MaxPeerLine = 64 << 10
+)
+
+// Connections.
+const (
+	// SlowRequest: a request that is not whole by then ends its connection.
+	SlowRequest = 10 * time.Second
+	// ListenerTick: how often slow connections are looked for.
+	ListenerTick = time.Second
+	// ListenAgain: pause before a failed listener is set up again; long enough
+	// for descriptors to come free, short enough not to miss two probes.
+	ListenAgain = 100 * time.Millisecond
+	// DialTimeout: a silent host is given up after this.
+	DialTimeout = 1500 * time.Millisecond
+	// IdleConn: kept connections older than this are not used again, because
+	// the other side may have closed them.
+	IdleConn = 30 * time.Second
+	// EventQueue: messages waiting for the loop before requests are refused.
+	EventQueue = 4096
+	// MemoryShare: part of the memory limit that the garbage collector aims to
+	// stay in; the rest is for stacks, buffers and the program itself.
+	MemoryShare = 0.6
+	// ReservedSockets: descriptors kept back from users for our own calls,
+	// epoll and logs.
+	ReservedSockets = 400
+	// StateConns, connections kept to the state service: one per concurrent
+	// call at the highest rate (250/s at 10 ms) and some air.
+	StateConns = 8
+	// CloudConns, connections kept to the cloud.
+	CloudConns = 2
+	// MaxWorkerCalls: direct calls to workers under way at once.
+	MaxWorkerCalls = 64
+)
+
+// Calls to the other services.
+const (
+	// StateTimeout: most answers take 10 ms, a few some hundred.
+	StateTimeout = 2 * time.Second
+	// FollowHold: how long the state service holds a watch open.
+	FollowHold = 5 * time.Second
+	// FollowSlack: on top of FollowHold before a watch is given up.
+	FollowSlack = 1500 * time.Millisecond
+	// FollowGap: pause between two watches, so that a busy store does not
+	// cost a request per change. A peer's hint cuts it short.
+	FollowGap = 40 * time.Millisecond
+	// CloudTimeout: rents can be slow.
+	CloudTimeout = 8 * time.Second
+	// CommandTimeout: an unanswered command makes the machine doubtful.
+	CommandTimeout = 1500 * time.Millisecond
+	// ListPage, items per page of a listing (the services' own limit is 1000
+	// and 500).
+	ListPage = 400
+	// StateQueue: calls waiting for the rate budget before users are refused.
+	StateQueue = 400
+	// UserQueue: calls waiting before calls for users are refused.
+	UserQueue = 60
+	// StateBudget: share of the state service's limits that all nodes
+	// together plan to use; the rest covers clock and burst differences.
+	StateBudget = 0.9
+	// CloudBudget: the same for the cloud; only the leader calls it, but an
+	// old leader may still do so for a moment.
+	CloudBudget = 0.7
+	// LeaderShare: the leader's part of the state budget; the rest is split
+	// evenly. The leader releases, closes and scales.
+	LeaderShare = 0.45
+)
+
+// Membership.
+const (
+	// MemberTTL: a dead controller's lease ends after this. Short, since its
+	// machines wait for a new owner; long enough for a slow processor share.
+	MemberTTL = 4 * time.Second
+	// MemberRenew: three tries within MemberTTL.
+	MemberRenew = 1200 * time.Millisecond
+	// SilentOwner: workers that keep coming to others for this long although
+	// they were sent to their owner prove that they cannot reach it. Two full
+	// rounds over three controllers.
+	SilentOwner = 9 * time.Second
+	// SilentShare: part of an owner's machines that must complain.
+	SilentShare = 0.5
+	// OutFor: how long a member that workers cannot reach stays out.
+	OutFor = 30 * time.Second
+	// PeerBeat: how often peers tell one another how they are.
+	PeerBeat = 500 * time.Millisecond
+	// PeerFresh: older words of a peer are not believed.
+	PeerFresh = 3 * time.Second
+)
+
+// Passes of the loop.
+const (
+	// Pulse: the loop's own clock; every decision not caused by a message is
+	// taken on a pulse.
+	Pulse = 100 * time.Millisecond
+	// ReleaseStale: a released task that its part has not placed by then is
+	// taken back and given to another part.
+	ReleaseStale = 3 * time.Second
+	// Backoff, BackoffMax: pause after a failed try, doubled each time. A job
+	// that fails everywhere thus costs little.
+	Backoff    = 500 * time.Millisecond
+	BackoffMax = 30 * time.Second
+	// ErrorsBlame: a job whose tasks failed on this many different machines is
+	// itself to blame; its failures then count against no machine.
+	ErrorsBlame = 3
+	// ErrorsFaulty: a machine on which tasks of this many different blameless
+	// jobs failed in a row is faulty and is deleted.
+	ErrorsFaulty = 2
+	// ErrorRest: a machine takes no new task for this long after a failure,
+	// so that a sick one does not eat the queue.
+	ErrorRest = 12 * time.Second
+	// AdoptAgain: pause between two tries to reach a machine.
+	AdoptAgain = 1500 * time.Millisecond
+	// CommandGap: pause between two commands to a machine whose last one
+	// brought no change.
+	CommandGap = 700 * time.Millisecond
+	// CancelDelete: share of cancel_s after which a machine that still holds
+	// a cancelled task is deleted.
+	CancelDelete = 0.55
+	// FinalCache: final job states kept in memory.
+	FinalCache = 20000
+	// RetryAfter, seconds, told to users who are refused.
+	RetryAfter = 1
+)
+
+// The loop.
+const (
+	// PassGap: decisions are taken at most this often; what comes in between
+	// shares a transaction.
+	PassGap = 15 * time.Millisecond
+	// PumpGap: how often calls that wait for the rate budget are looked at.
+	PumpGap = 10 * time.Millisecond
+	// SyncAgain: pause before a failed listing or watch is tried again.
+	SyncAgain = 300 * time.Millisecond
+	// TxnBytes, bytes: a transaction's size, below the protocol's 64 KiB.
+	TxnBytes = 48 << 10
+	// MaxSessions: machines that one controller keeps a session for.
+	MaxSessions = 5000
+	// MaxHostName, bytes: longer names cannot be keys.
+	MaxHostName = 150
+	// MaxOrders: orders in one message, far below 64 KiB.
+	MaxOrders = 200
+	// SilentReports, reports: a machine unheard for this many report intervals
+	// is silent.
+	SilentReports = 3.0
+	// FreshReports, reports: tasks go only to machines heard this recently.
+	FreshReports = 2.2
+	// ForgetSession: a machine without a record that does not report is
+	// forgotten.
+	ForgetSession = 2 * time.Minute
+	// SaveMargin, seconds: on top of a task's saving time before a machine is
+	// taken.
+	SaveMargin = 6.0
+	// RefusedRest: pause for a machine that had no room although we thought so.
+	RefusedRest = time.Second
+)
+
+// The leader.
+const (
+	// MostReleases: tasks looked at for release in one pass; bounds the time a
+	// pass takes with very large sweeps waiting.
+	MostReleases = 400
+	// AvoidAfter: a machine on which a released task was not placed in time is
+	// not offered for this long.
+	AvoidAfter = 8 * time.Second
+	// CondemnEvery: how often machines are looked over for deletion.
+	CondemnEvery = time.Second
+	// SilentGiveUp: a silent machine that no controller hears is deleted after
+	// this; a hanging one may come back, but its work is started sooner
+	// elsewhere.
+	SilentGiveUp = 6 * time.Second
+	// SilentMost: share of the machines that may be silent at once for that; if
+	// more are, the network is the likelier cause, and they are only deleted
+	// after their lease has ended.
+	SilentMost = 0.34
+	// SummaryAsked: rents kept in the summary.
+	SummaryAsked = 60
+	// SummaryHistory, steps kept per group in the summary.
+	SummaryHistory = 12
+	// RentsPerStep: kinds of machine asked for in one step's batch.
+	RentsPerStep = 6
+	// CloudQueue: calls waiting for the cloud's rate.
+	CloudQueue = 60
+	// CatalogAgain: pause after a failed read of the catalogue.
+	CatalogAgain = 2 * time.Second
+	// ForgetGone: how long machines that left the list are remembered.
+	ForgetGone = 10 * time.Minute
+	// DeleteAgain: pause before an unanswered delete is repeated.
+	DeleteAgain = 9 * time.Second
+	// RentRetries: repeats of an unanswered rent under its name.
+	RentRetries = 3
+	// PreemptAgain: pause before room is made for the same task again.
+	PreemptAgain = 10 * time.Second
+)
+
+// Scaling (DESIGN's defaults; those marked there as ours may be changed).
+const (
+	// Step: the scaler's step.
+	Step = 10 * time.Second
+	// PlanSteps: steps planned ahead (F).
+	PlanSteps = 12
+	// Samples per step (M).
+	Samples = 100
+	// Tolerance: bound on mean shortfall as a share of expected demand (d).
+	Tolerance = 0.05
+	// TrendSteps: steps of history that the trend is fitted to.
+	TrendSteps = 12
+	// FreshSteps: steps for which a fresh leader rents to current demand only.
+	FreshSteps = 10
+	// DrainSteps, ReviveSteps: length of draining, and its part with revival.
+	DrainSteps  = 3
+	ReviveSteps = 2
+	// RentMost: machines per rent request (the cloud's limit).
+	RentMost = 50
+	// DeleteMost: names per delete request (the cloud's limit).
+	DeleteMost = 100
+	// NoCapacity: pause before a refused kind of machine is asked for again.
+	NoCapacity = 20 * time.Second
+	// BootSlack: a machine that has not come up after this many times its
+	// boot time will not.
+	BootSlack = 4.0
+	// BootSlackMin: floor for that, for machines with very short boot times.
+	BootSlackMin = 60 * time.Second
+	// ListEvery: how often the leader reads the cloud's list.
+	ListEvery = 3 * time.Second
+	// CatalogEvery: how often prices are read.
+	CatalogEvery = 30 * time.Second
+	// SilentDelete: share of lease_s beyond lease_s after which a silent
+	// machine is given up and deleted.
+	SilentDelete = 0.3
+)
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,233 @@
+package wire
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/tidwall/evio"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Reply answers one request.
+type Reply struct {
+	Status     int
+	Body       []byte
+	RetryAfter int // seconds, 0 for none
+	Close      bool
+}
+
+// Server listens for HTTP on one address and for JSON lines on another.
+type Server struct {
+	Front, Peer string
+	MaxConns    int
+	// Handle is called on the listener's goroutine. It must call respond
+	// exactly once, now or later, from any goroutine.
+	Handle func(m *Message, respond func(Reply))
+	// Line is called for every line that a peer sends.
+	Line func(line []byte)
+
+	open  atomic.Int64
+	mu    sync.Mutex
+	conns map[evio.Conn]*clientConn
+	// Down tells how often the listener had to be set up anew.
+	Down atomic.Int64
+}
+
+// clientConn is the state of one accepted connection. One request is in work
+// at a time: evio overwrites output that is still unsent when more is handed
+// to it, so a second answer must never be produced before the first is out,
+// and what arrives meanwhile (pipelining, which the protocol rules out) ends
+// the connection after the answer.
+type clientConn struct {
+	mu     sync.Mutex
+	in     []byte
+	busy   bool
+	extra  bool // bytes came while a request was in work
+	closed bool
+	out    []byte
+	done   bool // close once out is written
+	since  time.Time
+}
+
+// Run serves until stop is closed. evio's accept loop ends on errors such as
+// EMFILE and ECONNABORTED; Run then sets the listener up anew.
+func (s *Server) Run(stop <-chan struct{}) {
+	for {
+		err := s.serve(stop)
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		s.Down.Add(1)
+		slog.Error("listener ended, setting it up again", "error", err)
+		time.Sleep(tuning.ListenAgain)
+	}
+}
+
+func (s *Server) serve(stop <-chan struct{}) error {
+	s.mu.Lock()
+	s.conns = map[evio.Conn]*clientConn{}
+	s.mu.Unlock()
+	s.open.Store(0)
+	ev := evio.Events{NumLoops: 1}
+	ev.Opened = s.opened
+	ev.Closed = s.closed
+	ev.Data = s.data
+	ev.Tick = func() (time.Duration, evio.Action) {
+		select {
+		case <-stop:
+			return 0, evio.Shutdown
+		default:
+		}
+		s.sweep()
+		return tuning.ListenerTick, evio.None
+	}
+	addrs := []string{"tcp4://" + s.Front}
+	if s.Peer != "" {
+		addrs = append(addrs, "tcp4://"+s.Peer)
+	}
+	err := evio.Serve(ev, addrs...)
+	if err == nil {
+		err = errors.New("accept loop ended")
+	}
+	return err
+}
+
+func (s *Server) opened(c evio.Conn) ([]byte, evio.Options, evio.Action) {
+	opts := evio.Options{ReuseInputBuffer: true}
+	n := s.open.Add(1)
+	cc := &clientConn{since: time.Now()}
+	c.SetContext(cc)
+	s.mu.Lock()
+	s.conns[c] = cc
+	s.mu.Unlock()
+	if int(n) > s.MaxConns {
+		// Past the cap a connection is closed at once: running out of
+		// descriptors would end evio's accept loop.
+		return nil, opts, evio.Close
+	}
+	return nil, opts, evio.None
+}
+
+func (s *Server) closed(c evio.Conn, _ error) evio.Action {
+	s.open.Add(-1)
+	s.mu.Lock()
+	delete(s.conns, c)
+	s.mu.Unlock()
+	if cc, ok := c.Context().(*clientConn); ok {
+		cc.mu.Lock()
+		cc.closed = true
+		cc.mu.Unlock()
+	}
+	return evio.None
+}
+
+// sweep closes connections that sit on half a request for too long.
+func (s *Server) sweep() {
+	now := time.Now()
+	var slow []evio.Conn
+	s.mu.Lock()
+	for c, cc := range s.conns {
+		cc.mu.Lock()
+		if !cc.busy && !cc.done && len(cc.in) > 0 && now.Sub(cc.since) > tuning.SlowRequest {
+			cc.done = true
+			slow = append(slow, c)
+		}
+		cc.mu.Unlock()
+	}
+	s.mu.Unlock()
+	for _, c := range slow {
+		c.Wake()
+	}
+}
+
+func (s *Server) data(c evio.Conn, in []byte) ([]byte, evio.Action) {
+	cc, ok := c.Context().(*clientConn)
+	if !ok {
+		return nil, evio.Close
+	}
+	if c.AddrIndex() == 1 {
+		return s.lines(cc, in)
+	}
+	cc.mu.Lock()
+	if in == nil { // woken: an answer is ready
+		out, done := cc.out, cc.done
+		cc.out = nil
+		cc.mu.Unlock()
+		if done {
+			return out, evio.Close
+		}
+		return out, evio.None
+	}
+	if cc.busy {
+		cc.extra = true
+		cc.mu.Unlock()
+		return nil, evio.None
+	}
+	if len(cc.in) == 0 {
+		cc.since = time.Now()
+	}
+	cc.in = append(cc.in, in...)
+	m, used, err := Parse(Request, cc.in, tuning.MaxRequestBody)
+	if err != nil {
+		cc.in, cc.done = nil, true
+		cc.mu.Unlock()
+		return AppendResponse(nil, 400, []byte(`{"error":"malformed or too large"}`), true, 0), evio.Close
+	}
+	if m == nil {
+		cc.mu.Unlock()
+		return nil, evio.None
+	}
+	cc.extra = used < len(cc.in)
+	cc.in = nil
+	cc.busy = true
+	cc.mu.Unlock()
+	s.Handle(m, func(r Reply) { answer(c, cc, m, r) })
+	return nil, evio.None
+}
+
+func answer(c evio.Conn, cc *clientConn, m *Message, r Reply) {
+	cc.mu.Lock()
+	if cc.closed || !cc.busy {
+		cc.mu.Unlock()
+		return
+	}
+	cc.busy = false
+	closing := r.Close || m.Close || cc.extra
+	cc.done = closing
+	cc.out = AppendResponse(nil, r.Status, r.Body, closing, r.RetryAfter)
+	cc.mu.Unlock()
+	c.Wake()
+}
+
+// lines hands complete lines of a peer to Line.
+func (s *Server) lines(cc *clientConn, in []byte) ([]byte, evio.Action) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	if cc.done {
+		return nil, evio.Close
+	}
+	cc.in = append(cc.in, in...)
+	cc.since = time.Now()
+	for {
+		i := bytes.IndexByte(cc.in, '\n')
+		if i < 0 {
+			break
+		}
+		s.Line(append([]byte(nil), cc.in[:i]...))
+		cc.in = cc.in[i+1:]
+	}
+	if len(cc.in) > tuning.MaxPeerLine {
+		return nil, evio.Close
+	}
+	return nil, evio.None
+}
+
+var _ io.Closer = (*Client)(nil)
