--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -214,7 +214,8 @@
 	n.condemnSilent()
 	n.condemnCancelled()
 	var names []string
-	for h, m := range n.machines {
+	for _, h := range sorted(n.machines) {
+		m := n.machines[h]
 		switch m.State {
 		case fleet.Faulty:
 			n.moveMachine(h, fleet.Condemn, "faulty")
@@ -229,7 +230,7 @@
 	// Tasks recorded on a machine without a record: its delete was answered
 	// and the record removed, or the record cannot be read. Delete again;
 	// unknown names are ignored by the cloud.
-	for h := range n.onHost {
+	for _, h := range sorted(n.onHost) {
 		if n.machines[h] == nil && !n.busy[fleet.HostPrefix+h] && n.mirror.Stamp(fleet.HostPrefix+h) == 0 {
 			n.condemnUnknown(h, "tasks on a machine without a record")
 		}
@@ -237,7 +238,6 @@
 	if len(names) == 0 {
 		return
 	}
-	sort.Strings(names)
 	if len(names) > tuning.DeleteMost {
 		names = names[:tuning.DeleteMost]
 	}
@@ -269,8 +269,8 @@
 
 // condemnListed condemns machines that never came up or have stopped.
 func (n *Node) condemnListed() {
-	for h, l := range n.lead.cloud.listed {
-		m := n.machines[h]
+	for _, h := range sorted(n.lead.cloud.listed) {
+		l, m := n.lead.cloud.listed[h], n.machines[h]
 		if m != nil && (m.State == fleet.Deleting || m.State == fleet.Deleted) {
 			continue
 		}
@@ -314,7 +314,8 @@
 	}
 	many := silent > 2 && float64(silent) > tuning.SilentMost*float64(up+silent)
 	lease := seconds(n.set.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
-	for h, m := range n.machines {
+	for _, h := range sorted(n.machines) {
+		m := n.machines[h]
 		if m.State != fleet.Silent || n.now.Sub(n.heard[h]) < tuning.SilentGiveUp {
 			continue
 		}
@@ -336,8 +337,8 @@
 // time runs out: nobody may be able to reach them.
 func (n *Node) condemnCancelled() {
 	limit := int64(n.set.Cluster.Workers.CancelS * tuning.CancelDelete * 1000)
-	for h, ts := range n.onHost {
-		for _, t := range ts {
+	for _, h := range sorted(n.onHost) {
+		for _, t := range n.onHost[h] {
 			if r := t.job.rec; r != nil && r.State == jobs.Cancelled && n.ms()-r.EndMs > limit {
 				n.moveMachine(h, fleet.Condemn, "holds a cancelled task")
 				break
@@ -355,7 +356,8 @@
 		return
 	}
 	var ds []decision
-	for _, t := range ts {
+	for _, piece := range sorted(ts) {
+		t := ts[piece]
 		d := n.gone(t, jobs.Gone, 0)
 		if len(d.writes) > 0 {
 			d.seen = append(d.seen, fleet.HostPrefix+host)
@@ -468,7 +470,8 @@
 	// Booked room by group, and what is on each machine.
 	demand := map[fleet.Group]float64{}
 	var idle = map[fleet.Group][]fleet.Idle{}
-	for h, m := range n.machines {
+	for _, h := range sorted(n.machines) {
+		m := n.machines[h]
 		b := n.builds[m.Build]
 		if b == nil || m.State != fleet.Up {
 			continue
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"time"
@@ -60,7 +61,8 @@
 // ones.
 func (n *Node) closeJobs() {
 	var ds []decision
-	for uid, j := range n.jobs {
+	for _, uid := range sorted(n.jobs) {
+		j := n.jobs[uid]
 		if j.rec == nil || n.lead.closing[uid] {
 			continue
 		}
@@ -90,7 +92,8 @@
 // machine, and the job's own once no task's is left.
 func (n *Node) clear(j *job) []decision {
 	var ds []decision
-	for _, t := range j.tasks {
+	for _, num := range slices.Sorted(maps.Keys(j.tasks)) {
+		t := j.tasks[num]
 		if !t.On() && t.State != unreadable {
 			ds = append(ds, decision{writes: []store.Write{remove(jobs.TaskKey(t.piece))}})
 			if len(ds) >= n.set.Cluster.State.TxnOps {
@@ -107,7 +110,8 @@
 // takeBack withdraws tasks that their part did not place.
 func (n *Node) takeBack() {
 	var ds []decision
-	for _, t := range n.released {
+	for _, piece := range sorted(n.released) {
+		t := n.released[piece]
 		gone := n.view.Inc(t.Part) == 0
 		if !gone && n.now.Sub(t.since) < tuning.ReleaseStale {
 			continue
@@ -125,7 +129,8 @@
 
 // dropClaims clears claims that an earlier leader left.
 func (n *Node) dropClaims() {
-	for _, m := range n.machines {
+	for _, h := range sorted(n.machines) {
+		m := n.machines[h]
 		if m.Claim != "" && !n.lead.claiming[m.Claim] {
 			rec := m.Host
 			rec.Claim = ""
@@ -358,17 +363,12 @@
 func (n *Node) findHost(t *task, use map[string]parts.Room, zones map[string]int) string {
 	spec := &t.job.rec.Spec
 	var cands []parts.Candidate
-	for h, m := range n.machines {
+	for _, h := range sorted(n.machines) {
+		m := n.machines[h]
 		if n.offers(t, m) && zoneAllowed(spec, zones, m.Site) {
 			cands = append(cands, n.candidate(h, use, spec))
 		}
 	}
-	slices.SortFunc(cands, func(a, b parts.Candidate) int {
-		if a.Host < b.Host {
-			return -1
-		}
-		return 1
-	})
 	if i := parts.Pick(spec.Need(), spec.Loaner, cands); i >= 0 {
 		return cands[i].Host
 	}
@@ -410,7 +410,8 @@
 	spec := &w.t.job.rec.Spec
 	zones := n.zones(w.t.job)
 	var best []*task
-	for h, m := range n.machines {
+	for _, h := range sorted(n.machines) {
+		m := n.machines[h]
 		if !n.offers(w.t, m) || !zoneAllowed(spec, zones, m.Site) {
 			continue
 		}
@@ -468,7 +469,8 @@
 	var ds []decision
 	switch gangs.PhaseOf(spec.Pieces, tasks) {
 	case gangs.Broken:
-		for _, t := range j.tasks {
+		for _, num := range slices.Sorted(maps.Keys(j.tasks)) {
+			t := j.tasks[num]
 			kind := jobs.Stop
 			if t.State == jobs.Released {
 				kind = jobs.TakeBack
@@ -551,7 +553,8 @@
 	hosts := make([]string, len(all))
 	for i, t := range all {
 		var cands []parts.Candidate
-		for h, m := range n.machines {
+		for _, h := range sorted(n.machines) {
+			m := n.machines[h]
 			if !n.offers(t, m) || (part != "" && n.owner(h) != part) || (site != "" && m.Site != site) || !zoneAllowed(spec, zones, m.Site) {
 				continue
 			}
@@ -559,7 +562,6 @@
 			c.Free = c.Free.Sub(extra[h])
 			cands = append(cands, c)
 		}
-		sort.Slice(cands, func(a, b int) bool { return cands[a].Host < cands[b].Host })
 		k := parts.Pick(spec.Need(), spec.Loaner, cands)
 		if k < 0 {
 			return nil
@@ -624,7 +626,7 @@
 func (n *Node) claim(hosts map[string]bool, uid string, done func(bool)) {
 	var ds []decision
 	left, good := 0, true
-	for h := range hosts {
+	for _, h := range sorted(hosts) {
 		m := n.machines[h]
 		if m == nil || m.Claim == uid {
 			continue
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,7 +13,9 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/fleet"
@@ -279,6 +281,12 @@
 	}
 }
 
+// sorted lists a map's keys in order: what a pass does must not hang on the
+// order that a map happens to have.
+func sorted[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
 func hasPrefix(s, p string) bool { return len(s) > len(p) && s[:len(p)] == p }
 
 func (n *Node) jobOf(uid string) *job {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -116,12 +116,7 @@
 // review compares a machine's records with its reports.
 func (n *Node) review(s *workers.Session) reviewed {
 	var out reviewed
-	pieces := make([]string, 0, len(n.onHost[s.Host]))
-	for p := range n.onHost[s.Host] {
-		pieces = append(pieces, p)
-	}
-	sort.Strings(pieces)
-	for _, piece := range pieces {
+	for _, piece := range sorted(n.onHost[s.Host]) {
 		t := n.onHost[s.Host][piece]
 		if n.busy[jobs.TaskKey(piece)] {
 			continue
@@ -150,16 +145,11 @@
 	if s.State != workers.Known {
 		return out
 	}
-	strays := make([]string, 0)
-	for piece, p := range s.Pieces {
-		t := n.onHost[s.Host][piece]
-		if (t == nil || t.Try != p.Try) && !n.busy[jobs.TaskKey(piece)] {
-			strays = append(strays, piece)
+	for _, piece := range sorted(s.Pieces) {
+		p, t := s.Pieces[piece], n.onHost[s.Host][piece]
+		if (t != nil && t.Try == p.Try) || n.busy[jobs.TaskKey(piece)] {
+			continue // recorded here, or its record is being written
 		}
-	}
-	sort.Strings(strays)
-	for _, piece := range strays {
-		p := s.Pieces[piece]
 		if p.Status == workers.Ended {
 			// Reaped only now: its end is committed, for no record names it.
 			out.orders = append(out.orders, workers.Order{Verb: workers.Reap, Piece: piece, Try: p.Try})
@@ -278,7 +268,8 @@
 	if n.role == members.Outside {
 		return
 	}
-	for host, m := range n.machines {
+	for _, host := range sorted(n.machines) {
+		m := n.machines[host]
 		if n.owner(host) != n.set.NodeName || m.State == fleet.Deleted {
 			continue
 		}
@@ -286,13 +277,8 @@
 			s.Endpoint, s.Build, s.Site, s.Loaner = m.Endpoint, m.Build, m.Site, m.Loaner
 		}
 	}
-	hosts := make([]string, 0, len(n.sessions))
-	for h := range n.sessions {
-		hosts = append(hosts, h)
-	}
-	sort.Strings(hosts)
 	var ds []decision
-	for _, host := range hosts {
+	for _, host := range sorted(n.sessions) {
 		s := n.sessions[host]
 		n.watchHealth(s)
 		rv := n.review(s)
@@ -448,12 +434,11 @@
 	}
 	if host == "" {
 		var cands []parts.Candidate
-		for h := range n.sessions {
+		for _, h := range sorted(n.sessions) {
 			if n.canPlace(t, h) {
 				cands = append(cands, n.candidate(h, use, spec))
 			}
 		}
-		sort.Slice(cands, func(a, b int) bool { return cands[a].Host < cands[b].Host })
 		if i := parts.Pick(need, spec.Loaner, cands); i >= 0 {
 			host = cands[i].Host
 		}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -244,7 +244,7 @@
 		n.finish(writes, batch, false)
 		return
 	}
-	for k := range keys {
+	for _, k := range sorted(keys) {
 		n.client.Get(store.Decision, k, nil, func(it *store.Item, err error) {
 			if err == nil && it != nil {
 				n.mirror.Put(it.Key, json.RawMessage(it.Value), it.Stamp)
--- /dev/null
+++ b/internal/scenario/scenario_test.go
@@ -0,0 +1,351 @@
+// Package scenario runs the scenarios in testdata: small text files, each a
+// story that the controllers must come through with every rule kept.
+//
+// A line is "SECONDS VERB ARGUMENTS", or a setting without a time before the
+// first of those. See the verbs in the runner below.
+package scenario
+
+import (
+	"bufio"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standin"
+)
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios", err)
+	}
+	for _, f := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
+			t.Parallel()
+			run(t, f)
+		})
+	}
+}
+
+// script is a scenario under way.
+type script struct {
+	t    *testing.T
+	line string
+	w    *standin.World
+	set  settings.Settings
+	size int
+	host []string // machines there from the start
+	vars map[string]string
+}
+
+func run(t *testing.T, file string) {
+	f, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	log := slog.New(slog.DiscardHandler)
+	if os.Getenv("SCENARIO_LOG") != "" {
+		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+	}
+	s := &script{t: t, size: 3, vars: map[string]string{}, w: standin.NewWorld(7, log)}
+	s.set = baseSettings(s.w)
+	started := false
+	sc := bufio.NewScanner(f)
+	for n := 1; sc.Scan(); n++ {
+		text, _, _ := strings.Cut(sc.Text(), "#")
+		words := strings.Fields(text)
+		if len(words) == 0 {
+			continue
+		}
+		s.line = fmt.Sprintf("%s:%d", filepath.Base(file), n)
+		at, err := strconv.ParseFloat(words[0], 64)
+		if err != nil {
+			s.setting(words)
+			continue
+		}
+		if !started {
+			started = true
+			s.w.AddNodes(s.size, s.set)
+		}
+		s.w.RunUntil(time.Duration(at * float64(time.Second)))
+		s.do(words[1], words[2:])
+	}
+	for _, b := range s.w.Broken {
+		t.Errorf("%s: rule broken at %s", file, b)
+	}
+}
+
+func baseSettings(w *standin.World) settings.Settings {
+	set := settings.Settings{Operator: settings.DefaultOperator()}
+	set.Cluster = settings.Cluster{
+		Size: 3, Zones: []string{"a", "b"},
+		Workers: settings.Workers{ReportS: w.ReportS, LeaseS: w.LeaseS, GangWaitS: w.GangWaitS, GangPeerS: w.GangPeerS, CancelS: w.CancelS},
+		State:   settings.State{RPS: 250, WriteRPS: 100, ValueKB: 8, TxnOps: 16},
+		Cloud:   settings.Cloud{RPS: 4, ListLagS: w.Cloud.LagS},
+		Limits:  settings.Limits{MemoryMB: 200, FdLimit: 1000},
+	}
+	return set
+}
+
+func (s *script) fatal(format string, args ...any) {
+	s.t.Helper()
+	s.t.Fatalf("%s: %s", s.line, fmt.Sprintf(format, args...))
+}
+
+func (s *script) number(text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil {
+		s.fatal("%q is not a number", text)
+	}
+	return v
+}
+
+// setting takes a line without a time.
+func (s *script) setting(words []string) {
+	switch words[0] {
+	case "nodes": // nodes COUNT
+		s.size = int(s.number(words[1]))
+		s.set.Cluster.Size = s.size
+	case "team": // team NAME MAX [GUARANTEE]
+		team := settings.Team{Name: words[1], GpusMax: s.number(words[2])}
+		if len(words) > 3 {
+			team.Gpus = s.number(words[3])
+		}
+		s.set.Cluster.Teams = append(s.set.Cluster.Teams, team)
+		s.w.Max[words[1]] = team.GpusMax
+	case "machine": // machine BUILD SITE [cheap]
+		s.host = append(s.host, s.w.Cloud.AddRunning(words[1], words[2], len(words) > 3))
+	case "capacity": // capacity MACHINES
+		s.w.Cloud.Limit = int(s.number(words[1]))
+	case "never": // never COUNT: the next machines never come up
+		s.w.Cloud.Never = int(s.number(words[1]))
+	default:
+		s.fatal("unknown setting %q", words[0])
+	}
+}
+
+// do carries out one timed line.
+func (s *script) do(verb string, args []string) {
+	w := s.w
+	name := func(i int) string { return s.node(args[i]) }
+	switch verb {
+	case "submit":
+		s.submit(args)
+	case "again": // again JOB: the submission is repeated
+		w.Again(s.job(args[0]))
+	case "abort":
+		w.Abort(s.job(args[0]))
+	case "ask": // ask JOB: about a job that no one submitted
+		w.Ask(args[0])
+	case "crash":
+		w.Nodes[name(0)].Crash()
+	case "boot":
+		w.Nodes[name(0)].Boot()
+	case "crash-all":
+		for _, n := range w.Order {
+			w.Nodes[n].Crash()
+		}
+	case "boot-all":
+		for _, n := range w.Order {
+			w.Nodes[n].Boot()
+		}
+	case "state": // state down|up
+		w.Store.SetDown(args[0] == "down")
+	case "refuse": // refuse NODE on|off: the state service refuses it alone
+		w.Store.Refuse[name(0)] = args[1] == "on"
+	case "lose": // lose NODE COUNT: answers to its next transactions
+		w.Store.Lose[name(0)] = int(s.number(args[1]))
+	case "late": // late NODE SECONDS: its transactions arrive late
+		w.Store.Late[name(0)] = time.Duration(s.number(args[1]) * float64(time.Second))
+	case "cloud":
+		w.Cloud.Down = args[0] == "down"
+	case "capacity":
+		w.Cloud.Limit = int(s.number(args[0]))
+	case "cut": // cut FROM TO [hold]
+		w.Cut(s.party(args[0]), s.party(args[1]), len(args) > 2)
+	case "heal":
+		w.Heal(s.party(args[0]), s.party(args[1]))
+	case "die", "hang", "resume", "take":
+		wk := w.Workers[s.party(args[0])]
+		if wk == nil {
+			s.fatal("no machine %s", args[0])
+		}
+		switch verb {
+		case "die":
+			wk.Die()
+		case "hang":
+			wk.Hung = true
+		case "resume":
+			wk.Resume()
+		case "take": // take MACHINE SECONDS of notice
+			wk.Take(s.number(args[1]))
+		}
+	case "let": // let VAR host-of JOB | leader | follower
+		s.vars[args[0]] = s.value(args[1:])
+	case "plant": // plant KEY VALUE: an odd record in the store
+		w.Store.Put(args[0], strings.Join(args[1:], " "))
+	case "expect":
+		s.expect(args)
+	default:
+		s.fatal("unknown verb %q", verb)
+	}
+}
+
+func (s *script) value(args []string) string {
+	switch args[0] {
+	case "host-of":
+		if h := s.w.HostOf(args[1]); h != "" {
+			return h
+		}
+		s.fatal("%s is on no machine", args[1])
+	case "leader":
+		return s.leader()
+	case "follower":
+		for _, n := range s.w.Order {
+			if n != s.leader() {
+				return n
+			}
+		}
+	}
+	s.fatal("no such value %v", args)
+	return ""
+}
+
+func (s *script) leader() string {
+	l := s.w.Leader()
+	if l == "" {
+		s.fatal("nobody leads")
+	}
+	return l
+}
+
+// node resolves the name of a controller.
+func (s *script) node(text string) string {
+	text = s.party(text)
+	if s.w.Nodes[text] == nil {
+		s.fatal("no node %q", text)
+	}
+	return text
+}
+
+// party resolves a variable or gives the text back.
+func (s *script) party(text string) string {
+	if v, ok := s.vars[text]; ok {
+		return v
+	}
+	if text == "leader" {
+		return s.leader()
+	}
+	return text
+}
+
+func (s *script) job(uid string) *standin.Job {
+	j := s.w.Jobs[uid]
+	if j == nil {
+		s.fatal("no job %s", uid)
+	}
+	return j
+}
+
+// submit UID SHAPE [key=value ...]
+func (s *script) submit(args []string) {
+	j := &standin.Job{UID: args[0], Shape: args[1], Pieces: 1, Accel: 1, RunS: 10, PullS: 1, Owner: "team"}
+	rank, due := "standard", "null"
+	for _, a := range args[2:] {
+		k, v, _ := strings.Cut(a, "=")
+		switch k {
+		case "pieces":
+			j.Pieces = int(s.number(v))
+		case "accel":
+			j.Accel = s.number(v)
+		case "run":
+			j.RunS = s.number(v)
+		case "pull":
+			j.PullS = s.number(v)
+		case "owner":
+			j.Owner = v
+		case "rank":
+			rank = v
+		case "same_place":
+			j.SamePlace = true
+		case "scatter":
+			j.Scatter = true
+		case "loaner":
+			j.Loaner = true
+		case "site":
+			j.Site = v
+		case "builds":
+			j.Builds = strings.Split(v, ",")
+		case "fail":
+			j.FailOn = s.party(v)
+		case "snapshot":
+			j.SnapshotS = s.number(v)
+		case "due":
+			due = v
+		default:
+			s.fatal("unknown property %q", k)
+		}
+	}
+	builds := "null"
+	if j.Builds != nil {
+		builds = `["` + strings.Join(j.Builds, `","`) + `"]`
+	}
+	site := "null"
+	if j.Site != "" {
+		site = strconv.Quote(j.Site)
+	}
+	j.Body = fmt.Appendf(nil, `{"uid":%q,"jobclass":"c","owner":%q,"shape":%q,"rank":%q,"pieces":%d,"cores":2,"accelerators":%v,"memory_gb":8,
+		"bundle":"img-1","pull_gb":1,"builds":%s,"site":%s,"same_place":%v,"scatter":%v,"loaner":%v,"expect_s":%v,"snapshot_s":%v,"stash_s":1,"due_s":%s}`,
+		j.UID, j.Owner, j.Shape, rank, j.Pieces, j.Accel, builds, site, j.SamePlace, j.Scatter, j.Loaner, j.RunS, j.SnapshotS, due)
+	s.w.Submit(j)
+}
+
+// expect JOB done|cancelled|running|pending|refused, expect tasks JOB COUNT,
+// expect machines MAX, expect rented MAX, expect leader NAME,
+// expect not-leader NAME, expect keys PREFIX COUNT.
+func (s *script) expect(args []string) {
+	s.t.Helper()
+	switch args[0] {
+	case "tasks":
+		if got := s.w.Running(args[1]); got != int(s.number(args[2])) {
+			s.fatal("%s has %d tasks on machines, not %s", args[1], got, args[2])
+		}
+	case "machines":
+		if got := s.w.Cloud.Alive(); got > int(s.number(args[1])) {
+			s.fatal("%d machines are rented, more than %s", got, args[1])
+		}
+	case "rented":
+		if got := s.w.Cloud.Rented; got > int(s.number(args[1])) {
+			s.fatal("%d machines were ever rented, more than %s", got, args[1])
+		}
+	case "alive", "dead": // expect dead MACHINE: it was returned
+		if alive := s.w.Workers[s.party(args[1])] != nil; alive != (args[0] == "alive") {
+			s.fatal("machine %s alive: %v", args[1], alive)
+		}
+	case "not-leader":
+		if s.w.Leader() == s.party(args[1]) {
+			s.fatal("%s leads", args[1])
+		}
+	case "leader":
+		s.leader()
+	case "keys":
+		if got := s.w.Store.Count(args[1]); got != int(s.number(args[2])) {
+			s.fatal("%d keys under %s, not %s", got, args[1], args[2])
+		}
+	default:
+		want := args[1]
+		if want == "refused" {
+			want = "422"
+		}
+		if got := s.job(args[0]).Told; got != want {
+			s.fatal("%s is %q, not %q", args[0], got, want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,172 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Cloud stands in for the cloud.
+type Cloud struct {
+	w      *World
+	Down   bool
+	BootS  float64
+	LagS   float64
+	Limit  int // machines at most
+	Never  int // the next machines that never come up
+	next   int
+	hosts  map[string]*cloudHost
+	hires  map[string]hired
+	Rented int
+}
+
+type cloudHost struct {
+	ID, Build, Site string
+	Loaner          bool
+	born            time.Time
+	status          string
+	gone            time.Time
+}
+
+type hired struct {
+	body  string
+	hosts []string
+}
+
+// Builds of the stand-in: one type with 4 accelerators, one with 8.
+var cloudBuilds = []map[string]any{
+	{"name": "g4", "cores": 32, "accelerators": 4, "memory_gb": 256, "cache_gb": 100, "pull_gb_per_s": 1, "hourly": 10, "low_price": 3, "ready_s": 20, "sites": []string{"a", "b"}},
+	{"name": "g8", "cores": 64, "accelerators": 8, "memory_gb": 512, "cache_gb": 100, "pull_gb_per_s": 1, "hourly": 22, "low_price": 7, "ready_s": 20, "sites": []string{"a", "b"}},
+}
+
+func newCloud(w *World) *Cloud {
+	return &Cloud{w: w, BootS: 20, LagS: 4, Limit: 40, hosts: map[string]*cloudHost{}, hires: map[string]hired{}}
+}
+
+// Call is a node's way to the cloud.
+func (c *Cloud) Call(from string) func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+	return func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+		c.w.call(from, "cloud", timeout, func(answer func(int, []byte)) {
+			if c.Down {
+				answer(503, []byte(`{"error":"trouble"}`))
+				return
+			}
+			status, b := c.serve(method, target, body)
+			answer(status, b)
+		}, done)
+	}
+}
+
+func (c *Cloud) serve(method, target string, body []byte) (int, []byte) {
+	path, query, _ := strings.Cut(target, "?")
+	switch {
+	case path == "/catalog":
+		return 200, encode(map[string]any{"builds": cloudBuilds})
+	case path == "/hosts" && method == "POST":
+		return c.rent(body)
+	case path == "/hosts/delete":
+		var d struct{ Hosts []string }
+		_ = json.Unmarshal(body, &d)
+		for _, h := range d.Hosts {
+			c.Remove(h)
+		}
+		return 200, []byte("{}")
+	case path == "/hosts":
+		q, _ := url.ParseQuery(query)
+		return 200, c.list(q.Get("since"))
+	}
+	return 400, []byte("{}")
+}
+
+func (c *Cloud) rent(body []byte) (int, []byte) {
+	var r struct {
+		Hire, Build, Site string
+		Loaner            bool
+		Count             int
+	}
+	if json.Unmarshal(body, &r) != nil || r.Count < 1 || r.Count > 50 {
+		return 400, []byte("{}")
+	}
+	if old, ok := c.hires[r.Hire]; ok {
+		if old.body != string(body) {
+			c.w.Break("rent name %s used for two requests", r.Hire)
+		}
+		return 200, encode(map[string]any{"hosts": old.hosts})
+	}
+	var out []string
+	for range r.Count {
+		if c.alive() >= c.Limit {
+			break
+		}
+		out = append(out, c.add(r.Build, r.Site, r.Loaner, c.BootS))
+	}
+	if len(out) == 0 {
+		return 503, []byte(`{"error":"no capacity"}`)
+	}
+	c.hires[r.Hire] = hired{string(body), out}
+	return 200, encode(map[string]any{"hosts": out})
+}
+
+func (c *Cloud) alive() int {
+	n := 0
+	for _, h := range c.hosts {
+		if h.gone.IsZero() && h.status != "failed" {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *Cloud) add(build, site string, loaner bool, boot float64) string {
+	c.next++
+	c.Rented++
+	h := &cloudHost{ID: fmt.Sprintf("i-%06d", c.next), Build: build, Site: site, Loaner: loaner, born: c.w.Now, status: "booting"}
+	c.hosts[h.ID] = h
+	if c.Never > 0 {
+		c.Never--
+		return h.ID
+	}
+	c.w.After(time.Duration(boot*(0.8+0.4*c.w.RNG.Float64())*float64(time.Second)), func() {
+		if h.gone.IsZero() {
+			h.status = "running"
+			c.w.startWorker(h)
+		}
+	})
+	return h.ID
+}
+
+// AddRunning puts up a machine that is there from the start.
+func (c *Cloud) AddRunning(build, site string, loaner bool) string { return c.add(build, site, loaner, 0) }
+
+// Remove takes a machine away with all that is on it.
+func (c *Cloud) Remove(id string) {
+	if h := c.hosts[id]; h != nil && h.gone.IsZero() {
+		h.gone = c.w.Now
+		c.w.stopWorker(id)
+	}
+}
+
+// Alive counts machines that are charged.
+func (c *Cloud) Alive() int { return c.alive() }
+
+func (c *Cloud) list(since string) []byte {
+	lag := time.Duration(c.LagS * float64(time.Second))
+	then := c.w.Now.Add(-lag)
+	var out []map[string]any
+	var ids []string
+	for id := range c.hosts {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	for _, id := range ids {
+		h := c.hosts[id]
+		if id <= since || h.born.After(then) || (!h.gone.IsZero() && h.gone.Before(then)) {
+			continue
+		}
+		out = append(out, map[string]any{"uid": id, "endpoint": "w:" + id, "build": h.Build, "site": h.Site, "loaner": h.Loaner, "status": h.status, "age_s": then.Sub(h.born).Seconds()})
+	}
+	return encode(map[string]any{"hosts": out, "has_next": false})
+}
--- /dev/null
+++ b/internal/standin/nodes.go
@@ -0,0 +1,255 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/node"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/wire"
+)
+
+// Node runs a controller in the world.
+type Node struct {
+	w     *World
+	Name  string
+	set   *settings.Settings
+	n     *node.Node
+	gen   int
+	alive bool
+	wake  time.Time
+}
+
+// AddNodes makes n controllers, named n0, n1 and so on.
+func (w *World) AddNodes(n int, set settings.Settings) {
+	for i := range n {
+		w.Order = append(w.Order, fmt.Sprintf("n%d", i))
+	}
+	for _, name := range w.Order {
+		s := set
+		s.NodeName = name
+		s.Peers = nil
+		for _, p := range w.Order {
+			if p != name {
+				s.Peers = append(s.Peers, settings.Peer{NodeName: p})
+			}
+		}
+		w.Nodes[name] = &Node{w: w, Name: name, set: &s}
+	}
+	for _, name := range w.Order {
+		w.Nodes[name].Boot()
+	}
+}
+
+// Boot starts the process.
+func (c *Node) Boot() {
+	if c.alive {
+		return
+	}
+	c.gen++
+	c.alive = true
+	gen := c.gen
+	guard := func(f func()) {
+		if c.alive && c.gen == gen {
+			c.n.Run(c.w.Now, f)
+			c.arm()
+		}
+	}
+	back := func(done func(int, []byte, error)) func(int, []byte, error) {
+		return func(status int, body []byte, err error) { guard(func() { done(status, body, err) }) }
+	}
+	state := c.w.Store.Call(c.Name)
+	cloud := c.w.Cloud.Call(c.Name)
+	worker := c.w.Call(c.Name)
+	out := node.Outside{
+		State: func(m, t string, b []byte, d time.Duration, done func(int, []byte, error)) {
+			state(m, t, b, d, back(done))
+		},
+		Watch: func(m, t string, b []byte, d time.Duration, done func(int, []byte, error)) {
+			state(m, t, b, d, back(done))
+		},
+		Cloud: func(m, t string, b []byte, d time.Duration, done func(int, []byte, error)) {
+			cloud(m, t, b, d, back(done))
+		},
+		Worker: func(e, m, t string, b []byte, d time.Duration, done func(int, []byte, error)) {
+			worker(e, m, t, b, d, back(done))
+		},
+		Hint: func(peer string, line []byte) {
+			c.w.packet(c.Name, peer, func() {
+				if p := c.w.Nodes[peer]; p != nil && p.alive {
+					p.n.Run(c.w.Now, func() { p.n.Line(line) })
+					p.arm()
+				}
+			})
+		},
+	}
+	c.n = node.New(c.set, out, c.w.Log.With("node", c.Name, "t", c.w.At().Seconds()), rand.New(rand.NewPCG(c.w.RNG.Uint64(), 2)))
+	var pulse func()
+	pulse = func() {
+		if !c.alive || c.gen != gen {
+			return
+		}
+		c.n.Pulse(c.w.Now)
+		c.arm()
+		c.w.After(100*time.Millisecond, pulse)
+	}
+	c.w.After(time.Millisecond, pulse)
+}
+
+// arm makes sure that the loop runs again when it wants to.
+func (c *Node) arm() {
+	at := c.w.Now.Add(c.n.Wait())
+	if c.wake.After(c.w.Now) && !c.wake.After(at) {
+		return
+	}
+	c.wake = at
+	gen := c.gen
+	c.w.After(c.n.Wait(), func() {
+		if c.alive && c.gen == gen {
+			c.n.Run(c.w.Now, func() {})
+		}
+	})
+}
+
+// Crash ends the process without a word.
+func (c *Node) Crash() { c.alive = false }
+
+func (c *Node) request(method, target string, body []byte, answer func(int, []byte)) {
+	if !c.alive {
+		return
+	}
+	gen := c.gen
+	c.n.Run(c.w.Now, func() {
+		c.n.Request(&wire.Message{Method: method, Target: target, Body: body}, func(r wire.Reply) {
+			if c.alive && c.gen == gen {
+				answer(r.Status, r.Body)
+			}
+		})
+	})
+	c.arm()
+}
+
+// Leader is the name of a node that believes to lead, "" if there is none.
+func (w *World) Leader() string {
+	for _, name := range w.Order {
+		if c := w.Nodes[name]; c.alive && c.n.Role() == members.Leader {
+			return name
+		}
+	}
+	return ""
+}
+
+// ask sends a user's request to some node that is up.
+func (w *World) ask(method, target string, body []byte, done func(int, []byte, error)) {
+	name := w.Order[w.RNG.IntN(len(w.Order))]
+	w.call("user", name, 5*time.Second, func(answer func(int, []byte)) {
+		w.Nodes[name].request(method, target, body, answer)
+	}, done)
+}
+
+// Submit hands in a job until it is accepted, then polls it.
+func (w *World) Submit(j *Job) {
+	w.Jobs[j.UID] = j
+	j.Done = map[int]bool{}
+	j.LastOK = w.Now
+	var try func()
+	try = func() {
+		w.ask("POST", "/work", j.Body, func(status int, _ []byte, err error) {
+			switch {
+			case err == nil && (status == 201 || status == 200):
+				if !j.Accepted {
+					j.Accepted = true
+					w.poll(j)
+				}
+			case err == nil && (status == 400 || status == 422):
+				if j.Accepted {
+					w.Break("forgotten: %s gets %d", j.UID, status)
+				}
+				j.Told = fmt.Sprint(status)
+			default:
+				w.After(time.Second, try)
+			}
+		})
+	}
+	try()
+}
+
+// Again repeats a job's submission.
+func (w *World) Again(j *Job) {
+	w.ask("POST", "/work", j.Body, func(status int, b []byte, err error) {
+		if err == nil && j.Accepted && (status == 400 || status == 422 || status == 201) {
+			w.Break("forgotten: repeat of %s gets %d", j.UID, status)
+		}
+		if err == nil && status == 200 {
+			w.told(j, b)
+		}
+	})
+}
+
+func (w *World) poll(j *Job) {
+	w.ask("GET", "/work/"+j.UID, nil, func(status int, b []byte, err error) {
+		if err == nil && status == 404 {
+			w.Break("forgotten: %s gets 404", j.UID)
+		}
+		if err == nil && status == 200 {
+			j.LastOK = w.Now
+			w.told(j, b)
+		}
+		w.After(2*time.Second, func() { w.poll(j) })
+	})
+}
+
+// Ask checks that a job nobody submitted is unknown.
+func (w *World) Ask(uid string) {
+	w.ask("GET", "/work/"+uid, nil, func(status int, _ []byte, err error) {
+		if err == nil && status == 200 && w.Jobs[uid] == nil {
+			w.Break("invented: %s", uid)
+		}
+	})
+}
+
+// told checks what a user is told against what was told before.
+func (w *World) told(j *Job, body []byte) {
+	var s struct{ Status string }
+	if json.Unmarshal(body, &s) != nil {
+		w.Break("unreadable answer %s", body)
+		return
+	}
+	if (j.Told == "done" || j.Told == "cancelled") && s.Status != j.Told {
+		w.Break("went_back: %s was %s, is %s", j.UID, j.Told, s.Status)
+	}
+	if s.Status == "cancelled" && !j.AbortAsked {
+		w.Break("went_back: %s is cancelled by nobody", j.UID)
+	}
+	if s.Status == "done" && len(j.Done) < j.Pieces {
+		w.Break("not_done: %s has %d of %d", j.UID, len(j.Done), j.Pieces)
+	}
+	j.Told = s.Status
+}
+
+// Abort cancels a job, repeating until it is answered.
+func (w *World) Abort(j *Job) {
+	j.AbortAsked = true
+	w.ask("POST", "/work/"+j.UID+"/abort", nil, func(status int, b []byte, err error) {
+		if err != nil || status != 200 {
+			w.After(time.Second, func() { w.Abort(j) })
+			return
+		}
+		w.told(j, b)
+		if j.Told == "cancelled" && !j.Cancelled {
+			j.Cancelled, j.CancelledAt = true, w.Now
+			w.After(time.Duration(w.CancelS*float64(time.Second))+time.Millisecond, func() {
+				for _, wk := range w.Workers {
+					for _, p := range wk.pieces {
+						if p.job == j && p.on() {
+							w.checkCancelled(wk, p)
+						}
+					}
+				}
+			})
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/store.go
@@ -0,0 +1,282 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Store stands in for the state service.
+type Store struct {
+	w       *World
+	Down    bool
+	Refuse  map[string]bool // nodes that get 503
+	epoch   uint64
+	items   map[string]storeItem
+	log     []storeEvent
+	grants  map[uint64]*grant
+	nextID  uint64
+	waiters []*waiter
+	Writes  int
+	// Lose drops the answers to a node's next transactions, Late delays the
+	// transactions themselves.
+	Lose map[string]int
+	Late map[string]time.Duration
+}
+
+type storeItem struct {
+	Key   string          `json:"key"`
+	V     json.RawMessage `json:"v"`
+	Stamp uint64          `json:"stamp"`
+	Hold  uint64          `json:"hold,omitempty"`
+}
+
+type storeEvent struct {
+	Write  string          `json:"write,omitempty"`
+	Remove string          `json:"remove,omitempty"`
+	V      json.RawMessage `json:"v,omitempty"`
+	Stamp  uint64          `json:"stamp"`
+}
+
+type grant struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+type waiter struct {
+	from   string
+	since  uint64
+	ends   time.Time
+	answer func(int, []byte)
+}
+
+func newStore(w *World) *Store {
+	s := &Store{w: w, Refuse: map[string]bool{}, items: map[string]storeItem{}, grants: map[uint64]*grant{}, Lose: map[string]int{}, Late: map[string]time.Duration{}}
+	var tick func()
+	tick = func() {
+		s.expire()
+		s.wake()
+		w.After(50*time.Millisecond, tick)
+	}
+	w.After(0, tick)
+	return s
+}
+
+// SetDown starts or ends an outage; every lease then has its full time again.
+func (s *Store) SetDown(down bool) {
+	s.Down = down
+	if !down {
+		for _, g := range s.grants {
+			g.ends = s.w.Now.Add(g.ttl)
+		}
+	}
+}
+
+func (s *Store) expire() {
+	if s.Down {
+		return
+	}
+	for id, g := range s.grants {
+		if s.w.Now.After(g.ends) {
+			s.end(id)
+		}
+	}
+}
+
+func (s *Store) end(id uint64) {
+	delete(s.grants, id)
+	var keys []string
+	for k, it := range s.items {
+		if it.Hold == id {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	if len(keys) > 0 {
+		s.epoch++
+	}
+	for _, k := range keys {
+		delete(s.items, k)
+		s.log = append(s.log, storeEvent{Remove: k, Stamp: s.epoch})
+	}
+}
+
+func (s *Store) wake() {
+	if s.Down {
+		return
+	}
+	var rest []*waiter
+	for _, wt := range s.waiters {
+		if s.Refuse[wt.from] || (s.epoch <= wt.since && s.w.Now.Before(wt.ends)) {
+			rest = append(rest, wt)
+			continue
+		}
+		var evs []storeEvent
+		for _, e := range s.log {
+			if e.Stamp > wt.since {
+				evs = append(evs, e)
+			}
+		}
+		wt.answer(200, encode(map[string]any{"epoch": s.epoch, "events": evs}))
+	}
+	s.waiters = rest
+}
+
+// Call is a node's way to the state service.
+func (s *Store) Call(from string) func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+	return func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+		send := func() {
+			s.w.call(from, "state", timeout, func(answer func(int, []byte)) {
+				if target == "/multi" && s.Late[from] > 0 {
+					s.w.After(s.Late[from], func() { s.serve(from, method, target, body, answer) })
+					return
+				}
+				if target == "/multi" && s.Lose[from] > 0 {
+					s.Lose[from]--
+					s.serve(from, method, target, body, func(int, []byte) {})
+					return
+				}
+				s.serve(from, method, target, body, answer)
+			}, done)
+		}
+		send()
+	}
+}
+
+func (s *Store) serve(from, method, target string, body []byte, answer func(int, []byte)) {
+	path, query, _ := strings.Cut(target, "?")
+	q, _ := url.ParseQuery(query)
+	if path == "/follow" && !s.Down {
+		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+		ms, _ := strconv.Atoi(q.Get("hold_ms"))
+		s.waiters = append(s.waiters, &waiter{from, since, s.w.Now.Add(time.Duration(ms) * time.Millisecond), answer})
+		s.wake()
+		return
+	}
+	if s.Down || s.Refuse[from] {
+		answer(503, []byte("{}"))
+		return
+	}
+	switch {
+	case method == "GET" && path == "/store":
+		s.list(q, answer)
+	case method == "GET" && strings.HasPrefix(path, "/store/"):
+		it, ok := s.items[path[len("/store/"):]]
+		if !ok {
+			answer(404, encode(map[string]uint64{"epoch": s.epoch}))
+			return
+		}
+		answer(200, encode(it))
+	case path == "/multi":
+		s.multi(body, answer)
+	case method == "POST" && path == "/grants":
+		var g struct {
+			TTL int `json:"ttl_ms"`
+		}
+		_ = json.Unmarshal(body, &g)
+		s.nextID++
+		ttl := time.Duration(g.TTL) * time.Millisecond
+		s.grants[s.nextID] = &grant{ttl, s.w.Now.Add(ttl)}
+		answer(200, encode(map[string]uint64{"hold": s.nextID}))
+	case strings.HasSuffix(path, "/renew"):
+		id, _ := strconv.ParseUint(strings.TrimSuffix(path[len("/grants/"):], "/renew"), 10, 64)
+		if g := s.grants[id]; g != nil {
+			g.ends = s.w.Now.Add(g.ttl)
+			answer(200, []byte("{}"))
+			return
+		}
+		answer(404, []byte("{}"))
+	default:
+		answer(400, []byte("{}"))
+	}
+}
+
+func (s *Store) list(q url.Values, answer func(int, []byte)) {
+	limit, _ := strconv.Atoi(q.Get("limit"))
+	var rows []storeItem
+	for k, it := range s.items {
+		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("since") {
+			rows = append(rows, it)
+		}
+	}
+	sort.Slice(rows, func(a, b int) bool { return rows[a].Key < rows[b].Key })
+	next := len(rows) > limit
+	if next {
+		rows = rows[:limit]
+	}
+	answer(200, encode(map[string]any{"rows": rows, "has_next": next, "epoch": s.epoch}))
+}
+
+func (s *Store) multi(body []byte, answer func(int, []byte)) {
+	var t struct {
+		If []struct {
+			Key   string
+			Stamp uint64
+		}
+		Writes []struct {
+			Write, Remove string
+			V             json.RawMessage
+			Hold          uint64
+		}
+	}
+	if json.Unmarshal(body, &t) != nil || len(body) > 64<<10 {
+		answer(400, []byte("{}"))
+		return
+	}
+	for _, wr := range t.Writes {
+		if wr.Hold != 0 && s.grants[wr.Hold] == nil {
+			answer(400, []byte(`{"error":"no such lease"}`))
+			return
+		}
+	}
+	var failed []string
+	for _, c := range t.If {
+		if s.items[c.Key].Stamp != c.Stamp {
+			failed = append(failed, c.Key)
+		}
+	}
+	if failed != nil {
+		answer(409, encode(map[string]any{"failed": failed, "epoch": s.epoch}))
+		return
+	}
+	if len(t.Writes) > 0 {
+		s.epoch++
+	}
+	for _, wr := range t.Writes {
+		s.Writes++
+		if wr.Write != "" {
+			s.items[wr.Write] = storeItem{wr.Write, wr.V, s.epoch, wr.Hold}
+			s.log = append(s.log, storeEvent{Write: wr.Write, V: wr.V, Stamp: s.epoch})
+		} else if _, ok := s.items[wr.Remove]; ok {
+			delete(s.items, wr.Remove)
+			s.log = append(s.log, storeEvent{Remove: wr.Remove, Stamp: s.epoch})
+		}
+	}
+	answer(200, encode(map[string]uint64{"epoch": s.epoch}))
+	s.wake()
+}
+
+// Put writes a key as an operator's hand would, to plant odd records.
+func (s *Store) Put(key string, v string) {
+	s.epoch++
+	s.items[key] = storeItem{key, json.RawMessage(v), s.epoch, 0}
+	s.log = append(s.log, storeEvent{Write: key, V: json.RawMessage(v), Stamp: s.epoch})
+	s.wake()
+}
+
+// Count is the number of keys with a prefix.
+func (s *Store) Count(prefix string) int {
+	c := 0
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			c++
+		}
+	}
+	return c
+}
+
+func (s *Store) String() string { return fmt.Sprintf("epoch %d, %d keys", s.epoch, len(s.items)) }
--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,465 @@
+package standin
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/wire"
+)
+
+// Worker stands in for a worker on its machine.
+type Worker struct {
+	w                        *World
+	h                        *cloudHost
+	tenure, tick, baton      uint64
+	pieces                   map[string]*wpiece
+	at                       int // node reported to
+	inFlight, changed, Hung  bool
+	dead                     bool
+	lastSent, answered, next time.Time
+	warning                  *float64
+	queue                    []func() // what arrives while hanging
+}
+
+type wpiece struct {
+	piece, status, cause string
+	try                  uint64
+	job                  *Job
+	n                    int
+	saved                bool
+	gen                  int
+}
+
+func (p *wpiece) on() bool {
+	return p.status == "waiting" || p.status == "running" || p.status == "saving"
+}
+
+func (w *World) startWorker(h *cloudHost) {
+	wk := &Worker{w: w, h: h, tenure: 1, pieces: map[string]*wpiece{}, at: w.RNG.IntN(max(1, len(w.Order))), answered: w.Now}
+	w.Workers[h.ID] = wk
+	var loop func()
+	loop = func() {
+		if wk.dead {
+			return
+		}
+		wk.pulse()
+		w.After(100*time.Millisecond, loop)
+	}
+	w.After(time.Duration(w.RNG.IntN(500))*time.Millisecond, loop)
+}
+
+func (w *World) stopWorker(id string) {
+	if wk := w.Workers[id]; wk != nil {
+		wk.dead = true
+		wk.pieces = map[string]*wpiece{}
+		delete(w.Workers, id)
+	}
+}
+
+// Die stops a machine without a word; the cloud lists it as failed later.
+func (wk *Worker) Die() {
+	wk.w.stopWorker(wk.h.ID)
+	wk.w.After(30*time.Second, func() { wk.h.status = "failed" })
+}
+
+// Take announces that the cloud takes the machine in s seconds, and takes it.
+func (wk *Worker) Take(s float64) {
+	if s > 0 {
+		wk.warning, wk.changed = &s, true
+	}
+	wk.w.After(time.Duration(s*float64(time.Second)), func() { wk.w.Cloud.Remove(wk.h.ID) })
+}
+
+// Resume ends a hang; what came meanwhile is handled.
+func (wk *Worker) Resume() {
+	wk.Hung = false
+	q := wk.queue
+	wk.queue = nil
+	for _, f := range q {
+		f()
+	}
+}
+
+func (wk *Worker) pulse() {
+	if wk.Hung {
+		return
+	}
+	now := wk.w.Now
+	if now.Sub(wk.answered).Seconds() > wk.w.LeaseS {
+		wk.pieces = map[string]*wpiece{}
+		wk.tenure++
+		wk.answered, wk.changed = now, true
+	}
+	if wk.inFlight {
+		return
+	}
+	if now.After(wk.next) || (wk.changed && now.Sub(wk.lastSent) >= 500*time.Millisecond) {
+		wk.report()
+	}
+}
+
+func (wk *Worker) body() []byte {
+	wk.tick++
+	var ps []map[string]any
+	var names []string
+	for n := range wk.pieces {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	for _, n := range names {
+		p := wk.pieces[n]
+		m := map[string]any{"piece": p.piece, "try": p.try, "status": p.status}
+		if p.status == "ended" {
+			m["cause"] = p.cause
+			m["saved"] = p.saved
+		}
+		ps = append(ps, m)
+	}
+	return encode(map[string]any{"host": wk.h.ID, "endpoint": "w:" + wk.h.ID, "build": wk.h.Build, "site": wk.h.Site, "loaner": wk.h.Loaner,
+		"tenure": wk.tenure, "tick": wk.tick, "baton": wk.baton, "warning_s": wk.warning, "pieces": ps})
+}
+
+func (wk *Worker) report() {
+	w := wk.w
+	now, tenure := w.Now, wk.tenure
+	wk.inFlight, wk.changed, wk.lastSent = true, false, now
+	wk.next = now.Add(time.Duration(w.ReportS * (0.75 + 0.5*w.RNG.Float64()) * float64(time.Second)))
+	name := w.Order[wk.at%len(w.Order)]
+	tryNext := func() {
+		wk.at++
+		wk.next = w.Now.Add(time.Second)
+	}
+	body := wk.body()
+	w.call(wk.h.ID, name, 4*time.Second, func(answer func(int, []byte)) {
+		w.Nodes[name].request("POST", "/agent/beat", body, answer)
+	}, func(status int, b []byte, err error) {
+		if wk.dead {
+			return
+		}
+		handle := func() {
+			wk.inFlight = false
+			switch {
+			case err != nil:
+				tryNext()
+			case status == 421:
+				var r struct {
+					To string `json:"reports_to"`
+				}
+				_ = json.Unmarshal(b, &r)
+				for i, n := range w.Order {
+					if n == r.To && n != name {
+						wk.at = i
+						wk.next = w.Now
+						return
+					}
+				}
+				tryNext()
+			case status != 200:
+				tryNext()
+			default:
+				var r struct {
+					Baton  *uint64 `json:"baton"`
+					Orders []order `json:"orders"`
+				}
+				if json.Unmarshal(b, &r) != nil || r.Baton == nil || *r.Baton < wk.baton || wk.tenure != tenure {
+					return
+				}
+				if *r.Baton > wk.baton {
+					wk.baton, wk.changed = *r.Baton, true
+				}
+				wk.answered = now
+				wk.execute(r.Orders)
+			}
+		}
+		if wk.Hung {
+			// The machine resumes later than the answer's four seconds.
+			wk.queue = append(wk.queue, func() { wk.inFlight = false; tryNext() })
+			return
+		}
+		handle()
+	})
+}
+
+type order struct {
+	Verb, Piece string
+	Try         uint64
+	WindDownS   float64 `json:"wind_down_s"`
+}
+
+// Call is a node's way to a worker.
+func (w *World) Call(from string) func(endpoint, method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+	return func(endpoint, method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+		id := strings.TrimPrefix(endpoint, "w:")
+		w.call(from, id, timeout, func(answer func(int, []byte)) {
+			wk := w.Workers[id]
+			if wk == nil {
+				return // a machine without power is silent
+			}
+			serve := func() { answer(wk.serve(target, body)) }
+			if wk.Hung {
+				wk.queue = append(wk.queue, serve)
+				return
+			}
+			serve()
+		}, done)
+	}
+}
+
+func (wk *Worker) serve(target string, body []byte) (int, []byte) {
+	if target == "/show" {
+		return 200, wk.body()
+	}
+	var c struct {
+		Baton, Tenure *uint64
+		Orders        []order
+	}
+	if json.Unmarshal(body, &c) != nil || c.Baton == nil || c.Tenure == nil {
+		return 400, []byte("{}")
+	}
+	if *c.Baton < wk.baton || *c.Tenure != wk.tenure {
+		return 409, wk.body()
+	}
+	if *c.Baton > wk.baton {
+		wk.baton, wk.changed = *c.Baton, true
+	}
+	wk.execute(c.Orders)
+	return 200, wk.body()
+}
+
+func (wk *Worker) execute(orders []order) {
+	for _, o := range orders {
+		p := wk.pieces[o.Piece]
+		switch o.Verb {
+		case "launch":
+			if p != nil && p.try == o.Try {
+				continue
+			}
+			wk.changed = true
+			if p != nil && p.status != "ended" {
+				continue // refused as in_use; the old attempt stays
+			}
+			wk.launch(o)
+		case "stop":
+			if p != nil && p.try == o.Try && p.status != "ended" {
+				wk.end(p, "stopped", p.job != nil && p.job.SnapshotS > 0 && o.WindDownS > 0)
+			}
+		case "reap":
+			if p != nil && p.try == o.Try && p.status == "ended" {
+				delete(wk.pieces, o.Piece)
+				wk.changed = true
+			}
+		}
+	}
+}
+
+func (wk *Worker) end(p *wpiece, cause string, saved bool) {
+	p.status, p.cause, p.saved = "ended", cause, saved
+	p.gen++
+	wk.changed = true
+}
+
+func (wk *Worker) launch(o order) {
+	w := wk.w
+	uid, n, ok := jobs.SplitPiece(o.Piece)
+	j := w.Jobs[uid]
+	p := &wpiece{piece: o.Piece, try: o.Try, status: "pulling", job: j, n: n}
+	wk.pieces[o.Piece] = p
+	if !ok || j == nil {
+		wk.end(p, "no_such", false)
+		return
+	}
+	used := 0.0
+	for _, q := range wk.pieces {
+		if q.status != "ended" && q.job != nil {
+			used += q.job.Accel
+		}
+	}
+	room := 4.0
+	if wk.h.Build == "g8" {
+		room = 8
+	}
+	if used > room {
+		wk.end(p, "no_room", false)
+		return
+	}
+	wk.after(p, j.PullS, func() { wk.begin(p) })
+}
+
+// after runs f unless the piece has moved on or the machine is gone.
+func (wk *Worker) after(p *wpiece, s float64, f func()) {
+	gen := p.gen
+	wk.w.After(time.Duration(s*float64(time.Second)), func() {
+		if wk.dead || p.gen != gen || wk.pieces[p.piece] != p {
+			return
+		}
+		if wk.Hung {
+			wk.queue = append(wk.queue, func() { wk.after(p, 0, f) })
+			return
+		}
+		f()
+	})
+}
+
+// begin is the moment a task is on its machine: the rules are checked here.
+func (wk *Worker) begin(p *wpiece) {
+	wk.w.checkStart(wk, p)
+	p.gen++
+	wk.changed = true
+	if p.job.FailOn == "every" || p.job.FailOn == wk.h.ID {
+		wk.end(p, "error", false)
+		return
+	}
+	if p.job.Shape == jobs.Ensemble && p.job.Pieces > 1 {
+		p.status = "waiting"
+		wk.after(p, wk.w.GangWaitS, func() { wk.end(p, "alone", false) })
+		wk.w.startGang(p.job, p.try)
+		return
+	}
+	wk.run(p)
+}
+
+func (wk *Worker) run(p *wpiece) {
+	p.status = "running"
+	p.gen++
+	wk.changed = true
+	if p.job.Shape == jobs.Standing {
+		return
+	}
+	wk.after(p, p.job.RunS, func() {
+		p.job.Done[p.n] = true
+		wk.end(p, "done", false)
+	})
+}
+
+// mates lists the pieces of a gang's attempt.
+func (w *World) mates(j *Job, try uint64) map[*wpiece]*Worker {
+	out := map[*wpiece]*Worker{}
+	for _, wk := range w.Workers {
+		for _, p := range wk.pieces {
+			if p.job == j && p.try == try && p.status != "ended" {
+				out[p] = wk
+			}
+		}
+	}
+	return out
+}
+
+func (w *World) startGang(j *Job, try uint64) {
+	mates := w.mates(j, try)
+	if len(mates) < j.Pieces {
+		return
+	}
+	for p := range mates {
+		if p.status != "waiting" {
+			return
+		}
+	}
+	for p, wk := range mates {
+		wk.run(p)
+	}
+	var watch func()
+	watch = func() {
+		now := w.mates(j, try)
+		if len(now) == 0 || len(j.Done) > 0 {
+			for i := range j.Pieces {
+				if len(j.Done) > 0 {
+					j.Done[i] = true
+				}
+			}
+			for p, wk := range now {
+				wk.end(p, "done", false)
+			}
+			return
+		}
+		if len(now) < j.Pieces {
+			for p, wk := range now {
+				wk.end(p, "mates_gone", false)
+			}
+			return
+		}
+		w.After(time.Second, watch)
+	}
+	w.After(time.Second, watch)
+}
+
+// checkStart checks the protocol's rules at a task's start.
+func (w *World) checkStart(wk *Worker, p *wpiece) {
+	j := p.job
+	used := j.Accel
+	zones := map[string]int{wk.h.Site: 1}
+	for _, o := range w.Workers {
+		for _, q := range o.pieces {
+			if q == p || !q.on() || q.job == nil {
+				continue
+			}
+			if q.piece == p.piece {
+				w.Break("ran_twice: %s starts on %s while on %s", p.piece, wk.h.ID, o.h.ID)
+			}
+			if q.job.Owner == j.Owner {
+				used += q.job.Accel
+			}
+			if q.job == j {
+				zones[o.h.Site]++
+			}
+		}
+	}
+	if m := w.Max[j.Owner]; m > 0 && used > m {
+		w.Break("quota: %s uses %v of %v", j.Owner, used, m)
+	}
+	wrong := (j.Site != "" && j.Site != wk.h.Site) || (wk.h.Loaner && !j.Loaner) || (j.SamePlace && len(zones) > 1) ||
+		(j.Scatter && zones[wk.h.Site] > (j.Pieces+1)/2)
+	if len(j.Builds) > 0 {
+		found := false
+		for _, b := range j.Builds {
+			found = found || b == wk.h.Build
+		}
+		wrong = wrong || !found
+	}
+	if wrong {
+		w.Break("wrong_place: %s on %s in %s", p.piece, wk.h.ID, wk.h.Site)
+	}
+	if !j.Accepted && j.Told == "" && !j.Submitted() {
+		w.Break("started %s, which no one submitted", p.piece)
+	}
+	w.checkCancelled(wk, p)
+}
+
+// Submitted tells whether a user has submitted the job.
+func (j *Job) Submitted() bool { return j.Body != nil }
+
+func (w *World) checkCancelled(wk *Worker, p *wpiece) {
+	if p.job != nil && p.job.Cancelled && w.Now.Sub(p.job.CancelledAt).Seconds() > w.CancelS {
+		w.Break("ran_cancelled: %s on %s", p.piece, wk.h.ID)
+	}
+}
+
+// Running counts a job's tasks that are on machines.
+func (w *World) Running(uid string) int {
+	c := 0
+	for _, wk := range w.Workers {
+		for _, p := range wk.pieces {
+			if p.job != nil && p.job.UID == uid && p.on() {
+				c++
+			}
+		}
+	}
+	return c
+}
+
+// HostOf is a machine that a job's task is on, in order of name.
+func (w *World) HostOf(uid string) string {
+	best := ""
+	for id, wk := range w.Workers {
+		for _, p := range wk.pieces {
+			if p.job != nil && p.job.UID == uid && p.status != "ended" && (best == "" || id < best) {
+				best = id
+			}
+		}
+	}
+	return best
+}
+
+var _ = wire.Reply{}
--- /dev/null
+++ b/internal/standin/world.go
@@ -0,0 +1,196 @@
+// Package standin has the project's own stand-ins for the state service, the
+// cloud, the workers and the users, on a fake clock and with seeded chance.
+// They follow the protocol's text and check its rules as they go.
+package standin
+
+import (
+	"container/heap"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+)
+
+// World holds the clock, the network and what lives in it.
+type World struct {
+	Now   time.Time
+	Start time.Time
+	RNG   *rand.Rand
+	Log   *slog.Logger
+
+	events eventHeap
+	seq    int
+	cuts   map[string]cutMode
+	held   map[string][]func()
+
+	Store   *Store
+	Cloud   *Cloud
+	Workers map[string]*Worker
+	Jobs    map[string]*Job
+	Nodes   map[string]*Node
+	Order   []string // node names
+
+	LeaseS, ReportS, CancelS, GangWaitS, GangPeerS float64
+	Max                                            map[string]float64 // accelerators by team
+	Broken                                         []string
+}
+
+type cutMode int
+
+const (
+	open cutMode = iota
+	drop         // packets are lost
+	hold         // packets are delivered once the cut ends
+)
+
+// Job is what the users know of a job.
+type Job struct {
+	UID, Shape, Owner   string
+	Pieces              int
+	Accel               float64
+	RunS, PullS         float64
+	SamePlace, Scatter  bool
+	Loaner              bool
+	Site                string
+	Builds              []string
+	FailOn              string // "every" machine, or a machine's name
+	SnapshotS           float64
+	Body                []byte
+	Accepted, Cancelled bool
+	CancelledAt         time.Time
+	Done                map[int]bool
+	Told                string // newest status told
+	AbortAsked          bool
+	LastOK              time.Time
+}
+
+// NewWorld makes an empty world.
+func NewWorld(seed uint64, log *slog.Logger) *World {
+	w := &World{
+		Start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), RNG: rand.New(rand.NewPCG(seed, 1)), Log: log,
+		cuts: map[string]cutMode{}, held: map[string][]func(){}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
+		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{},
+	}
+	w.Now = w.Start
+	w.Store = newStore(w)
+	w.Cloud = newCloud(w)
+	return w
+}
+
+// At is the time since the start.
+func (w *World) At() time.Duration { return w.Now.Sub(w.Start) }
+
+// Break notes a broken rule.
+func (w *World) Break(format string, args ...any) {
+	w.Broken = append(w.Broken, fmt.Sprintf("%.3f s: ", w.At().Seconds())+fmt.Sprintf(format, args...))
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	f   func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	if !h[i].at.Equal(h[j].at) {
+		return h[i].at.Before(h[j].at)
+	}
+	return h[i].seq < h[j].seq
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// After runs f after d.
+func (w *World) After(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.Now.Add(max(d, 0)), w.seq, f})
+}
+
+// RunUntil plays events up to a time since the start.
+func (w *World) RunUntil(d time.Duration) {
+	end := w.Start.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(event)
+		w.Now = e.at
+		e.f()
+	}
+	w.Now = end
+}
+
+// Cut interrupts what goes from one party to another; "*" stands for any.
+// With hold, packets arrive once the cut ends.
+func (w *World) Cut(from, to string, held bool) {
+	w.cuts[from+">"+to] = drop
+	if held {
+		w.cuts[from+">"+to] = hold
+	}
+}
+
+// Heal ends a cut and delivers what was held.
+func (w *World) Heal(from, to string) {
+	key := from + ">" + to
+	delete(w.cuts, key)
+	fs := w.held[key]
+	delete(w.held, key)
+	for _, f := range fs {
+		w.After(w.latency(), f)
+	}
+}
+
+func (w *World) latency() time.Duration {
+	return time.Millisecond + time.Duration(w.RNG.IntN(3000))*time.Microsecond
+}
+
+// packet carries f from one party to another.
+func (w *World) packet(from, to string, f func()) {
+	for _, key := range []string{from + ">" + to, from + ">*", "*>" + to} {
+		switch w.cuts[key] {
+		case drop:
+			return
+		case hold:
+			w.held[key] = append(w.held[key], f)
+			return
+		case open:
+		}
+	}
+	w.After(w.latency(), f)
+}
+
+var errTimeout = errors.New("no answer")
+
+// call sends a request and brings back the answer or, after timeout, none.
+// serve gets a function for its answer, to be called now or later.
+func (w *World) call(from, to string, timeout time.Duration, serve func(answer func(int, []byte)), done func(int, []byte, error)) {
+	over := false
+	finish := func(status int, body []byte, err error) {
+		if !over {
+			over = true
+			done(status, body, err)
+		}
+	}
+	w.After(timeout, func() { finish(0, nil, errTimeout) })
+	w.packet(from, to, func() {
+		serve(func(status int, body []byte) {
+			w.packet(to, from, func() { finish(status, body, nil) })
+		})
+	})
+}
+
+func encode(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // a stand-in's own value
+	}
+	return b
+}
