--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -253,7 +253,7 @@
 	var names []string
 	// What was on many machines is freed together: tasks of one slice share a
 	// write.
-	free := n.client.Allows(1) || n.now.Sub(c.freedAt) > tuning.ReleaseLate
+	free := n.client.Allows(0, 1) || n.now.Sub(c.freedAt) > tuning.ReleaseLate
 	if free {
 		c.freedAt = n.now
 	}
@@ -605,7 +605,7 @@
 		return 0
 	}
 	sum := 0.0
-	for _, w := range n.lead.waiting {
+	for _, w := range n.stillWaiting() {
 		spec := &w.t.job.rec.Spec
 		if share := spec.Need().Share(b.Whole()); share <= 1+1e-9 && spec.AllowsBuild(g.Build) && (spec.Loaner || !g.Loaner) {
 			sum += share * float64(w.count)
@@ -625,7 +625,7 @@
 	counts, booting := n.supplyOf()
 
 	waiting := map[string]int{}
-	for _, w := range n.lead.waiting {
+	for _, w := range n.stillWaiting() {
 		waiting[w.t.job.rec.Spec.Class] += w.count
 	}
 	n.log.Debug("queue", "waiting", fmt.Sprint(waiting), "jobs", len(n.queued), "released", len(n.released), "under_way", len(n.reserve), "calls_held", n.client.Waiting(), "spare", n.client.Spare())
@@ -802,7 +802,7 @@
 	for k, v := range counts {
 		wanted[k] = v
 	}
-	for _, w := range n.lead.waiting {
+	for _, w := range n.stillWaiting() {
 		spec := &w.t.job.rec.Spec
 		zones := zonesOf[w.t.job]
 		if zones == nil {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -81,7 +81,7 @@
 	if n.scarce() {
 		least = tuning.BatchLeast
 	}
-	if n.client.Allows(least) || n.now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
+	if n.client.Allows(0, least) || n.now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
 		n.lead.releasedAt = n.now
 		n.release()
 	}
@@ -117,26 +117,34 @@
 	n.commit(ds)
 }
 
-// closeWhole is the decision that writes a job's final state and removes its
-// live records in one, when none of its tasks may be on a machine any more and
+// closeWhole is the urgent decision that writes a job's final state and removes
+// its live records in one, when none of its tasks may be on a machine any more and
 // one transaction holds it all.
 func (n *Node) closeWhole(j *job, state jobs.JobState) (decision, bool) {
 	if len(j.active) > 0 || len(j.slices)+2 > n.set.Cluster.State.TxnOps {
 		return decision{}, false
 	}
-	// Urgent: users wait for it, its records do not change any more, and as a
-	// large decision it would never find the budget that small ones leave.
+	for _, sl := range j.slices {
+		if n.busy[sl.key] {
+			return decision{}, false
+		}
+	}
+	return n.finalWrites(j, state), true
+}
+
+// finalWrites is the decision that writes a job's final state in place of its
+// live records. Urgent: users wait for it, the records do not change any more,
+// and as a large decision it would never find the budget that small ones leave.
+func (n *Node) finalWrites(j *job, state jobs.JobState) decision {
 	d := decision{urgent: true, writes: []store.Write{
 		put(jobs.FinalPrefix+j.uid, jobs.Final{State: state, Done: j.rec.Spec.Pieces}),
 		remove(jobs.JobPrefix + j.uid),
 	}}
 	for _, from := range slices.Sorted(maps.Keys(j.slices)) {
-		if n.busy[j.slices[from].key] {
-			return decision{}, false
-		}
 		d.writes = append(d.writes, remove(j.slices[from].key))
 	}
-	return d, true
+	d.ends = true
+	return d
 }
 
 // clear removes the records of a closed job: those of slices without a task on
@@ -346,6 +354,37 @@
 	stopping map[*task]bool       // to be stopped by this pass
 	chosen   int                  // machines newly chosen to be kept
 	ds       []decision
+	machines []*machine        // those that the leader may have room on in mind
+	cands    []parts.Candidate // room for the board of one job after another
+}
+
+// board lists the machines with room for a task; it holds until the next.
+func (p *pass) board(n *Node, t *task) []parts.Candidate {
+	p.cands = n.board(p.cands, p.open(n), func(m *machine) bool { return suits(t, m) }, &t.job.rec.Spec)
+	return p.cands
+}
+
+// open lists the machines that the leader may have room on in mind. It is the
+// same for every job of a pass, and a look at a machine's standing costs more
+// than one at its room.
+func (p *pass) open(n *Node) []*machine {
+	if p.machines == nil {
+		for _, m := range n.byName() {
+			if m.State == fleet.Up && n.openFor(m) {
+				p.machines = append(p.machines, m)
+			}
+		}
+	}
+	return p.machines
+}
+
+// writes is how many records the pass's decisions write, at most.
+func (p *pass) writes() int {
+	sum := 0
+	for i := range p.ds {
+		sum += len(p.ds[i].writes) + len(p.ds[i].changes)
+	}
+	return sum
 }
 
 // refusal is a need that found no room in this pass, for so many tasks at once.
@@ -398,15 +437,26 @@
 	p.nowhere[key] = append(p.nowhere[key], refusal{s.Need(), pieces})
 }
 
-// release gives tasks to parts, within each team's limit.
+// release gives tasks to parts, within each team's limit. Once its decisions
+// have used up the budget it looks no further: what it would decide could not be
+// committed, and with a thousand jobs of one task waiting for changes, looking
+// for a place for each of them on every pass took all of a controller's
+// processor time (docs/incidents/ops-swarm.md).
 func (n *Node) release() {
 	p := n.newPass()
-	n.lead.waiting = n.lead.waiting[:0]
+	before := n.stillWaiting()
+	n.lead.waiting = nil
+	budget, most := n.client.Allows(0, 1), tuning.MostReleases
+	if !budget {
+		most = tuning.MostLooks
+	}
+	seen := map[*job]bool{}
 	looked := 0
 	for _, j := range n.queue(p.account) {
-		if looked >= tuning.MostReleases {
+		if looked >= most || budget && !n.client.Allows(p.writes(), 1) {
 			break
 		}
+		seen[j] = true
 		spec := &j.rec.Spec
 		if p.full[spec.Owner] {
 			continue
@@ -416,13 +466,25 @@
 			looked++
 			continue
 		}
-		looked += n.releaseTasks(j, p, tuning.MostReleases-looked)
+		looked += n.releaseTasks(j, p, most-looked)
 	}
 	n.preempt(p)
+	// What was not looked at waits as it did.
+	for _, w := range before {
+		if !seen[w.t.job] {
+			n.lead.waiting = append(n.lead.waiting, w)
+		}
+	}
 	p.end(n)
 	n.commit(p.ds)
 }
 
+// stillWaiting lists what found no room when it was last looked at and whose
+// job still waits.
+func (n *Node) stillWaiting() []*waiting {
+	return slices.DeleteFunc(slices.Clone(n.lead.waiting), func(w *waiting) bool { return n.queued[w.t.job.uid] != w.t.job })
+}
+
 // releaseTasks releases what waits of a job of independent tasks or replicas,
 // and returns how many tasks it looked at.
 func (n *Node) releaseTasks(j *job, p *pass, most int) int {
@@ -432,11 +494,12 @@
 	room := 0
 	if !p.hopeless(spec, 1) {
 		probe := &task{job: j}
-		cands = n.board(func(m *machine) bool { return n.offers(probe, m) }, spec)
+		cands = p.board(n, probe)
 		if len(cands) == 0 {
 			p.refuse(spec, 1)
 		}
-		for i := range cands {
+		enough := spec.Pieces - j.done - len(j.active)
+		for i := 0; i < len(cands) && room <= enough; i++ {
 			room += cands[i].Free.Times(spec.Need())
 		}
 	}
@@ -503,7 +566,7 @@
 // machines come first: ordinary ones of one part must not be taken while cheap
 // ones of another have room.
 func (n *Node) gatherParts(spec *jobs.Spec, cands []parts.Candidate, tasks int) []parts.Candidate {
-	if !n.scarce() || spec.Shape != jobs.Sweep {
+	if !n.scarce() || spec.Shape != jobs.Sweep || tasks == 1 {
 		return cands
 	}
 	var out []parts.Candidate
@@ -700,16 +763,16 @@
 }
 
 // offers tells whether the leader may have room on a machine in mind.
-func (n *Node) offers(t *task, m *machine) bool {
-	if m.Claim != "" || n.now.Before(n.lead.avoid[m.name]) {
-		return false
-	}
-	return n.takes(t, m)
+func (n *Node) offers(t *task, m *machine) bool { return n.openFor(m) && suits(t, m) }
+
+// openFor tells whether the leader may have room on a machine in mind at all.
+func (n *Node) openFor(m *machine) bool {
+	return m.Claim == "" && !n.now.Before(n.lead.avoid[m.name]) && n.ready(m)
 }
 
 // findHost picks the machine to have in mind for a task.
 func (n *Node) findHost(t *task, zones map[string]int) string {
-	cands := n.board(func(m *machine) bool { return n.offers(t, m) }, &t.job.rec.Spec)
+	cands := n.board(nil, n.byName(), func(m *machine) bool { return n.offers(t, m) }, &t.job.rec.Spec)
 	if i := n.pickFor(t, cands, zones); i >= 0 {
 		return cands[i].Host
 	}
@@ -1113,7 +1176,7 @@
 	if p.hopeless(spec, spec.Pieces) {
 		return nil, false
 	}
-	cands := n.board(func(m *machine) bool { return n.offers(t.anywhere(), m) }, spec)
+	cands := p.board(n, t.anywhere())
 	if len(cands) == 0 {
 		p.refuse(spec, 1)
 		p.refuse(spec, spec.Pieces)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,6 +153,7 @@
 	hintedEpoch uint64
 
 	busy     map[string]bool // keys under an unfinished transaction
+	ending   int             // writes of jobs' ends under way
 	reserve  map[string]reservation
 	sessions map[string]*workers.Session
 	health   map[string]*health
@@ -217,6 +218,7 @@
 	}
 	n.client = store.New(out.State, out.Watch)
 	n.mirror = store.NewMirror(n.changed)
+	n.mirror.Passing = func(key string) bool { return hasPrefix(key, jobs.FinalPrefix) }
 	n.fence.key = fencePrefix + set.NodeName
 	n.lead.reset()
 	n.budget()
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -235,6 +236,9 @@
 		if t.job.rec.Spec.Shape == jobs.Standing {
 			return n.gone(t, jobs.Gone, 0)
 		}
+		if d, whole := n.endWhole(t); whole {
+			return d
+		}
 		return n.gone(t, jobs.Complete, 0)
 	case workers.CauseError:
 		d := n.gone(t, jobs.Fail, backoff(t.Fails))
@@ -249,6 +253,24 @@
 	return n.gone(t, jobs.Gone, 0)
 }
 
+// endWhole is the decision that ends a sweep with its last task, when one slice
+// holds all of the job. For a job of one task that is four changes instead of
+// five, and the leader's turn is not waited for.
+func (n *Node) endWhole(t *task) (decision, bool) {
+	j, sl := t.job, t.slice
+	if j.rec.Spec.Shape != jobs.Sweep || len(j.slices) != 1 || len(sl.tasks) != j.rec.Spec.Pieces || j.done != len(sl.tasks)-1 {
+		return decision{}, false
+	}
+	if _, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Complete}); !ok {
+		return decision{}, false
+	}
+	state, ok := jobs.NextJob(j.rec.State, jobs.TasksAllDone)
+	if !ok {
+		return decision{}, false
+	}
+	return n.finalWrites(j, state), true
+}
+
 func backoff(fails int) time.Duration {
 	d := tuning.Backoff << min(fails, 10)
 	return min(d, tuning.BackoffMax)
@@ -555,7 +577,7 @@
 		}
 	}
 	if host == "" {
-		b := n.board(func(m *machine) bool { return m.owner == n.set.NodeName && n.canPlace(t, m) }, spec)
+		b := n.board(nil, n.byName(), func(m *machine) bool { return m.owner == n.set.NodeName && n.canPlace(t, m) }, spec)
 		if i := parts.Pick(spec.Need(), spec.Loaner, b); i >= 0 {
 			host = b[i].Host
 		}
@@ -606,36 +628,34 @@
 }
 
 // takes tells whether a machine is one that a task may go on, by its record.
-func (n *Node) takes(t *task, m *machine) bool {
-	spec := &t.job.rec.Spec
-	if !n.inUse(m) || !spec.Allows(m.Build, m.Site, m.Loaner) || n.builds[m.Build] == nil {
-		return false
-	}
-	if t.Site != "" && t.Site != m.Site {
+func (n *Node) takes(t *task, m *machine) bool { return n.ready(m) && suits(t, m) }
+
+// ready tells whether a machine takes new tasks at all, by its record.
+func (n *Node) ready(m *machine) bool {
+	if !n.inUse(m) || n.builds[m.Build] == nil {
 		return false
 	}
 	if _, draining := n.summary.Drain[m.name]; draining {
 		return false
 	}
-	if h := n.health[m.name]; h != nil && n.now.Before(h.restUntil) {
-		return false
-	}
-	for _, b := range t.Bad {
-		if b == m.name {
-			return false
-		}
-	}
-	return true
+	h := n.health[m.name]
+	return h == nil || !n.now.Before(h.restUntil)
+}
+
+// suits tells whether a task may be on a kind of machine, and on this one after
+// what happened to it there.
+func suits(t *task, m *machine) bool {
+	return t.job.rec.Spec.Allows(m.Build, m.Site, m.Loaner) && (t.Site == "" || t.Site == m.Site) && !slices.Contains(t.Bad, m.name)
 }
 
-// board lists the machines with room for a task of a job among those that
-// takes allows.
-func (n *Node) board(takes func(*machine) bool, spec *jobs.Spec) []parts.Candidate {
-	var out []parts.Candidate
+// board lists those of some machines that have room for a task of a job and
+// that takes allows, in the room of out.
+func (n *Node) board(out []parts.Candidate, among []*machine, takes func(*machine) bool, spec *jobs.Spec) []parts.Candidate {
+	out = out[:0]
 	var b *jobs.Build
 	var whole parts.Room
 	need := spec.Need()
-	for _, m := range n.byName() {
+	for _, m := range among {
 		if m.State != fleet.Up {
 			continue
 		}
--- /dev/null
+++ b/internal/node/release_test.go
@@ -0,0 +1,95 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/settings"
+)
+
+// leading is a node that leads by itself over so many machines of 16 places,
+// with so many jobs of one task waiting. Nothing it sends is ever answered.
+func leading(machines, waiting int, writes float64) *Node {
+	set := &settings.Settings{NodeName: "n0", Operator: settings.DefaultOperator()}
+	set.Cluster = settings.Cluster{
+		Size: 1, Teams: []settings.Team{{Name: "team"}},
+		State: settings.State{RPS: 250, WriteRPS: writes, ValueKB: 8, TxnOps: 16},
+		Cloud: settings.Cloud{RPS: 4}, Workers: settings.Workers{ReportS: 8, LeaseS: 40, CancelS: 60},
+	}
+	silent := func(string, string, []byte, time.Duration, func(int, []byte, error)) {}
+	n := New(set, Outside{State: silent, Watch: silent, Cloud: silent, Hint: func(string, []byte) {}}, slog.New(slog.DiscardHandler), rand.New(rand.NewPCG(1, 1)))
+	n.now = time.UnixMilli(1e12)
+	stamp := uint64(0)
+	enter := func(key string, v any) {
+		stamp++
+		n.mirror.Put(key, jobs.Encode(v), stamp)
+	}
+	enter(members.ViewKey, members.View{Leader: "n0", Members: []members.Member{{Name: "n0", Inc: 1}}, Epoch: 1})
+	enter(buildPrefix+"g8", jobs.Build{Name: "g8", Cores: 16, MemoryGB: 64, Sites: []string{"a"}, Hourly: 1})
+	for i := range machines {
+		enter(fmt.Sprintf("%si-%06d", fleet.HostPrefix, i), fleet.Host{State: fleet.Up, Build: "g8", Site: "a"})
+	}
+	for i := range waiting {
+		uid := fmt.Sprintf("wk-%06d", i)
+		spec := jobs.Spec{UID: uid, Class: "c", Owner: "team", Shape: jobs.Sweep, Rank: "idle", Pieces: 1, Cores: 1, MemoryGB: 1 + float64(i%7)/10, Bundle: "b"}
+		enter(jobs.JobPrefix+uid, jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: spec})
+	}
+	n.hold, n.sync.live, n.mirror.Epoch = 1, true, stamp
+	n.role, n.roleEpoch = members.Leader, 1
+	n.client.Pump(n.now)
+	n.now = n.now.Add(time.Second) // the budget fills
+	n.client.Pump(n.now)
+	return n
+}
+
+// A thousand waiting jobs cost a pass no more than the changes that it can
+// make; what it does not get to keeps its place among what waits.
+func TestReleaseLooksNoFurtherThanTheBudget(t *testing.T) {
+	n := leading(500, 1000, 40)
+	n.lead.waiting = []*waiting{{t: &task{job: n.jobs["wk-000999"]}, count: 1}, {t: &task{job: &job{uid: "wk-000998"}}, count: 1}}
+	n.release()
+	if got := len(n.reserve); got < 10 || got > 40 {
+		t.Errorf("released %d tasks with 40 changes a second", got)
+	}
+	if len(n.lead.waiting) != 1 || n.lead.waiting[0].t.job.uid != "wk-000999" {
+		t.Errorf("what waits: %v", n.lead.waiting)
+	}
+	for _, bad := range n.Audit() {
+		t.Error(bad)
+	}
+}
+
+// A sweep of one task is over with the report of its end: its final state comes
+// in place of its records at once, but not all such ends at the same time.
+func TestEndsOfASwarm(t *testing.T) {
+	n := leading(10, 50, 200)
+	var ds []decision
+	for i := range 50 {
+		uid := fmt.Sprintf("wk-%06d", i)
+		n.mirror.Put(jobs.SliceKey(uid, 0), jobs.EncodeSlice([]jobs.Task{{State: jobs.Placed, Host: "i-000001", Try: 1}}, 8192), 5000)
+		d, ok := n.endWhole(n.jobs[uid].tasks[0])
+		if !ok || len(d.writes) != 3 {
+			t.Fatalf("end of %s: %v %v", uid, ok, d.writes)
+		}
+		ds = append(ds, d)
+	}
+	n.mirror.Epoch = 5000
+	n.commit(ds)
+	if n.ending < 16 || n.ending > 18 {
+		t.Errorf("%d writes of ends under way with 16 a transaction", n.ending)
+	}
+}
+
+func BenchmarkReleaseOfASwarm(b *testing.B) {
+	n := leading(1900, 1000, 60)
+	b.ReportAllocs()
+	for b.Loop() {
+		n.release()
+	}
+}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -121,6 +121,10 @@
 	done    func(ok bool)
 	// urgent: a rule hangs on it, so it goes before all else that waits.
 	urgent bool
+	// ends: it is a job's end. Ends are urgent, but no more of them than about
+	// one transaction holds are under way at once: a swarm of small jobs that
+	// end together would hold up all else (docs/incidents/ops-swarm.md).
+	ends bool
 }
 
 // change is what becomes of a task that a slice holds already.
@@ -223,7 +227,7 @@
 				more++
 			}
 		}
-		ok := d.urgent || more == 0 || n.client.Allows(spent+more)
+		ok := (d.urgent || more == 0 || n.client.Allows(spent, more)) && !(d.ends && n.ending >= mostOps)
 		for _, k := range keys {
 			ok = ok && !n.busy[k]
 			if x := in[k]; x != nil {
@@ -260,6 +264,9 @@
 			all = append(all, b)
 		}
 		spent += more
+		if d.ends {
+			n.ending += len(d.writes)
+		}
 		_, _, size := n.cost(b, d, keys)
 		b.size += size
 		b.ds = append(b.ds, *d)
@@ -395,6 +402,9 @@
 		delete(n.busy, writeKey(w))
 	}
 	for _, d := range batch {
+		if d.ends {
+			n.ending -= len(d.writes)
+		}
 		if d.done != nil {
 			d.done(ok)
 		}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -118,11 +118,13 @@
 // Waiting is the number of calls held back by the budget.
 func (c *Client) Waiting() int { return c.waiting }
 
-// Allows tells whether so many writes can leave at once. What waits here grows
-// old: by the time that it leaves, the records that it was made from have
-// changed, it fails, and its writes are spent for nothing.
-func (c *Client) Allows(writes int) bool {
-	return c.waiting == 0 && c.tokens >= 1 && c.writes >= min(float64(writes), c.wps)
+// Allows tells whether so many writes can leave at once, after those that the
+// caller has spent already; one decision larger than a second's worth needs no
+// more than that. What waits here grows old: by the time that it leaves, the
+// records that it was made from have changed, it fails, and its writes are spent
+// for nothing.
+func (c *Client) Allows(spent, writes int) bool {
+	return c.waiting == 0 && c.tokens >= 1 && c.writes-float64(spent) >= min(float64(writes), c.wps)
 }
 
 // Spare tells whether there is budget to spare for writes without hurry.
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -18,6 +18,9 @@
 	Epoch uint64
 	// Changed is called for every change, with a nil value for a removal.
 	Changed func(key string, value json.RawMessage, stamp uint64)
+	// Passing, if set, names keys that are only told and not kept: those that
+	// stay in the store for ever would fill the memory.
+	Passing func(key string) bool
 }
 
 // NewMirror makes an empty mirror.
@@ -48,7 +51,9 @@
 	if m.items[key].Stamp >= stamp || m.graves[key] >= stamp {
 		return
 	}
-	m.items[key] = Item{Key: key, Value: value, Stamp: stamp}
+	if m.Passing == nil || !m.Passing(key) {
+		m.items[key] = Item{Key: key, Value: value, Stamp: stamp}
+	}
 	m.Changed(key, value, stamp)
 }
 
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 	"time"
 )
@@ -131,3 +132,15 @@
 		})
 	}
 }
+
+// Final states stay in the store for ever; a mirror that kept each one it saw
+// would grow until its controller was ended for memory.
+func TestMirrorKeepsNoPassingKeys(t *testing.T) {
+	told := 0
+	m := NewMirror(func(string, json.RawMessage, uint64) { told++ })
+	m.Passing = func(key string) bool { return strings.HasPrefix(key, "final/") }
+	m.Follow(3, []Event{{Put: "final/a", Value: json.RawMessage("1"), Stamp: 2}, {Put: "job/a", Value: json.RawMessage("1"), Stamp: 3}})
+	if told != 2 || len(m.Keys("")) != 1 || m.Stamp("final/a") != 0 {
+		t.Fatalf("told of %d changes, kept %v", told, m.Keys(""))
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -278,6 +278,9 @@
 	// MostReleases: tasks looked at for release in one pass; bounds the time a
 	// pass takes with very large sweeps waiting.
 	MostReleases = 400
+	// MostLooks: the same while there is no budget for any change, when a look
+	// only finds out what has no room.
+	MostLooks = 100
 	// AvoidAfter: a machine on which a released task was not placed in time is
 	// not offered for this long.
 	AvoidAfter = 8 * time.Second
