--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -13,10 +13,17 @@
 
 func (n *Node) memberTTL() time.Duration { return seconds(n.set.Operator.MemberTTLS) }
 
-// budget sets this node's share of the state service's limits.
+// budget sets this node's share of the state service's limits, which the live
+// members divide among them: what a silent one leaves is there for the others.
+// Where views differ for a moment the limits may be passed; the state service
+// then refuses, and the call is sent again.
 func (n *Node) budget() {
 	share, writes := 1.0, 1.0
-	if size := n.set.Cluster.Size; size > 1 {
+	size := n.set.Cluster.Size
+	if n.role != members.Outside {
+		size = len(n.view.Members)
+	}
+	if size > 1 {
 		share = (1 - tuning.LeaderShare) / float64(size-1)
 		writes = share * tuning.WriteOvercommit
 		if n.role == members.Leader {
@@ -26,6 +33,59 @@
 	n.client.SetBudget(n.set.Cluster.State.RPS*share*tuning.StateBudget, n.set.Cluster.State.WriteRPS*writes*tuning.StateBudget)
 }
 
+// stoodStill takes note that the loop did not run for so long. What it measured
+// meanwhile says nothing: nobody is judged silent for time in which this node
+// did not listen. After a gap that its lease may not have outlived it decides
+// nothing, and vouches for nothing, until it knows its place in the view again:
+// a leader that woke under another one would rent and delete by an old picture.
+// What runs out by itself, such as a cancelled task's time, runs on.
+func (n *Node) stoodStill(gap time.Duration) {
+	n.log.Info("stood still", "for_ms", gap.Milliseconds())
+	for _, s := range n.sessions {
+		s.StoodStill(gap)
+	}
+	n.complaints = map[string]map[string]*complaint{}
+	n.lead.since = n.now
+	if gap < n.memberTTL()-tuning.MemberRenew-tuning.Standstill/2 {
+		return
+	}
+	n.renewedAt, n.wokeAt = time.Time{}, n.now
+	n.certain = n.certain.Next(members.StandingEvent{Kind: members.StoodStill})
+}
+
+// settled notes that the lease stands, by an answer to what was asked then. An
+// answer from before this node last stood still proves nothing.
+func (n *Node) settled(asked time.Time) {
+	if asked.Before(n.wokeAt) {
+		return
+	}
+	n.certain = n.certain.Next(members.StandingEvent{Kind: members.LeaseSettled})
+	n.keepCertain()
+}
+
+// keepCertain reads the epoch that the mirror must reach before this node is
+// certain of its place again.
+func (n *Node) keepCertain() {
+	n.certain = n.certain.Next(members.StandingEvent{Kind: members.FollowedTo, Epoch: n.mirror.Epoch})
+	if n.certain.Standing != members.Settled || n.asking {
+		return
+	}
+	n.asking = true
+	n.client.Epoch(store.Membership, func(epoch uint64, err error) {
+		n.asking = false
+		if err == nil {
+			n.certain = n.certain.Next(members.StandingEvent{Kind: members.EpochRead, Epoch: epoch})
+			n.followNow()
+		}
+		n.dirty = true
+	})
+}
+
+// unsure tells whether this node must not speak for the controllers now. During
+// an outage of the state service it goes on answering workers: no other node
+// can have been given its machines by then, or their batons show it.
+func (n *Node) unsure() bool { return n.certain.Standing != members.Sure && !n.client.Down() }
+
 // keepMembership holds the lease, the member key and, where it falls to this
 // node, the view.
 func (n *Node) keepMembership() {
@@ -34,17 +94,22 @@
 	case n.hold == 0:
 		n.granting = true
 		n.renewedAt = n.now
+		asked := n.now
 		n.client.Grant(n.memberTTL(), func(hold uint64, err error) {
 			n.granting = false
 			if err == nil {
 				n.hold = hold
+				n.settled(asked)
 				n.putMember()
 			}
 		})
 	case n.now.Sub(n.renewedAt) >= tuning.MemberRenew:
 		n.renewedAt = n.now
-		hold := n.hold
+		hold, asked := n.hold, n.now
 		n.client.Renew(hold, func(err error) {
+			if err == nil && n.hold == hold {
+				n.settled(asked)
+			}
 			if errors.Is(err, store.ErrGone) && n.hold == hold {
 				// A new lease is a new incarnation and thus a new epoch.
 				n.log.Info("membership lease ended")
@@ -52,7 +117,8 @@
 			}
 		})
 	}
-	if !n.sync.live || n.hold == 0 || n.client.Down() {
+	n.keepCertain()
+	if !n.sync.live || n.hold == 0 || n.client.Down() || n.certain.Standing != members.Sure {
 		return
 	}
 	if n.memberInc(n.set.NodeName) != n.hold {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -141,6 +141,9 @@
 
 	hold        uint64
 	renewedAt   time.Time
+	certain     members.Certainty // of its place in the view
+	wokeAt      time.Time         // after it last stood still
+	asking      bool              // for the epoch that makes it certain
 	granting    bool
 	viewBusy    bool
 	role        members.Role
@@ -209,7 +212,7 @@
 		usage: map[string]*usage{}, account: quota.NewAccount(), keys: map[string]uint64{}, quiet: map[string]fleet.Quiet{},
 		touched: map[string]bool{}, revisit: map[string]bool{},
 		queued: map[string]*job{}, complete: map[string]*job{}, closed: map[string]*job{},
-		builds: map[string]*jobs.Build{}, role: members.Outside,
+		builds: map[string]*jobs.Build{}, role: members.Outside, certain: members.Certainty{Standing: members.Sure},
 		outUntil: map[string]votedOut{}, complaints: map[string]map[string]*complaint{},
 		heard: map[string]time.Time{}, peersState: map[string]peerState{},
 		busy: map[string]bool{}, reserve: map[string]reservation{},
@@ -227,7 +230,11 @@
 
 // Run enters the loop: f is an event, now its time.
 func (n *Node) Run(now time.Time, f func()) {
+	last := n.now
 	n.now = now
+	if gap := now.Sub(last); gap >= tuning.Standstill && !last.IsZero() {
+		n.stoodStill(gap)
+	}
 	n.client.Pump(now)
 	f()
 	n.settle()
@@ -251,7 +258,7 @@
 		return
 	}
 	n.dirty, n.lastPass = false, n.now
-	if !n.sync.live {
+	if !n.sync.live || n.certain.Standing != members.Sure {
 		return
 	}
 	if n.mirror.Epoch < n.mirror.Stamp(members.ViewKey) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -40,7 +40,7 @@
 		respond(wire.Reply{Status: 400, Body: errorBody("not a report")})
 		return
 	}
-	if n.role == members.Outside || !n.sync.live {
+	if n.role == members.Outside || !n.sync.live || n.unsure() {
 		respond(refuse("not in the view"))
 		return
 	}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -107,6 +107,7 @@
 		default:
 			n.mirror.Follow(epoch, events)
 			n.sync.next = n.now.Add(n.followGap())
+			n.keepCertain()
 			n.answerPolls()
 		}
 	})
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -61,7 +61,7 @@
 // the state service every node stays up and refuses at once; a node that alone
 // is refused, as its peers' hints show, steps aside.
 func (n *Node) up(respond func(wire.Reply)) {
-	ok := n.sync.live && n.role != members.Outside
+	ok := n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure
 	if n.client.Down() {
 		for _, p := range n.peersState {
 			if p.stateOK && n.now.Sub(p.at) < tuning.PeerFresh {
@@ -295,7 +295,7 @@
 		known(s)
 		return
 	}
-	if n.client.Down() || !n.sync.live || n.role == members.Outside {
+	if n.client.Down() || !n.sync.live || n.role == members.Outside || n.certain.Standing != members.Sure {
 		respond(refuse("not able to accept"))
 		return
 	}
@@ -381,7 +381,7 @@
 		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
 		return
 	}
-	if n.client.Down() || !n.sync.live || n.role == members.Outside {
+	if n.client.Down() || !n.sync.live || n.role == members.Outside || n.certain.Standing != members.Sure {
 		respond(refuse("not able to cancel"))
 		return
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -134,6 +134,8 @@
 		s.w.Store.RPS, s.w.Store.WPS = s.number(words[1]), s.number(words[2])
 	case "capacity": // capacity MACHINES
 		s.w.Cloud.Limit = int(s.number(words[1]))
+	case "cloud": // cloud REQUESTS a second
+		s.set.Cluster.Cloud.RPS = s.number(words[1])
 	case "lease": // lease SECONDS of the workers
 		s.w.LeaseS = s.number(words[1])
 		s.set.Cluster.Workers.LeaseS = s.w.LeaseS
@@ -159,6 +161,8 @@
 		w.Ask(args[0])
 	case "crash":
 		w.Nodes[name(0)].Crash()
+	case "freeze": // freeze NODE SECONDS: the process stands still, its clocks run on
+		w.Nodes[name(0)].Freeze(time.Duration(s.number(args[1]) * float64(time.Second)))
 	case "boot":
 		w.Nodes[name(0)].Boot()
 	case "crash-all":
@@ -357,6 +361,10 @@
 		if got := s.w.Cloud.Rented; got > int(s.number(args[1])) {
 			s.fatal("%d machines were ever rented, more than %s", got, args[1])
 		}
+	case "lost": // expect lost COUNT: machines that were deleted with tasks on them
+		if got := s.w.Cloud.Lost; got != int(s.number(args[1])) {
+			s.fatal("%d machines were deleted with tasks on them, not %s", got, args[1])
+		}
 	case "alive", "dead": // expect dead MACHINE: it was returned
 		if alive := s.w.Workers[s.party(args[1])] != nil; alive != (args[0] == "alive") {
 			s.fatal("machine %s alive: %v", args[1], alive)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -21,6 +21,7 @@
 	hosts  map[string]*cloudHost
 	hires  map[string]hired
 	Rented int
+	Lost   int // machines deleted with tasks on them
 }
 
 type cloudHost struct {
@@ -76,6 +77,9 @@
 		var d struct{ Hosts []string }
 		_ = json.Unmarshal(body, &d)
 		for _, h := range d.Hosts {
+			if wk := c.w.Workers[h]; wk != nil && wk.busy() {
+				c.Lost++
+			}
 			c.Remove(h)
 		}
 		return 200, []byte("{}")
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -21,6 +21,19 @@
 	gen   int
 	alive bool
 	wake  time.Time
+	thaw  time.Time // until then the process stands still
+}
+
+// Freeze has the process stand still while its clocks run on.
+func (c *Node) Freeze(d time.Duration) { c.thaw = c.w.Now.Add(d) }
+
+// when runs f at once, or as soon as the process runs again.
+func (c *Node) when(f func()) {
+	if c.w.Now.Before(c.thaw) {
+		c.w.After(c.thaw.Sub(c.w.Now), f)
+		return
+	}
+	f()
 }
 
 // AddNodes makes n controllers, named n0, n1 and so on.
@@ -53,13 +66,15 @@
 		return
 	}
 	c.gen++
-	c.alive = true
+	c.alive, c.thaw = true, time.Time{}
 	gen := c.gen
 	guard := func(f func()) {
-		if c.alive && c.gen == gen {
-			c.n.Run(c.w.Now, f)
-			c.arm()
-		}
+		c.when(func() {
+			if c.alive && c.gen == gen {
+				c.n.Run(c.w.Now, f)
+				c.arm()
+			}
+		})
 	}
 	back := func(done func(int, []byte, error)) func(int, []byte, error) {
 		return func(status int, body []byte, err error) { guard(func() { done(status, body, err) }) }
@@ -82,10 +97,16 @@
 		},
 		Hint: func(peer string, line []byte) {
 			c.w.packet(c.Name, peer, func() {
-				if p := c.w.Nodes[peer]; p != nil && p.alive {
-					p.n.Run(c.w.Now, func() { p.n.Line(line) })
-					p.arm()
+				p := c.w.Nodes[peer]
+				if p == nil {
+					return
 				}
+				p.when(func() {
+					if p.alive {
+						p.n.Run(c.w.Now, func() { p.n.Line(line) })
+						p.arm()
+					}
+				})
 			})
 		},
 	}
@@ -96,6 +117,10 @@
 		if !c.alive || c.gen != gen {
 			return
 		}
+		if c.w.Now.Before(c.thaw) {
+			c.when(pulse)
+			return
+		}
 		c.n.Pulse(c.w.Now)
 		if pulses++; pulses%auditEvery == 0 {
 			for _, what := range c.n.Audit() {
@@ -117,9 +142,11 @@
 	c.wake = at
 	gen := c.gen
 	c.w.After(c.n.Wait(), func() {
-		if c.alive && c.gen == gen {
-			c.n.Run(c.w.Now, func() {})
-		}
+		c.when(func() {
+			if c.alive && c.gen == gen {
+				c.n.Run(c.w.Now, func() {})
+			}
+		})
 	})
 }
 
@@ -130,6 +157,15 @@
 	if !c.alive {
 		return
 	}
+	gen := c.gen
+	c.when(func() {
+		if c.alive && c.gen == gen {
+			c.take(method, target, body, answer)
+		}
+	})
+}
+
+func (c *Node) take(method, target string, body []byte, answer func(int, []byte)) {
 	gen := c.gen
 	c.n.Run(c.w.Now, func() {
 		c.n.Request(&wire.Message{Method: method, Target: target, Body: body}, func(r wire.Reply) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -36,6 +36,16 @@
 	return p.status == "waiting" || p.status == "running" || p.status == "saving"
 }
 
+// busy tells whether a task is on the machine.
+func (wk *Worker) busy() bool {
+	for _, p := range wk.pieces {
+		if p.on() {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *World) startWorker(h *cloudHost) {
 	wk := &Worker{w: w, h: h, tenure: 1, pieces: map[string]*wpiece{}, at: w.RNG.IntN(max(1, len(w.Order))), answered: w.Now}
 	w.Workers[h.ID] = wk
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -147,6 +147,10 @@
 
 // Passes of the loop.
 const (
+	// Standstill: a pause between two turns of the loop, which comes round every
+	// Pulse, that means that the process stood still. Shorter ones are a busy
+	// processor's.
+	Standstill = 1500 * time.Millisecond
 	// Pulse: the loop's own clock; every decision not caused by a message is
 	// taken on a pulse.
 	Pulse = 100 * time.Millisecond
--- a/internal/workers/session.go
+++ b/internal/workers/session.go
@@ -212,6 +212,16 @@
 	s.restart(s.Epoch, s.Counter+1)
 }
 
+// StoodStill discounts time in which the owner did not run: a machine is not
+// silent for that. The notice that the cloud gave runs on all the same.
+func (s *Session) StoodStill(gap time.Duration) {
+	s.LastReport, s.LastBeat, s.LastCall = s.LastReport.Add(gap), s.LastBeat.Add(gap), s.LastCall.Add(gap)
+	if s.Warning != nil {
+		left := *s.Warning - gap.Seconds()
+		s.Warning = &left
+	}
+}
+
 // Verdict says what a session knows of a recorded try.
 type Verdict string
 
