Jobs that fail everywhere probe with one try at a time; idle work yields to all ranks

Ruled out: tasks of cancelled jobs left behind. Scenarios probing and preempt-idle fail without the guards.

--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
 // Key prefixes in the state service. Live records and final ones are kept
@@ -61,6 +63,25 @@
 	Done  int      `json:"n,omitempty"` // tasks done
 }
 
+// Trust is what a job's failures say of it. It follows from its tasks' records,
+// so that it outlives a change of leader without a change of its own.
+type Trust string
+
+// Degrees of trust in a live job.
+const (
+	Trusted Trust = "trusted"
+	Probing Trust = "probing" // failed everywhere so far: one try at a time
+)
+
+// TrustOf tells how far to trust a job whose tasks failed on so many different
+// machines. proven: one of its tasks is done, or has run for a while.
+func TrustOf(machines int, proven bool) Trust {
+	if machines >= tuning.ErrorsBlame && !proven {
+		return Probing
+	}
+	return Trusted
+}
+
 // TaskState is the state of a task.
 type TaskState string
 
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -56,6 +56,9 @@
 // ranks, most urgent first.
 var ranks = []string{"prod", "urgent", "standard", "idle"}
 
+// Ranks is how many there are.
+const Ranks = 4
+
 // RankOrder is the place of a rank, 0 the most urgent.
 func (s *Spec) RankOrder() int { return slices.Index(ranks, s.Rank) }
 
--- a/internal/node/audit.go
+++ b/internal/node/audit.go
@@ -15,6 +15,7 @@
 	var out []string
 	room := map[string]parts.Room{}
 	account := quota.NewAccount()
+	var onRank [jobs.Ranks]int
 	book := func(host string, need parts.Room) { room[host] = room[host].Add(need) }
 	for uid, j := range n.jobs {
 		done, on, active := 0, 0, 0
@@ -26,6 +27,9 @@
 				switch {
 				case t.On():
 					on++
+					if j.rec != nil {
+						onRank[j.rec.Spec.RankOrder()]++
+					}
 					book(t.Host, t.need)
 				case t.State == jobs.Released && t.Want != "" && !t.unwanted:
 					book(t.Want, t.need)
@@ -48,6 +52,9 @@
 			out = append(out, fmt.Sprintf("%s: live %v, but closed %v", uid, live, n.closed[uid] != nil))
 		}
 	}
+	if onRank != n.onRank {
+		out = append(out, fmt.Sprintf("%v tasks on machines by rank, kept %v", onRank, n.onRank))
+	}
 	for _, r := range n.reserve {
 		book(r.host, r.need)
 		if r.owner != "" {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -503,7 +503,11 @@
 			room += cands[i].Free.Times(spec.Need())
 		}
 	}
+	probing := n.trust(j, "") == jobs.Probing
 	tasks := n.pending(j, min(most, room+tuning.WaitingEach))
+	if probing {
+		tasks = n.probe(j)
+	}
 	if len(tasks) == 0 {
 		return 1
 	}
@@ -525,11 +529,14 @@
 			if !spec.SamePlace && !spec.Scatter && t.Site == "" && len(t.Bad) == 0 {
 				p.refuse(spec, 1)
 			}
+			if probing {
+				break // no machine is rented, kept or cleared for it
+			}
 			n.wait(j, tasks[i:], within, zones, p)
 			break
 		}
 		c := &cands[k]
-		if n.clearCached(&waiting{t: t, rank: spec.RankOrder(), within: within}, c.Host, p) {
+		if !probing && n.clearCached(&waiting{t: t, rank: spec.RankOrder(), within: within}, c.Host, p) {
 			c.Free = c.Free.Sub(spec.Need())
 			p.account.Charge(spec.Owner, spec.Amount(), 1)
 			continue
@@ -553,6 +560,27 @@
 	return looked
 }
 
+// probe is the one task that a job in doubt may try next, if any: the one that
+// has failed most, whose pause is the longest.
+func (n *Node) probe(j *job) []*task {
+	if len(j.active) > 0 {
+		return nil
+	}
+	var most *task
+	for _, t := range j.again {
+		if n.busy[t.slice.key] {
+			return nil
+		}
+		if most == nil || t.Fails > most.Fails || t.Fails == most.Fails && t.n < most.n {
+			most = t
+		}
+	}
+	if most == nil || most.After > n.ms() {
+		return nil
+	}
+	return []*task{most}
+}
+
 // scarce tells whether changes of the state service are few for the number of
 // machines. Tasks of a job then go to few parts, several at a time, and the
 // leader names their machines in the change that releases them: every slice and
@@ -837,6 +865,16 @@
 	return best
 }
 
+// lowerRuns tells whether any task of a lower rank is on a machine.
+func (n *Node) lowerRuns(rank int) bool {
+	for _, count := range n.onRank[rank+1:] {
+		if count > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // preempt makes room for waiting tasks by stopping tasks of lower rank, and for
 // those inside their team's guarantee also by stopping what other teams run
 // beyond theirs. One machine at a time is cleared for a task, and not again for
@@ -844,7 +882,7 @@
 func (n *Node) preempt(p *pass) {
 	for _, w := range n.lead.waiting {
 		spec := &w.t.job.rec.Spec
-		if w.rank > 1 && !w.within || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+		if !w.within && !n.lowerRuns(w.rank) || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
 			continue
 		}
 		for _, t := range w.tasks {
@@ -1075,14 +1113,25 @@
 	if len(all) < spec.Pieces {
 		return // some rest, or are under a transaction
 	}
+	try := gangs.NextTry(records)
+	probing := n.trust(j, "") == jobs.Probing
+	if probing {
+		for _, t := range all {
+			if n.now.Sub(t.since) < backoff(int(min(try, 10))) {
+				return
+			}
+		}
+	}
 	team := n.teams[spec.Owner]
 	if !team.Allows(p.account.Used(spec.Owner).Add(spec.Amount(), float64(spec.Pieces))) {
 		return
 	}
 	within := team.Guarantees(p.account.Used(spec.Owner).Add(spec.Amount(), float64(spec.Pieces)))
 	p.account.Charge(spec.Owner, spec.Amount(), float64(spec.Pieces))
-	try := gangs.NextTry(records)
 	offers, whole := n.fitGang(all, p)
+	if offers == nil && probing {
+		return
+	}
 	if offers == nil {
 		n.lead.waiting = append(n.lead.waiting, &waiting{t: all[0], count: spec.Pieces, rank: spec.RankOrder(), within: within})
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -124,6 +125,7 @@
 	order    []*machine                  // the same by name, nil when it must be sorted anew
 	onHost   map[string]map[string]*task // machine to tasks on it
 	released map[string]*task
+	onRank   [jobs.Ranks]int // tasks on machines by rank
 	usage    map[string]*usage
 	account  *quota.Account // what is charged: records and decisions under way
 	builds   map[string]*jobs.Build
@@ -169,11 +171,12 @@
 
 	lead leader
 
-	dirty     bool
-	lastPass  time.Time
-	lastLead  time.Time
-	lastSweep time.Time
-	lastEnds  time.Time // when ended tasks were last committed
+	dirty       bool
+	lastPass    time.Time
+	lastChanges time.Time
+	lastLead    time.Time
+	lastSweep   time.Time
+	lastEnds    time.Time // when ended tasks were last committed
 }
 
 type peerState struct {
@@ -247,6 +250,7 @@
 		n.keepSync()
 		n.sayHints()
 		n.keepPolls()
+		n.sayChanges()
 		n.dirty = true
 	})
 }
@@ -345,6 +349,14 @@
 	}
 }
 
+// sayChanges logs what the changes of the state service were spent on.
+func (n *Node) sayChanges() {
+	if n.now.Sub(n.lastChanges) >= tuning.Step {
+		n.lastChanges = n.now
+		n.log.Debug("changes", "sent", fmt.Sprint(n.client.Spent()))
+	}
+}
+
 // changed takes a change of the mirror into the typed state. An unreadable
 // record is reported and set aside: it stays in the store, and nothing is
 // decided from it.
@@ -532,6 +544,7 @@
 		}
 		m[t.piece] = t
 		t.job.on++
+		n.countRank(t, 1)
 		t.job.active[t.n] = t
 		n.occupy(t.Host, t.need)
 		n.sawImage(t)
@@ -564,6 +577,7 @@
 			delete(n.onHost, t.Host)
 		}
 		t.job.on--
+		n.countRank(t, -1)
 		n.vacate(t.Host, t.need)
 	case jobs.Released:
 		delete(n.released, t.piece)
@@ -575,6 +589,13 @@
 	}
 }
 
+// countRank counts tasks on machines by the rank of their job.
+func (n *Node) countRank(t *task, k int) {
+	if t.job.rec != nil {
+		n.onRank[t.job.rec.Spec.RankOrder()] += k
+	}
+}
+
 // charge books a task that is released or may be on a machine.
 func (n *Node) charge(t *task, k float64) {
 	if t.job.rec != nil && (t.Charged() || t.State == unreadable) {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -280,25 +280,56 @@
 // several machines is itself to blame and costs no machine; a machine on which
 // several blameless jobs fail, or one that others finish elsewhere, is faulty.
 func (n *Node) blame(host string, h *health, t *task) {
-	bad := map[string]bool{host: true}
-	for _, some := range []map[int]*task{t.job.active, t.job.again} {
-		for _, o := range some {
-			for _, b := range o.Bad {
-				bad[b] = true
-			}
-		}
-	}
-	if len(bad) >= tuning.ErrorsBlame {
+	if n.trust(t.job, host) == jobs.Probing {
 		return
 	}
 	h.blamed[t.job.uid] = true
 	h.failures++
 	h.restUntil = n.now.Add(tuning.ErrorRest)
-	if len(h.blamed) >= tuning.ErrorsFaulty || (h.failures >= tuning.ErrorsBlame && t.job.done > 0) {
+	// What has turned out since to fail everywhere speaks against no machine.
+	blameless := 0
+	for uid := range h.blamed {
+		if j := n.jobs[uid]; j != nil && j.rec != nil && j.rec.State == jobs.Live && n.trust(j, "") == jobs.Trusted {
+			blameless++
+		}
+	}
+	if blameless >= tuning.ErrorsFaulty || (h.failures >= tuning.ErrorsBlame && t.job.done > 0) {
 		n.moveMachine(host, fleet.Sick, "tasks fail on it")
 	}
 }
 
+// trust tells how far to trust a job by its tasks' records, and by a failure on
+// one more machine that is not recorded yet.
+func (n *Node) trust(j *job, host string) jobs.Trust {
+	if j.done > 0 || len(j.again) == 0 && host == "" {
+		return jobs.Trusted
+	}
+	bad := map[string]bool{}
+	if host != "" {
+		bad[host] = true
+	}
+	proven := false
+	for _, some := range []map[int]*task{j.active, j.again} {
+		for _, t := range some {
+			for _, b := range t.Bad {
+				bad[b] = true
+			}
+			proven = proven || t.State == jobs.Placed && n.now.Sub(t.since) > n.provenAfter(t)
+		}
+	}
+	return jobs.TrustOf(len(bad), proven)
+}
+
+// provenAfter is how long a task must have been on its machine to speak for its
+// job: broken ones fail soon after their image has come.
+func (n *Node) provenAfter(t *task) time.Duration {
+	pull := 0.0
+	if m := n.machines[t.Host]; m != nil && n.builds[m.Build] != nil && n.builds[m.Build].PullRate > 0 {
+		pull = t.job.rec.Spec.PullGB / n.builds[m.Build].PullRate
+	}
+	return tuning.ProvenAfter + seconds(tuning.ProvenPulls*pull)
+}
+
 // moveMachine commits an event of a machine's record.
 func (n *Node) moveMachine(host string, e fleet.Event, why string) {
 	n.commit(n.moving(host, e, why))
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -293,7 +293,7 @@
 // submit UID SHAPE [key=value ...]
 func (s *script) submit(args []string) {
 	j := &standin.Job{UID: args[0], Shape: args[1], Pieces: 1, Accel: 1, RunS: 10, PullS: 1, Owner: "team"}
-	rank, due := "standard", "null"
+	rank, due, cores := "standard", "null", 2.0
 	for _, a := range args[2:] {
 		k, v, _ := strings.Cut(a, "=")
 		switch k {
@@ -301,6 +301,8 @@
 			j.Pieces = int(s.number(v))
 		case "accel":
 			j.Accel = s.number(v)
+		case "cores":
+			cores = s.number(v)
 		case "run":
 			j.RunS = s.number(v)
 		case "pull":
@@ -337,9 +339,9 @@
 	if j.Site != "" {
 		site = strconv.Quote(j.Site)
 	}
-	j.Body = fmt.Appendf(nil, `{"uid":%q,"jobclass":"c","owner":%q,"shape":%q,"rank":%q,"pieces":%d,"cores":2,"accelerators":%v,"memory_gb":8,
+	j.Body = fmt.Appendf(nil, `{"uid":%q,"jobclass":"c","owner":%q,"shape":%q,"rank":%q,"pieces":%d,"cores":%v,"accelerators":%v,"memory_gb":8,
 		"bundle":"img-1","pull_gb":1,"builds":%s,"site":%s,"same_place":%v,"scatter":%v,"loaner":%v,"expect_s":%v,"snapshot_s":%v,"stash_s":1,"due_s":%s}`,
-		j.UID, j.Owner, j.Shape, rank, j.Pieces, j.Accel, builds, site, j.SamePlace, j.Scatter, j.Loaner, j.RunS, j.SnapshotS, due)
+		j.UID, j.Owner, j.Shape, rank, j.Pieces, cores, j.Accel, builds, site, j.SamePlace, j.Scatter, j.Loaner, j.RunS, j.SnapshotS, due)
 	s.w.Submit(j)
 }
 
@@ -357,6 +359,10 @@
 		if got := s.w.Cloud.Alive(); got > int(s.number(args[1])) {
 			s.fatal("%d machines are rented, more than %s", got, args[1])
 		}
+	case "starts": // expect starts JOB MAX: of its tasks
+		if got := s.job(args[1]).Starts; got > int(s.number(args[2])) {
+			s.fatal("tasks of %s started %d times, more than %s", args[1], got, args[2])
+		}
 	case "rented":
 		if got := s.w.Cloud.Rented; got > int(s.number(args[1])) {
 			s.fatal("%d machines were ever rented, more than %s", got, args[1])
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -432,6 +432,7 @@
 // checkStart checks the protocol's rules at a task's start.
 func (w *World) checkStart(wk *Worker, p *wpiece) {
 	j := p.job
+	j.Starts++
 	used := j.Accel
 	zones := map[string]int{wk.h.Site: 1}
 	for _, o := range w.Workers {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -81,6 +81,7 @@
 	Done                map[int]bool
 	Told                string // newest status told
 	AbortAsked          bool
+	Starts              int // of its tasks
 	LastOK              time.Time
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/url"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -93,6 +94,7 @@
 	queues   [levels][]pending
 	waiting  int
 	failures int
+	spent    map[string]int // writes sent, by the kind of key
 }
 
 type pending struct {
@@ -106,7 +108,7 @@
 
 // New makes a client; send is for calls, watch for held requests.
 func New(send, watch Call) *Client {
-	return &Client{send: send, watch: watch}
+	return &Client{send: send, watch: watch, spent: map[string]int{}}
 }
 
 // SetBudget sets this node's share of requests and writes per second.
@@ -130,6 +132,14 @@
 // Spare tells whether there is budget to spare for writes without hurry.
 func (c *Client) Spare() bool { return c.waiting == 0 && c.writes > c.wps/2 }
 
+// Spent tells how many writes of each kind of key were handed in since it was
+// last asked; removals count apart.
+func (c *Client) Spent() map[string]int {
+	out := c.spent
+	c.spent = map[string]int{}
+	return out
+}
+
 // Pump sends what the budget allows by now.
 func (c *Client) Pump(now time.Time) {
 	c.now = now
@@ -301,6 +311,14 @@
 		done(0, nil, ErrRefused)
 		return
 	}
+	for _, w := range t.Writes {
+		kind, _, _ := strings.Cut(w.Put, "/")
+		if w.Remove != "" {
+			kind, _, _ = strings.Cut(w.Remove, "/")
+			kind = "-" + kind
+		}
+		c.spent[kind]++
+	}
 	c.enqueue(p, pending{method: "POST", target: "/multi", body: body, puts: len(t.Writes), done: func(status int, body []byte, err error) {
 		var answer struct {
 			Epoch  uint64   `json:"epoch"`
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -164,6 +164,11 @@
 	// ErrorsBlame: a job whose tasks failed on this many different machines is
 	// itself to blame; its failures then count against no machine.
 	ErrorsBlame = 3
+	// ProvenAfter, ProvenPulls: a task on its machine for so long, and so many
+	// times as long as its image takes alone, speaks for its job; images that are
+	// fetched together share the rate.
+	ProvenAfter = 10 * time.Second
+	ProvenPulls = 2.0
 	// ErrorsFaulty: a machine on which tasks of this many different blameless
 	// jobs failed in a row is faulty and is deleted.
 	ErrorsFaulty = 2
