--- a/internal/fleet/quiet.go
+++ b/internal/fleet/quiet.go
@@ -30,11 +30,11 @@
 	return q, nil
 }
 
-// Site counts a zone's machines, to tell a zone that is cut off from machines
-// that have stopped.
+// Site counts the machines of a zone, or of an owner, to tell one that is cut off
+// from machines that have stopped.
 type Site struct{ Quiet, All int }
 
-// Cut tells whether so many of a zone's machines are quiet that the way to it is
+// Cut tells whether so many of its machines are quiet that the way to it is
 // the likelier cause. Machines behind a cut go on working: they are only given
 // up when the cloud says that they have stopped.
 func (s Site) Cut(least int, share float64) bool {
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -48,6 +48,21 @@
 	return out
 }
 
+// Left lists the names of members that are not in the next view, or are there as
+// another incarnation.
+func (v *View) Left(next *View) []string {
+	var out []string
+	if v == nil {
+		return out
+	}
+	for _, m := range v.Members {
+		if next.Inc(m.Name) != m.Inc {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
 // Same tells whether the view has exactly these members.
 func (v *View) Same(ms []Member) bool { return slices.Equal(v.Members, ms) }
 
--- a/internal/members/members_test.go
+++ b/internal/members/members_test.go
@@ -45,3 +45,14 @@
 		}
 	}
 }
+
+func TestLeft(t *testing.T) {
+	old := &View{Members: []Member{{"a", 1}, {"b", 2}, {"c", 3}}}
+	got := old.Left(&View{Members: []Member{{"a", 1}, {"b", 9}}})
+	if len(got) != 2 || got[0] != "b" || got[1] != "c" {
+		t.Errorf("left: %v", got)
+	}
+	if (*View)(nil).Left(old) != nil {
+		t.Error("nobody leaves no view")
+	}
+}
--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -420,40 +420,44 @@
 // makes waiting pointless.
 func (n *Node) loseSilent() {
 	quiet, all := 0, 0
-	sites := map[string]fleet.Site{}
+	sites, owners := map[string]fleet.Site{}, map[string]fleet.Site{}
 	for _, m := range n.machines {
 		if m.State == fleet.Deleting || m.State == fleet.Deleted {
 			continue
 		}
-		z := sites[m.Site]
+		z, o := sites[m.Site], owners[m.owner]
 		all++
 		z.All++
+		o.All++
 		if _, is := n.quietSince(m); is {
 			quiet++
 			z.Quiet++
+			o.Quiet++
 		}
-		sites[m.Site] = z
+		sites[m.Site], owners[m.owner] = z, o
 	}
 	if quiet == 0 {
 		return
 	}
 	many := quiet > 2 && float64(quiet) > tuning.SilentMost*float64(all)
 	lease := seconds(n.set.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
+	// A new leader first waits whether the workers come to it.
+	fresh := n.now.Sub(n.lead.since) < seconds(n.set.Cluster.Workers.ReportS*tuning.SilentReports)
 	for _, m := range n.byName() {
 		h := m.name
 		since, is := n.quietSince(m)
 		if !is || n.now.Sub(n.heard[h]) < tuning.HeardFresh {
 			continue
 		}
-		// A new leader first waits whether the worker comes to it.
 		long := min(n.now.Sub(since), n.now.Sub(n.lead.since))
 		_, listed := n.lead.cloud.listed[h]
 		vanished := !listed && !n.lead.cloud.gone[h].IsZero()
 		cut := sites[m.Site].Cut(tuning.CutLeast, tuning.CutShare)
+		blind := owners[m.owner].Cut(tuning.CutLeast, tuning.CutShare)
 		switch {
 		case vanished && long > tuning.CondemnEvery:
 			n.lose(m, "silent and no longer listed")
-		case !many && !cut && long > tuning.SilentGiveUp:
+		case !many && !cut && !blind && !fresh && long > tuning.SilentGiveUp:
 			n.lose(m, "silent")
 		case !cut && long > lease:
 			n.lose(m, "silent beyond its lease")
@@ -551,8 +555,17 @@
 	return best, found
 }
 
+// bootLate is the age from which a machine that has not come up is overdue.
+func (n *Node) bootLate(build string) time.Duration {
+	late := tuning.BootSlackMin
+	if b := n.builds[build]; b != nil {
+		late = max(late, seconds(b.ReadyS*tuning.BootLate))
+	}
+	return late
+}
+
 // supplyOf lists the machines that count as supply: with a record in use, or
-// listed and booting, or asked for and not yet listed until the boot time has
+// listed and booting in time, or asked for and not yet listed until the boot time has
 // passed.
 func (n *Node) supplyOf() (counts map[kind]int, booting map[kind]int) {
 	counts, booting = map[kind]int{}, map[kind]int{}
@@ -564,8 +577,11 @@
 			}
 		}
 	}
+	age := n.now.Sub(c.listAt)
 	for h, l := range c.listed {
-		if n.machines[h] == nil && (l.Status == "booting" || l.Status == "running") {
+		// An overdue one may never come; a replacement is rented before the
+		// queue suffers, and the late one is used or returned if it comes.
+		if n.machines[h] == nil && (l.Status == "booting" || l.Status == "running") && seconds(l.AgeS)+age <= n.bootLate(l.Build) {
 			k := kind{fleet.Group{Build: l.Build, Loaner: l.Loaner}, l.Site}
 			counts[k]++
 			booting[k]++
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/store"
@@ -30,7 +31,8 @@
 			share, writes = tuning.LeaderShare, tuning.LeaderShare*tuning.LeaderOvercommit
 		}
 	}
-	n.client.SetBudget(n.set.Cluster.State.RPS*share*tuning.StateBudget, n.set.Cluster.State.WriteRPS*writes*tuning.StateBudget)
+	limit := n.set.Cluster.State.WriteRPS * tuning.StateBudget
+	n.client.SetBudget(n.set.Cluster.State.RPS*share*tuning.StateBudget, limit*writes, limit)
 }
 
 // stoodStill takes note that the loop did not run for so long. What it measured
@@ -162,6 +164,14 @@
 		If:     []store.Cond{{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)}, {Key: own, Stamp: n.mirror.Stamp(own)}},
 		Writes: []store.Write{put(members.ViewKey, next)},
 	}
+	// What a member did not hear ends with its place in the view. When it comes
+	// back its machines have been heard by others meanwhile: by the old list
+	// hundreds of them were deleted at once (docs/incidents/ushanga-ops-ops-1.md).
+	for _, name := range n.view.Left(next) {
+		if key := fleet.QuietPrefix + name; n.mirror.Stamp(key) != 0 {
+			t.Writes = append(t.Writes, remove(key))
+		}
+	}
 	if n.view != nil && n.view.Leader != n.set.NodeName {
 		key := members.MemberPrefix + n.view.Leader
 		t.If = append(t.If, store.Cond{Key: key, Stamp: n.mirror.Stamp(key)})
@@ -241,7 +251,11 @@
 	for name, o := range n.outUntil {
 		// Only the incarnation that was out of reach: a process that ended and
 		// came back starts with a clean slate.
-		if n.now.Before(o.until) && n.memberInc(name) == o.inc {
+		if n.memberInc(name) != o.inc {
+			continue
+		}
+		// One that says that it still reaches no worker stays out for longer.
+		if p := n.peersState[name]; n.now.Before(o.until) || p.blind && n.now.Sub(p.at) < tuning.PeerFresh {
 			out[name] = true
 		}
 	}
@@ -274,6 +288,41 @@
 	return out
 }
 
+// keepSight looks from outside the view whether this node reaches workers: one
+// that was voted out because they could not reach it must not be given machines
+// again before that is mended.
+func (n *Node) keepSight() {
+	if n.role != members.Outside {
+		n.blind = false
+		return
+	}
+	if !n.sync.live || n.looking > 0 || n.now.Sub(n.lookedAt) < tuning.LookEvery {
+		return
+	}
+	var up []*machine
+	for _, m := range n.byName() {
+		if m.State == fleet.Up && m.Endpoint != "" {
+			up = append(up, m)
+		}
+	}
+	if len(up) < tuning.CutLeast {
+		n.blind = false
+		return
+	}
+	n.lookedAt = n.now
+	seen := false
+	for range tuning.CutLeast {
+		m := up[n.rng.IntN(len(up))]
+		n.looking++
+		n.out.Worker(m.Endpoint, "GET", "/show", nil, tuning.CommandTimeout, func(_ int, _ []byte, err error) {
+			seen = seen || err == nil
+			if n.looking--; n.looking == 0 {
+				n.blind = !seen
+			}
+		})
+	}
+}
+
 // keepSession makes sure that a machine of ours has a session.
 func (n *Node) keepSession(m *machine) {
 	if s := n.session(m.name); s != nil && s.Endpoint == "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -145,7 +145,10 @@
 	renewedAt   time.Time
 	certain     members.Certainty // of its place in the view
 	wokeAt      time.Time         // after it last stood still
-	asking      bool              // for the epoch that makes it certain
+	blind       bool              // outside the view, and no worker answers
+	looking     int               // questions to workers that find out
+	lookedAt    time.Time
+	asking      bool // for the epoch that makes it certain
 	granting    bool
 	viewBusy    bool
 	role        members.Role
@@ -181,6 +184,7 @@
 
 type peerState struct {
 	stateOK bool
+	blind   bool
 	at      time.Time
 }
 
@@ -247,6 +251,7 @@
 func (n *Node) Pulse(now time.Time) {
 	n.Run(now, func() {
 		n.keepMembership()
+		n.keepSight()
 		n.keepSync()
 		n.sayHints()
 		n.keepPolls()
@@ -306,7 +311,7 @@
 	}
 	for _, p := range n.set.Peers {
 		if p.NodeName == h.From {
-			n.peersState[h.From] = peerState{h.StateOK, n.now}
+			n.peersState[h.From] = peerState{h.StateOK, h.Blind, n.now}
 		}
 	}
 	if h.Epoch > n.mirror.Epoch {
@@ -343,7 +348,7 @@
 		return
 	}
 	n.lastHint, n.hintedEpoch = n.now, n.mirror.Epoch
-	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Unreached: n.unreached()})
+	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.blind, Unreached: n.unreached()})
 	for _, p := range n.set.Peers {
 		n.out.Hint(p.NodeName, line)
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -15,6 +15,8 @@
 	From    string `json:"from"`
 	Epoch   uint64 `json:"epoch,omitempty"`    // the state service has got to here
 	StateOK bool   `json:"state_ok,omitempty"` // the sender's state service answers
+	// Blind: the sender is outside the view and reaches no worker.
+	Blind bool `json:"blind,omitempty"`
 	// Unreached are machines whose workers came to the sender although they
 	// were sent to their owner.
 	Unreached []string `json:"unreached,omitempty"`
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"os"
@@ -206,6 +207,16 @@
 			w.Cut(h, "*", false)
 			w.Cut("*", h, false)
 		}
+	case "blind": // blind NODE on|off: it and the machines of the start do not reach one another
+		for _, h := range s.host {
+			if args[1] == "on" {
+				w.Cut(h, name(0), false)
+				w.Cut(name(0), h, false)
+			} else {
+				w.Heal(h, name(0))
+				w.Heal(name(0), h)
+			}
+		}
 	case "heal":
 		w.Heal(s.party(args[0]), s.party(args[1]))
 	case "die", "hang", "resume", "take":
@@ -394,6 +405,11 @@
 		if s.w.Leader() == s.party(args[1]) {
 			s.fatal("%s leads", args[1])
 		}
+	case "views": // expect views MAX: changes of the view so far
+		var v struct{ Epoch int }
+		if raw := s.w.Store.Value("view"); json.Unmarshal(raw, &v) != nil || v.Epoch > int(s.number(args[1])) {
+			s.fatal("the view is %s, with an epoch above %s", raw, args[1])
+		}
 	case "leader":
 		s.leader()
 	case "keys":
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -313,6 +313,9 @@
 	s.wake()
 }
 
+// Value is what a key holds.
+func (s *Store) Value(key string) json.RawMessage { return s.items[key].V }
+
 // Count is the number of keys with a prefix.
 func (s *Store) Count(prefix string) int {
 	c := 0
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -91,6 +91,15 @@
 	tokens   float64
 	writes   float64
 	rps, wps float64
+
+	// The node's share of the writes is widened while it wants more and the
+	// service refuses none: the others then leave theirs unused.
+	share, most float64
+	boost       float64
+	pressed     bool // wanted more writes than it had since boostAt
+	refused     bool // by the service, for its limits
+	boostAt     time.Time
+
 	queues   [levels][]pending
 	waiting  int
 	failures int
@@ -108,11 +117,31 @@
 
 // New makes a client; send is for calls, watch for held requests.
 func New(send, watch Call) *Client {
-	return &Client{send: send, watch: watch, spent: map[string]int{}}
+	return &Client{send: send, watch: watch, boost: 1, spent: map[string]int{}}
 }
 
-// SetBudget sets this node's share of requests and writes per second.
-func (c *Client) SetBudget(rps, wps float64) { c.rps, c.wps = rps, wps }
+// SetBudget sets this node's share of requests and writes per second, and the
+// most writes that it may widen that to.
+func (c *Client) SetBudget(rps, wps, most float64) {
+	c.rps, c.share, c.most = rps, wps, max(wps, most)
+	c.wps = min(c.share*c.boost, c.most)
+}
+
+// widen adapts the share of writes once a second: a little more while it is
+// wanted and none was refused, less as soon as one was.
+func (c *Client) widen() {
+	if c.now.Sub(c.boostAt) < tuning.WidenEvery {
+		return
+	}
+	switch {
+	case c.refused:
+		c.boost = max(1, c.boost*tuning.WidenBack)
+	case c.pressed:
+		c.boost = min(c.boost+tuning.WidenBy, c.most/max(c.share, 1e-9))
+	}
+	c.boostAt, c.refused, c.pressed = c.now, false, false
+	c.wps = min(c.share*c.boost, c.most)
+}
 
 // Down reports whether the last calls failed.
 func (c *Client) Down() bool { return c.failures >= 2 }
@@ -126,7 +155,9 @@
 // records that it was made from have changed, it fails, and its writes are spent
 // for nothing.
 func (c *Client) Allows(spent, writes int) bool {
-	return c.waiting == 0 && c.tokens >= 1 && c.writes-float64(spent) >= min(float64(writes), c.wps)
+	enough := c.writes-float64(spent) >= min(float64(writes), c.wps)
+	c.pressed = c.pressed || !enough
+	return c.waiting == 0 && c.tokens >= 1 && enough
 }
 
 // Spare tells whether there is budget to spare for writes without hurry.
@@ -147,6 +178,7 @@
 		c.filled = now
 		c.tokens, c.writes = c.rps/2, c.wps/2
 	}
+	c.widen()
 	dt := now.Sub(c.filled).Seconds()
 	c.filled = now
 	c.tokens = min(c.tokens+dt*c.rps, c.rps)
@@ -161,7 +193,7 @@
 					return
 				}
 				if q.puts > 0 && (short || c.writes < min(float64(q.puts), c.wps)) {
-					short = true
+					short, c.pressed = true, true
 					break
 				}
 			}
@@ -180,6 +212,7 @@
 					c.queues[p] = slices.Insert(c.queues[p], 0, q)
 					c.waiting++
 					if q.puts > 0 {
+						c.refused = true
 						c.writes = min(c.writes, 0)
 					} else {
 						c.tokens = min(c.tokens, 0)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -53,7 +53,7 @@
 		sent = append(sent, target)
 	}
 	c := New(call, call)
-	c.SetBudget(10, 10)
+	c.SetBudget(10, 10, 10)
 	now := time.Unix(0, 0)
 	c.Pump(now)
 	nop := func(*Item, error) {}
@@ -92,7 +92,7 @@
 		dones = append(dones, done)
 	}
 	c := New(call, call)
-	c.SetBudget(100, 100)
+	c.SetBudget(100, 100, 100)
 	now := time.Unix(0, 0)
 	c.Pump(now)
 	var got error
@@ -117,7 +117,7 @@
 		done(status, []byte(`{"failed":["k"],"epoch":3}`), err)
 	}
 	c := New(call, call)
-	c.SetBudget(1000, 1000)
+	c.SetBudget(1000, 1000, 1000)
 	c.Pump(time.Unix(0, 0))
 	for _, x := range []struct {
 		status int
@@ -144,3 +144,41 @@
 		t.Fatalf("told of %d changes, kept %v", told, m.Keys(""))
 	}
 }
+
+// A node's share of the changes is widened while it wants more and the service
+// refuses none, and given back when it does.
+func TestShareOfWritesAdapts(t *testing.T) {
+	status := 200
+	answer := []byte(`{"epoch":1}`)
+	call := func(_, _ string, _ []byte, _ time.Duration, done func(int, []byte, error)) { done(status, answer, nil) }
+	c := New(call, call)
+	c.SetBudget(1000, 10, 60)
+	now := time.Unix(1, 0)
+	second := func() int {
+		sent := 0
+		for range 100 {
+			now = now.Add(10 * time.Millisecond)
+			c.Pump(now)
+			for c.Allows(0, 1) {
+				c.Multi(Decision, Txn{Writes: []Write{{Put: "task/x", Value: json.RawMessage("1")}}}, func(uint64, []string, error) {})
+				sent++
+			}
+		}
+		return sent
+	}
+	for range 60 {
+		second()
+	}
+	if got := second(); got < 55 || got > 61 {
+		t.Errorf("%d writes a second with nobody else, not about 60", got)
+	}
+	status = 429
+	second()
+	status = 200
+	for range 3 {
+		second()
+	}
+	if got := second(); got > 57 {
+		t.Errorf("%d writes a second soon after a refusal", got)
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -103,6 +103,13 @@
 	// refused and repeated, at no risk.
 	WriteOvercommit  = 1.5
 	LeaderOvercommit = 1.3
+	// WidenEvery, WidenBy, WidenBack: a node that wants more changes than its share
+	// takes so much more of it each time, and goes back by this factor when the
+	// service refuses one. The leader's share was used up on days on which half
+	// of the limit was left.
+	WidenEvery = time.Second
+	WidenBy    = 0.15
+	WidenBack  = 0.75
 	// RecordLate: the record of a machine that is gone is removed with budget to
 	// spare, or at least after this.
 	RecordLate = 10 * time.Second
@@ -139,6 +146,9 @@
 	SilentShare = 0.5
 	// OutFor: how long a member that workers cannot reach stays out.
 	OutFor = 30 * time.Second
+	// LookEvery: how often a member outside the view looks whether it reaches
+	// workers.
+	LookEvery = 2 * time.Second
 	// PeerBeat: how often peers tell one another how they are.
 	PeerBeat = 500 * time.Millisecond
 	// PeerFresh: older words of a peer are not believed.
@@ -304,7 +314,7 @@
 	// after their lease has ended.
 	SilentMost = 0.34
 	// CutLeast, CutShare: a zone with at least so many quiet machines that are
-	// more than this share of its own is taken to be cut off.
+	// more than this share of its own is taken to be cut off; so is an owner.
 	CutLeast = 4
 	CutShare = 0.5
 	// SummaryHistory, steps kept per group in the summary.
@@ -361,7 +371,10 @@
 	// BootSlack: a machine that has not come up after this many times its
 	// boot time will not.
 	BootSlack = 4.0
-	// BootSlackMin: floor for that, for machines with very short boot times.
+	// BootLate: boots take up to 1.5 times the boot time, seldom several times; a
+	// machine that takes longer than this many times counts as supply no more.
+	BootLate = 1.8
+	// BootSlackMin: floor for both, for machines with very short boot times.
 	BootSlackMin = 60 * time.Second
 	// ListSlack: on top of twice the list's lag before a machine that is not
 	// listed is taken not to exist.
