Connections with nobody behind them are closed

A machine that is taken away leaves its connection open; within an hour their like would have used up the cap. Found by reading; unit test TestStaleConnections.

--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -22,6 +22,9 @@
 const (
 	// SlowRequest: a request that is not whole by then ends its connection.
 	SlowRequest = 10 * time.Second
+	// IdleClient: workers report every few seconds and users ask about as often;
+	// a connection on which nothing has come for so long has nobody behind it.
+	IdleClient = 90 * time.Second
 	// ListenerTick: how often slow connections are looked for.
 	ListenerTick = time.Second
 	// ListenAgain: pause before a failed listener is set up again; long enough
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -52,8 +52,19 @@
 	extra  bool // bytes came while a request was in work
 	closed bool
 	out    []byte
-	done   bool // close once out is written
-	since  time.Time
+	done   bool      // close once out is written
+	since  time.Time // of the request in the making
+	last   time.Time // anything came or went
+}
+
+// stale tells whether a connection is to be closed: it sits on half a request,
+// or nothing has come for so long that the other side must be gone. A machine
+// that is taken away says no goodbye; kept, its like would use up the cap.
+func (cc *clientConn) stale(now time.Time) bool {
+	if cc.busy || cc.done {
+		return false
+	}
+	return len(cc.in) > 0 && now.Sub(cc.since) > tuning.SlowRequest || now.Sub(cc.last) > tuning.IdleClient
 }
 
 // Run serves until stop is closed. evio's accept loop ends on errors such as
@@ -110,7 +121,7 @@
 func (s *Server) opened(c evio.Conn) ([]byte, evio.Options, evio.Action) {
 	opts := evio.Options{ReuseInputBuffer: true}
 	n := s.open.Add(1)
-	cc := &clientConn{since: time.Now()}
+	cc := &clientConn{since: time.Now(), last: time.Now()}
 	c.SetContext(cc)
 	s.mu.Lock()
 	s.conns[c] = cc
@@ -136,14 +147,14 @@
 	return evio.None
 }
 
-// sweep closes connections that sit on half a request for too long.
+// sweep closes stale connections.
 func (s *Server) sweep() {
 	now := time.Now()
 	var slow []evio.Conn
 	s.mu.Lock()
 	for c, cc := range s.conns {
 		cc.mu.Lock()
-		if !cc.busy && !cc.done && len(cc.in) > 0 && now.Sub(cc.since) > tuning.SlowRequest {
+		if cc.stale(now) {
 			cc.done = true
 			slow = append(slow, c)
 		}
@@ -173,6 +184,7 @@
 		}
 		return out, evio.None
 	}
+	cc.last = time.Now()
 	if cc.busy {
 		cc.extra = true
 		cc.mu.Unlock()
@@ -206,7 +218,7 @@
 		cc.mu.Unlock()
 		return
 	}
-	cc.busy = false
+	cc.busy, cc.last = false, time.Now()
 	closing := r.Close || m.Close || cc.extra
 	cc.done = closing
 	cc.out = AppendResponse(nil, r.Status, r.Body, closing, r.RetryAfter)
@@ -223,6 +235,7 @@
 	}
 	cc.in = append(cc.in, in...)
 	cc.since = time.Now()
+	cc.last = cc.since
 	for {
 		i := bytes.IndexByte(cc.in, '\n')
 		if i < 0 {
--- a/internal/wire/server_test.go
+++ b/internal/wire/server_test.go
@@ -93,6 +93,30 @@
 	answers(t, s.Front)
 }
 
+// Machines that are taken away leave their connections open: they must not use
+// up the cap for good.
+func TestStaleConnections(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(s int) time.Time { return now.Add(-time.Duration(s) * time.Second) }
+	for name, c := range map[string]struct {
+		conn *clientConn
+		want bool
+	}{
+		"fresh":                  {&clientConn{since: ago(1), last: ago(1)}, false},
+		"between reports":        {&clientConn{since: ago(30), last: ago(30)}, false},
+		"gone":                   {&clientConn{since: ago(100), last: ago(100)}, true},
+		"half a request":         {&clientConn{in: []byte("GET"), since: ago(11), last: ago(1)}, true},
+		"a request in work":      {&clientConn{busy: true, since: ago(100), last: ago(100)}, false},
+		"closing already":        {&clientConn{done: true, since: ago(100), last: ago(100)}, false},
+		"half a request, fresh":  {&clientConn{in: []byte("GET"), since: ago(1), last: ago(1)}, false},
+		"answered after a while": {&clientConn{since: ago(100), last: ago(2)}, false},
+	} {
+		if got := c.conn.stale(now); got != c.want {
+			t.Errorf("%s: stale %v", name, got)
+		}
+	}
+}
+
 func TestServerClosesBeyondItsCap(t *testing.T) {
 	s, _ := serve(t, 3)
 	for range 3 {
