--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -87,3 +87,13 @@
 		}
 	}
 }
+
+func TestImagesKeepTheMostRecentThatFit(t *testing.T) {
+	i := Images{}
+	for _, b := range []string{"a", "b", "a", "c"} {
+		i.Saw("i-1", Image{b, 4}, 10)
+	}
+	if !i.Has("i-1", "c") || !i.Has("i-1", "a") || i.Has("i-1", "b") || i.Has("i-2", "a") {
+		t.Errorf("kept %v", i["i-1"])
+	}
+}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -386,7 +386,7 @@
 	out := cands[:0]
 	for _, c := range cands {
 		for _, i := range n.images[c.Host] {
-			if need, ok := n.lead.services[i.bundle]; ok {
+			if need, ok := n.lead.services[i.Bundle]; ok {
 				c.Free = c.Free.Sub(need)
 				break
 			}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -165,10 +165,10 @@
 	reserve  map[string]reservation
 	sessions map[string]*workers.Session
 	health   map[string]*health
-	images   map[string][]image // on each machine, most recently used first
-	calls    int                // direct calls to workers under way
+	images   fleet.Images
+	calls    int // direct calls to workers under way
 
-	finals  *finalCache
+	finals  *jobs.Finals
 	readers map[string]*reader
 	polls   polls
 
@@ -223,8 +223,8 @@
 		outUntil: map[string]votedOut{}, complaints: map[string]map[string]*complaint{},
 		heard: map[string]time.Time{}, peersState: map[string]peerState{},
 		busy: map[string]bool{}, reserve: map[string]reservation{},
-		sessions: map[string]*workers.Session{}, health: map[string]*health{}, images: map[string][]image{},
-		finals: newFinalCache(set.Operator.FinalCache), readers: map[string]*reader{},
+		sessions: map[string]*workers.Session{}, health: map[string]*health{}, images: fleet.Images{},
+		finals: jobs.NewFinals(set.Operator.FinalCache), readers: map[string]*reader{},
 	}
 	n.client = store.New(out.State, out.Watch)
 	n.mirror = store.NewMirror(n.changed)
@@ -416,7 +416,7 @@
 	case hasPrefix(key, jobs.FinalPrefix):
 		var f jobs.Final
 		if json.Unmarshal(value, &f) == nil {
-			n.finals.put(key[len(jobs.FinalPrefix):], f)
+			n.finals.Put(key[len(jobs.FinalPrefix):], f)
 		}
 	}
 }
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -713,42 +713,17 @@
 }
 
 // cached tells whether a machine probably holds an image.
-func (n *Node) cached(host, bundle string) bool {
-	for _, i := range n.images[host] {
-		if i.bundle == bundle {
-			return true
-		}
-	}
-	return false
-}
-
-// image is one that a machine has, or is fetching.
-type image struct {
-	bundle string
-	gb     float64
-}
+func (n *Node) cached(host, bundle string) bool { return n.images.Has(host, bundle) }
 
-// sawImage notes that a task's image is on its machine, which keeps the most
-// recently used ones that fit its cache. Every node follows this from the
-// records; after a restart it knows only the images of tasks still there.
+// sawImage notes that a task's image is on its machine.
 func (n *Node) sawImage(t *task) {
 	m := n.machines[t.Host]
 	if t.job.rec == nil || m == nil {
 		return
 	}
-	spec := &t.job.rec.Spec
-	list := []image{{spec.Bundle, spec.PullGB}}
-	left := 0.0
+	cache := 0.0
 	if b := n.builds[m.Build]; b != nil {
-		left = b.CacheGB - spec.PullGB
-	}
-	for _, i := range n.images[t.Host] {
-		if i.bundle != spec.Bundle {
-			if left -= i.gb; left < 0 {
-				break
-			}
-			list = append(list, i)
-		}
+		cache = b.CacheGB
 	}
-	n.images[t.Host] = list
+	n.images.Saw(t.Host, fleet.Image{Bundle: t.job.rec.Spec.Bundle, GB: t.job.rec.Spec.PullGB}, cache)
 }
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -115,7 +115,7 @@
 // read finds a job's state in the state service. Only final states are
 // answered from memory.
 func (n *Node) read(uid string, done func(jobs.Final, error)) {
-	if s, ok := n.finals.get(uid); ok {
+	if s, ok := n.finals.Get(uid); ok {
 		done(s, nil)
 		return
 	}
@@ -153,7 +153,7 @@
 				return
 			}
 			f := jobs.Final{State: rec.State, Done: rec.Done}
-			n.finals.put(uid, f)
+			n.finals.Put(uid, f)
 			finish(f, nil)
 			return
 		}
@@ -173,7 +173,7 @@
 				finish(jobs.Final{}, jerr)
 				return
 			}
-			n.finals.put(uid, f)
+			n.finals.Put(uid, f)
 			finish(f, nil)
 		})
 	})
@@ -203,7 +203,7 @@
 }
 
 func (n *Node) query(uid string, respond func(wire.Reply)) {
-	if f, ok := n.finals.get(uid); ok {
+	if f, ok := n.finals.Get(uid); ok {
 		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, f, true)})
 		return
 	}
@@ -291,7 +291,7 @@
 	known := func(s jobs.Final) {
 		respond(wire.Reply{Status: 200, Body: n.statusOf(spec.UID, s, false)})
 	}
-	if s, ok := n.finals.get(spec.UID); ok {
+	if s, ok := n.finals.Get(spec.UID); ok {
 		known(s)
 		return
 	}
@@ -377,7 +377,7 @@
 }
 
 func (n *Node) abort(uid string, respond func(wire.Reply)) {
-	if s, ok := n.finals.get(uid); ok {
+	if s, ok := n.finals.Get(uid); ok {
 		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
 		return
 	}
@@ -439,31 +439,3 @@
 		done(err == nil)
 	})
 }
-
-// finalCache keeps final states, which never change, up to a bound.
-type finalCache struct {
-	most  int
-	state map[string]jobs.Final
-	order []string
-}
-
-func newFinalCache(most int) *finalCache {
-	return &finalCache{most: most, state: map[string]jobs.Final{}}
-}
-
-func (c *finalCache) get(uid string) (jobs.Final, bool) {
-	s, ok := c.state[uid]
-	return s, ok
-}
-
-func (c *finalCache) put(uid string, s jobs.Final) {
-	if _, ok := c.state[uid]; ok || (s.State != jobs.Done && s.State != jobs.Cancelled) {
-		return
-	}
-	if len(c.order) >= c.most {
-		delete(c.state, c.order[0])
-		c.order = c.order[1:]
-	}
-	c.state[uid] = s
-	c.order = append(c.order, uid)
-}
