--- /dev/null
+++ b/internal/members/complaints.go
@@ -0,0 +1,63 @@
+package members
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Complaints are reports by workers that came to another member although they
+// were sent to their owner: owner to machine.
+type Complaints map[string]map[string]*complaint
+
+type complaint struct {
+	first, last time.Time
+	here        bool // the worker came to this member
+}
+
+// Note enters a complaint; here tells that the worker came to this member and
+// that it was not heard of from a peer.
+func (c Complaints) Note(owner, host string, here bool, now time.Time) {
+	if c[owner] == nil {
+		c[owner] = map[string]*complaint{}
+	}
+	v := c[owner][host]
+	if v == nil || now.Sub(v.last) > tuning.ComplaintGap {
+		v = &complaint{first: now}
+		c[owner][host] = v
+	}
+	v.last = now
+	v.here = v.here || here
+}
+
+// Here lists machines whose workers lately came here in vain, for the peers.
+func (c Complaints) Here(now time.Time) []string {
+	var out []string
+	for _, owner := range slices.Sorted(maps.Keys(c)) {
+		for _, host := range slices.Sorted(maps.Keys(c[owner])) {
+			if v := c[owner][host]; v.here && now.Sub(v.last) < tuning.PeerBeat && len(out) < tuning.MaxUnreached {
+				out = append(out, host)
+			}
+		}
+	}
+	return out
+}
+
+// Lasting counts by owner the machines that have complained for long. Those that
+// stopped, or have another owner by now, are dropped.
+func (c Complaints) Lasting(now time.Time, ownerOf func(host string) string) map[string]int {
+	out := map[string]int{}
+	for owner, hosts := range c {
+		for h, v := range hosts {
+			switch {
+			case now.Sub(v.last) > tuning.ComplaintGap || ownerOf(h) != owner:
+				delete(hosts, h)
+			case v.last.Sub(v.first) >= tuning.SilentOwner:
+				out[owner]++
+			}
+		}
+	}
+	return out
+}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -46,7 +46,7 @@
 	for _, s := range n.sessions {
 		s.StoodStill(gap)
 	}
-	n.complaints = map[string]map[string]*complaint{}
+	n.complaints = members.Complaints{}
 	n.lead.since = n.now
 	if gap < n.memberTTL()-tuning.MemberRenew-tuning.Standstill/2 {
 		return
@@ -224,23 +224,13 @@
 			n.keepSession(m)
 		}
 	}
-	n.complaints = map[string]map[string]*complaint{}
+	n.complaints = members.Complaints{}
 	n.lastSweep = time.Time{}
 }
 
 // complain notes a report by a worker that was sent to its owner.
-func (n *Node) complain(owner, host string) {
-	m := n.complaints[owner]
-	if m == nil {
-		m = map[string]*complaint{}
-		n.complaints[owner] = m
-	}
-	c := m[host]
-	if c == nil || n.now.Sub(c.last) > tuning.ComplaintGap {
-		c = &complaint{first: n.now}
-		m[host] = c
-	}
-	c.last = n.now
+func (n *Node) complain(owner, host string, here bool) {
+	n.complaints.Note(owner, host, here, n.now)
 	n.heard[host] = n.now
 }
 
@@ -262,25 +252,17 @@
 	if n.role == members.Outside {
 		return out
 	}
+	lasting := n.complaints.Lasting(n.now, n.owner)
+	if len(lasting) == 0 {
+		return out
+	}
 	owned := map[string]int{}
-	if len(n.complaints) > 0 {
-		for _, m := range n.machines {
-			owned[m.owner]++
-		}
+	for _, m := range n.machines {
+		owned[m.owner]++
 	}
-	for owner, hosts := range n.complaints {
-		lasting := 0
-		for h, c := range hosts {
-			if n.now.Sub(c.last) > tuning.ComplaintGap || n.owner(h) != owner {
-				delete(hosts, h)
-				continue
-			}
-			if c.last.Sub(c.first) >= tuning.SilentOwner {
-				lasting++
-			}
-		}
-		if lasting > 0 && float64(lasting) >= tuning.SilentShare*float64(owned[owner]) && !out[owner] {
-			n.log.Info("workers cannot reach a member", "member", owner, "machines", lasting)
+	for owner, machines := range lasting {
+		if float64(machines) >= tuning.SilentShare*float64(owned[owner]) && !out[owner] {
+			n.log.Info("workers cannot reach a member", "member", owner, "machines", machines)
 			n.outUntil[owner] = votedOut{n.memberInc(owner), n.now.Add(tuning.OutFor)}
 			out[owner] = true
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,8 +154,8 @@
 	role        members.Role
 	roleEpoch   uint64
 	outUntil    map[string]votedOut
-	complaints  map[string]map[string]*complaint // owner to machine
-	heard       map[string]time.Time             // machine to last report that its owner did not get
+	complaints  members.Complaints
+	heard       map[string]time.Time // machine to last report that its owner did not get
 	peersState  map[string]peerState
 	lastHint    time.Time
 	hintedEpoch uint64
@@ -194,11 +194,6 @@
 	until time.Time
 }
 
-type complaint struct {
-	first, last time.Time
-	here        bool // the worker came to this node
-}
-
 // reservation is a release or placement whose transaction runs: it takes room
 // on its machine, counts for its zone and is charged to its team already.
 type reservation struct {
@@ -220,7 +215,7 @@
 		touched: map[string]bool{}, revisit: map[string]bool{},
 		queued: map[string]*job{}, complete: map[string]*job{}, closed: map[string]*job{},
 		builds: map[string]*jobs.Build{}, role: members.Outside, certain: members.Certainty{Standing: members.Sure},
-		outUntil: map[string]votedOut{}, complaints: map[string]map[string]*complaint{},
+		outUntil: map[string]votedOut{}, complaints: members.Complaints{},
 		heard: map[string]time.Time{}, peersState: map[string]peerState{},
 		busy: map[string]bool{}, reserve: map[string]reservation{},
 		sessions: map[string]*workers.Session{}, health: map[string]*health{}, images: fleet.Images{},
@@ -321,22 +316,9 @@
 	// which need not be the leader.
 	for _, host := range h.Unreached[:min(len(h.Unreached), tuning.MaxUnreached)] {
 		if owner := n.owner(host); owner != h.From && n.machines[host] != nil {
-			n.complain(owner, host)
-		}
-	}
-}
-
-// unreached lists machines whose workers lately came here in vain.
-func (n *Node) unreached() []string {
-	var out []string
-	for _, owner := range sorted(n.complaints) {
-		for _, host := range sorted(n.complaints[owner]) {
-			if c := n.complaints[owner][host]; c.here && n.now.Sub(c.last) < tuning.PeerBeat && len(out) < tuning.MaxUnreached {
-				out = append(out, host)
-			}
+			n.complain(owner, host, false)
 		}
 	}
-	return out
 }
 
 func (n *Node) sayHints() {
@@ -348,7 +330,7 @@
 		return
 	}
 	n.lastHint, n.hintedEpoch = n.now, n.mirror.Epoch
-	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.blind, Unreached: n.unreached()})
+	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.blind, Unreached: n.complaints.Here(n.now)})
 	for _, p := range n.set.Peers {
 		n.out.Hint(p.NodeName, line)
 	}
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -52,8 +52,7 @@
 	}
 	if owner != n.set.NodeName {
 		if n.machines[r.Host] != nil {
-			n.complain(owner, r.Host)
-			n.complaints[owner][r.Host].here = true
+			n.complain(owner, r.Host, true)
 		}
 		respond(misdirected(owner))
 		return
