--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -28,11 +28,9 @@
 	since      time.Time            // when this node came to lead
 	condemnAt  time.Time
 	movedAt    time.Time
-	releasedAt time.Time             // last look at the queue
-	turn       int                   // which duty has the first go at the budget
-	waiting    []*waiting            // tasks that found no room in the last pass
-	services   map[string]parts.Room // what a replica needs, by image
-	servicesAt time.Time
+	releasedAt time.Time  // last look at the queue
+	turn       int        // which duty has the first go at the budget
+	waiting    []*waiting // tasks that found no room in the last pass
 	cloud      cloudState
 }
 
@@ -364,54 +362,9 @@
 func (p *pass) board(n *Node, t *task) []parts.Candidate {
 	spec := &t.job.rec.Spec
 	p.cands = n.board(p.cands, p.open(n), func(m *machine) bool { return suits(t, m) }, spec)
-	if spec.RankOrder() == jobs.Ranks-1 {
-		p.cands = n.leaveRoom(p.cands, spec)
-	}
 	return p.cands
 }
 
-// leaveRoom takes from the room of each candidate what a replica needs whose
-// image is there: idle work that filled every machine to the brim would make
-// services, which have to start at once, wait for it to stop and save.
-func (n *Node) leaveRoom(cands []parts.Candidate, spec *jobs.Spec) []parts.Candidate {
-	if n.now.Sub(n.lead.servicesAt) > tuning.ServicesEvery {
-		n.lead.servicesAt = n.now
-		n.lead.services = map[string]parts.Room{}
-		for _, uid := range sorted(n.jobs) {
-			if j := n.jobs[uid]; j.rec != nil && j.rec.State == jobs.Live && j.rec.Spec.Shape == jobs.Standing {
-				n.lead.services[j.rec.Spec.Bundle] = j.rec.Spec.Need()
-			}
-		}
-	}
-	out := cands[:0]
-	for _, c := range cands {
-		for _, i := range n.images[c.Host] {
-			if need, ok := n.lead.services[i.Bundle]; ok {
-				c.Free = c.Free.Sub(need)
-				break
-			}
-		}
-		if c.Free.Fits(spec.Need()) {
-			out = append(out, c)
-		}
-	}
-	return out
-}
-
-// open lists the machines that the leader may have room on in mind. It is the
-// same for every job of a pass, and a look at a machine's standing costs more
-// than one at its room.
-func (p *pass) open(n *Node) []*machine {
-	if p.machines == nil {
-		for _, m := range n.byName() {
-			if m.State == fleet.Up && n.openFor(m) {
-				p.machines = append(p.machines, m)
-			}
-		}
-	}
-	return p.machines
-}
-
 // writes is how many records the pass's decisions write, at most.
 func (p *pass) writes() int {
 	sum := 0
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -287,8 +287,6 @@
 	HoldAgain = 500 * time.Millisecond
 	// HoldEach: machines kept for one job.
 	HoldEach = 4
-	// ServicesEvery: how often it is looked up which images are services'.
-	ServicesEvery = 2 * time.Second
 	// MostSearches: looks for tasks to stop in one pass; each is a look at all
 	// machines and what is on them.
 	MostSearches = 4
