--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -360,11 +360,24 @@
 
 // board lists the machines with room for a task; it holds until the next.
 func (p *pass) board(n *Node, t *task) []parts.Candidate {
-	spec := &t.job.rec.Spec
-	p.cands = n.board(p.cands, p.open(n), func(m *machine) bool { return suits(t, m) }, spec)
+	p.cands = n.board(p.cands, p.open(n), func(m *machine) bool { return suits(t, m) }, &t.job.rec.Spec)
 	return p.cands
 }
 
+// open lists the machines that the leader may have room on in mind. It is the
+// same for every job of a pass, and a look at a machine's standing costs more
+// than one at its room.
+func (p *pass) open(n *Node) []*machine {
+	if p.machines == nil {
+		for _, m := range n.byName() {
+			if m.State == fleet.Up && n.openFor(m) {
+				p.machines = append(p.machines, m)
+			}
+		}
+	}
+	return p.machines
+}
+
 // writes is how many records the pass's decisions write, at most.
 func (p *pass) writes() int {
 	sum := 0
