--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -817,6 +817,7 @@
 func (n *Node) holdFor(t *task, count int, zones map[string]int, p *pass) {
 	spec := &t.job.rec.Spec
 	kept := n.lead.holds[t.job.uid]
+	zones = maps.Clone(zones)
 	if n.now.Sub(kept.at) > tuning.HoldAgain {
 		kept = hold{at: n.now}
 		for range count {
@@ -824,10 +825,13 @@
 				break
 			}
 			p.chosen++
-			if h := n.fullest(t, zones, p); h != "" {
-				kept.hosts = append(kept.hosts, h)
-				p.held[h] = true
+			m := n.fullest(t, zones, p)
+			if m == nil {
+				break
 			}
+			kept.hosts = append(kept.hosts, m.name)
+			p.held[m.name] = true
+			zones[m.Site]++
 		}
 		n.lead.holds[t.job.uid] = kept
 	}
@@ -846,11 +850,12 @@
 }
 
 // fullest is the machine that lacks least for a task.
-func (n *Node) fullest(t *task, zones map[string]int, p *pass) string {
+func (n *Node) fullest(t *task, zones map[string]int, p *pass) *machine {
 	spec := &t.job.rec.Spec
-	best, most := "", -1.0
-	for _, m := range n.byName() {
-		if m.State != fleet.Up || p.held[m.name] || !n.offers(t, m) || !zoneAllowed(spec, zones, m.Site) {
+	var best *machine
+	most := -1.0
+	for _, m := range p.open(n) {
+		if p.held[m.name] || !suits(t, m) || !zoneAllowed(spec, zones, m.Site) {
 			continue
 		}
 		whole := n.builds[m.Build].Whole()
@@ -859,7 +864,7 @@
 		}
 		// By how much of the task would fit.
 		if part := 1 / max(spec.Need().Share(whole.Sub(m.use.room)), 1e-9); part > most {
-			best, most = m.name, part
+			best, most = m, part
 		}
 	}
 	return best
@@ -1134,6 +1139,7 @@
 	}
 	if offers == nil {
 		n.lead.waiting = append(n.lead.waiting, &waiting{t: all[0], count: spec.Pieces, rank: spec.RankOrder(), within: within})
+		n.holdFor(all[0].anywhere(), min(spec.Pieces, tuning.HoldEach), n.zones(j), p)
 		return
 	}
 	if whole {
