--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -164,7 +164,7 @@
 	ending   int             // writes of jobs' ends under way
 	reserve  map[string]reservation
 	sessions map[string]*workers.Session
-	health   map[string]*health
+	health   map[string]*fleet.Health
 	images   fleet.Images
 	calls    int // direct calls to workers under way
 
@@ -218,7 +218,7 @@
 		outUntil: map[string]votedOut{}, complaints: members.Complaints{},
 		heard: map[string]time.Time{}, peersState: map[string]peerState{},
 		busy: map[string]bool{}, reserve: map[string]reservation{},
-		sessions: map[string]*workers.Session{}, health: map[string]*health{}, images: fleet.Images{},
+		sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{}, images: fleet.Images{},
 		finals: jobs.NewFinals(set.Operator.FinalCache), readers: map[string]*reader{},
 	}
 	n.client = store.New(out.State, out.Watch)
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -16,18 +16,10 @@
 	"github.com/harrierreel/harrierreel/internal/workers"
 )
 
-// health is what an owner remembers of a machine's failures. It is lost with
-// the owner, which costs a few more failures and nothing else.
-type health struct {
-	restUntil time.Time
-	blamed    map[string]bool // jobs whose tasks failed here since the last success
-	failures  int
-}
-
-func (n *Node) healthOf(host string) *health {
+func (n *Node) healthOf(host string) *fleet.Health {
 	h := n.health[host]
 	if h == nil {
-		h = &health{blamed: map[string]bool{}}
+		h = &fleet.Health{}
 		n.health[host] = h
 	}
 	return h
@@ -231,7 +223,7 @@
 	}
 	switch p.Cause {
 	case workers.CauseDone:
-		h.blamed, h.failures = map[string]bool{}, 0
+		h.Succeeded()
 		if t.job.rec.Spec.Shape == jobs.Standing {
 			return n.gone(t, jobs.Gone, 0)
 		}
@@ -246,7 +238,7 @@
 	case workers.CauseNoSuch:
 		return n.gone(t, jobs.Fail, backoff(t.Fails))
 	case workers.CauseNoRoom, workers.CauseInUse:
-		h.restUntil = n.now.Add(tuning.RefusedRest)
+		h.Rest(n.now.Add(tuning.RefusedRest))
 		return n.gone(t, jobs.Gone, tuning.Backoff)
 	}
 	return n.gone(t, jobs.Gone, 0)
@@ -278,21 +270,15 @@
 // blame tells a faulty machine from a faulty job. A job that has failed on
 // several machines is itself to blame and costs no machine; a machine on which
 // several blameless jobs fail, or one that others finish elsewhere, is faulty.
-func (n *Node) blame(host string, h *health, t *task) {
+func (n *Node) blame(host string, h *fleet.Health, t *task) {
 	if n.trust(t.job, host) == jobs.Probing {
 		return
 	}
-	h.blamed[t.job.uid] = true
-	h.failures++
-	h.restUntil = n.now.Add(tuning.ErrorRest)
-	// What has turned out since to fail everywhere speaks against no machine.
-	blameless := 0
-	for uid := range h.blamed {
-		if j := n.jobs[uid]; j != nil && j.rec != nil && j.rec.State == jobs.Live && n.trust(j, "") == jobs.Trusted {
-			blameless++
-		}
+	blameless := func(uid string) bool {
+		j := n.jobs[uid]
+		return j != nil && j.rec != nil && j.rec.State == jobs.Live && n.trust(j, "") == jobs.Trusted
 	}
-	if blameless >= tuning.ErrorsFaulty || (h.failures >= tuning.ErrorsBlame && t.job.done > 0) {
+	if h.Failed(t.job.uid, n.now, t.job.done > 0, blameless) {
 		n.moveMachine(host, fleet.Sick, "tasks fail on it")
 	}
 }
@@ -539,8 +525,7 @@
 		if err != nil || (status != 200 && status != 409) || json.Unmarshal(answer, &r) != nil || r.Host != s.Host {
 			n.log.Debug("command without answer", "machine", s.Host, "status", status, "error", err)
 			s.Unanswered()
-			h := n.healthOf(s.Host)
-			h.restUntil = n.now.Add(tuning.UnansweredRest)
+			n.healthOf(s.Host).Rest(n.now.Add(tuning.UnansweredRest))
 			return
 		}
 		if status == 409 {
@@ -668,8 +653,7 @@
 	if _, draining := n.summary.Drain[m.name]; draining {
 		return false
 	}
-	h := n.health[m.name]
-	return h == nil || !n.now.Before(h.restUntil)
+	return !n.health[m.name].Rests(n.now)
 }
 
 // suits tells whether a task may be on a kind of machine, and on this one after
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -39,7 +39,7 @@
 	EventQueue = 4096
 	// MemoryShare: part of the memory limit that the garbage collector aims to
 	// stay in; the rest is for stacks, buffers and the program itself.
-	MemoryShare = 0.6
+	MemoryShare = 0.8
 	// ReservedSockets: descriptors kept back from users for our own calls,
 	// epoll and logs.
 	ReservedSockets = 400
