--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -504,7 +504,7 @@
 		}
 	}
 	probing := n.trust(j, "") == jobs.Probing
-	tasks := n.pending(j, min(most, room+tuning.WaitingEach))
+	tasks := n.pending(j, min(most, room+tuning.WaitingEach, n.unstarted(j)))
 	if probing {
 		tasks = n.probe(j)
 	}
@@ -671,22 +671,22 @@
 	})
 }
 
+// unstarted is how many more tasks of a job may start by now. Of a very large one
+// only so many are under way at once: with all of 100,000 tasks of some seconds on
+// machines, their reports took all of the controllers' processor time.
+func (n *Node) unstarted(j *job) int {
+	return max(0, min(j.rec.Spec.Pieces-j.done, tuning.MostActive)-len(j.active))
+}
+
 // wait notes tasks that found no room: they keep their turn, and a machine is
 // kept for the first of them.
 func (n *Node) wait(j *job, tasks []*task, within bool, zones map[string]int, p *pass) {
 	spec := &j.rec.Spec
-	team := n.teams[spec.Owner]
-	count := 0
-	for range j.rec.Spec.Pieces - j.done - len(j.active) {
-		if !team.Allows(p.account.Used(spec.Owner).Add(spec.Amount(), 1)) {
-			break
-		}
-		p.account.Charge(spec.Owner, spec.Amount(), 1) // keeps its turn
-		count++
-	}
+	count := n.teams[spec.Owner].More(p.account.Used(spec.Owner), spec.Amount(), n.unstarted(j))
 	if count == 0 {
 		return
 	}
+	p.account.Charge(spec.Owner, spec.Amount(), float64(count)) // keeps its turn
 	n.lead.waiting = append(n.lead.waiting, &waiting{t: tasks[0], tasks: tasks[:min(count, len(tasks))], count: count, rank: spec.RankOrder(), within: within})
 	n.holdFor(tasks[0], min(count, tuning.HoldEach), zones, p)
 }
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -11,6 +11,7 @@
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
 // leading is a node that leads by itself over so many machines of 16 places,
@@ -65,6 +66,17 @@
 	}
 }
 
+// Of a very large job no more is asked for, or rented for, than may be under way.
+func TestHugeJobIsTakenInPieces(t *testing.T) {
+	n := leading(0, 0, 60)
+	spec := jobs.Spec{UID: "wk-000007", Class: "c", Owner: "team", Shape: jobs.Sweep, Rank: "idle", Pieces: 100000, Cores: 1, MemoryGB: 1, Bundle: "b"}
+	n.mirror.Put(jobs.JobPrefix+spec.UID, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: spec}), 9000)
+	n.release()
+	if len(n.lead.waiting) != 1 || n.lead.waiting[0].count != tuning.MostActive {
+		t.Errorf("what waits: %+v", n.lead.waiting)
+	}
+}
+
 // A sweep of one task is over with the report of its end: its final state comes
 // in place of its records at once, but not all such ends at the same time.
 func TestEndsOfASwarm(t *testing.T) {
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -2,7 +2,10 @@
 // charges a task when it releases it and uncharges it once it is truly gone.
 package quota
 
-import "maps"
+import (
+	"maps"
+	"math"
+)
 
 // Amount is what teams are measured in.
 type Amount struct {
@@ -28,6 +31,21 @@
 	return inside(want.Cores, t.Max.Cores) && inside(want.Accelerators, t.Max.Accelerators)
 }
 
+// More is how many more tasks of amount each, up to most, a team may have on top
+// of what it uses.
+func (t Team) More(used, each Amount, most int) int {
+	for _, r := range [][3]float64{{used.Cores, each.Cores, t.Max.Cores}, {used.Accelerators, each.Accelerators, t.Max.Accelerators}} {
+		switch now, one, limit := r[0], r[1], r[2]; {
+		case limit == 0:
+		case now > limit+slack:
+			return 0
+		case one > 0:
+			most = min(most, int(math.Floor((limit+slack-now)/one)))
+		}
+	}
+	return max(most, 0)
+}
+
 // Guarantees tells whether a total use of want is inside the team's guarantee.
 // A guarantee of 0 in one resource says nothing about it while the other
 // resource has one.
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -20,3 +20,22 @@
 		t.Error(a.Used("x"))
 	}
 }
+
+// A job of 100,000 tasks must not be counted one by one on every pass; the count
+// is what counting gives.
+func TestMoreIsWhatCountingGives(t *testing.T) {
+	for _, team := range []Team{{}, {Max: Amount{Cores: 10}}, {Max: Amount{Accelerators: 7}}, {Max: Amount{Cores: 9.5, Accelerators: 3}}} {
+		for _, used := range []Amount{{}, {Cores: 2.5, Accelerators: 1}, {Cores: 9.5, Accelerators: 3}, {Cores: 50, Accelerators: 50}} {
+			for _, each := range []Amount{{Cores: 1}, {Accelerators: 1}, {Cores: 0.7, Accelerators: 0.5}} {
+				count, sum := 0, used
+				for count < 20 && team.Allows(sum.Add(each, 1)) {
+					sum = sum.Add(each, 1)
+					count++
+				}
+				if got := team.More(used, each, 20); got != count {
+					t.Errorf("%v with %v used, %v each: %d, counted %d", team.Max, used, each, got, count)
+				}
+			}
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -300,6 +300,9 @@
 	// MoveAfter: a replica younger than this is not moved; its start would have
 	// been for nothing.
 	MoveAfter = 35 * time.Second
+	// MostActive: tasks of one job released or on machines at once. A machine with
+	// hundreds of short tasks reports them all twice a second.
+	MostActive = 8000
 	// MostReleases: tasks looked at for release in one pass; bounds the time a
 	// pass takes with very large sweeps waiting.
 	MostReleases = 400
