--- a/internal/workers/session_test.go
+++ b/internal/workers/session_test.go
@@ -136,3 +136,20 @@
 		t.Errorf("%s", v)
 	}
 }
+
+// Time in which the owner stood still is not the machine's silence; the cloud's
+// notice runs on.
+func TestStandstillIsNotSilence(t *testing.T) {
+	start := time.Unix(1000, 0)
+	s := NewSession("i-1", 1, start)
+	warning := 20.0
+	s.Accept(&Report{Host: "i-1", Tenure: 1, Tick: 1, WarningS: &warning}, start, nil)
+	s.StoodStill(15 * time.Second)
+	now := start.Add(16 * time.Second)
+	if quiet := now.Sub(s.LastReport); quiet != time.Second {
+		t.Errorf("silent for %v", quiet)
+	}
+	if left := *s.Warning - now.Sub(s.LastReport).Seconds(); left != 4 {
+		t.Errorf("%v s left of the notice", left)
+	}
+}
