--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -392,6 +392,9 @@
 		n.command(s, rv.orders)
 	}
 	clear(n.touched)
+	// Where the budget does not allow all, a guest's thousands of ends must not
+	// stand before those that others wait for.
+	sort.SliceStable(ds, func(a, b int) bool { return ds[a].rank() < ds[b].rank() })
 	n.commit(ds)
 }
 
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -145,6 +145,14 @@
 	return w.Remove
 }
 
+// rank is the rank of the job whose tasks a decision changes, the first for others.
+func (d *decision) rank() int {
+	if len(d.changes) == 0 || d.changes[0].t.job.rec == nil {
+		return 0
+	}
+	return d.changes[0].t.job.rec.Spec.RankOrder()
+}
+
 // keys lists the records that a decision writes.
 func (d *decision) keys() []string {
 	out := make([]string, 0, len(d.writes)+1)
