--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -49,6 +49,11 @@
 	}
 }
 
+// isUsers tells a user's request from a worker's or the load balancer's.
+func isUsers(m *wire.Message) bool {
+	return m.Target == "/work" || strings.HasPrefix(m.Target, "/work/") || strings.HasPrefix(m.Target, "/work?")
+}
+
 func method(m *wire.Message, want string, respond func(wire.Reply)) bool {
 	if m.Method != want {
 		respond(wire.Reply{Status: 405, Body: errorBody("use " + want)})
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -43,6 +43,9 @@
 	// ReservedSockets: descriptors kept back from users for our own calls,
 	// epoll and logs.
 	ReservedSockets = 400
+	// UserConns: share of the connections that users may keep open; the rest is
+	// for workers, who must not be crowded out when users ask many times as often.
+	UserConns = 0.6
 	// StateConns, connections kept to the state service: one per concurrent
 	// call at the highest rate (250/s at 10 ms) and some air.
 	StateConns = 8
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -25,6 +25,11 @@
 type Server struct {
 	Front, Peer string
 	MaxConns    int
+	// IsGuest, if set, tells a guest's request: users come in any number, workers
+	// do not. Beyond MaxGuests of them a guest's connection ends with its answer,
+	// so that users who keep theirs open leave room for workers.
+	IsGuest   func(m *Message) bool
+	MaxGuests int
 	// Handle is called on the listener's goroutine. It must call respond
 	// exactly once, now or later, from any goroutine.
 	Handle func(m *Message, respond func(Reply))
@@ -34,6 +39,7 @@
 	Listening func()
 
 	open  atomic.Int64
+	guest atomic.Int64
 	mu    sync.Mutex
 	conns map[evio.Conn]*clientConn
 	// Down tells how often the listener had to be set up anew.
@@ -53,6 +59,7 @@
 	closed bool
 	out    []byte
 	done   bool      // close once out is written
+	guest  bool      // has sent a guest's request
 	since  time.Time // of the request in the making
 	last   time.Time // anything came or went
 }
@@ -88,6 +95,7 @@
 	s.conns = map[evio.Conn]*clientConn{}
 	s.mu.Unlock()
 	s.open.Store(0)
+	s.guest.Store(0)
 	ev := evio.Events{NumLoops: 1}
 	ev.Serving = func(evio.Server) evio.Action {
 		if s.Listening != nil {
@@ -142,6 +150,9 @@
 	if cc, ok := c.Context().(*clientConn); ok {
 		cc.mu.Lock()
 		cc.closed = true
+		if cc.guest {
+			s.guest.Add(-1)
+		}
 		cc.mu.Unlock()
 	}
 	return evio.None
@@ -207,8 +218,16 @@
 	cc.extra = used < len(cc.in)
 	cc.in = nil
 	cc.busy = true
+	if !cc.guest && s.IsGuest != nil && s.IsGuest(m) {
+		cc.guest = true
+		s.guest.Add(1)
+	}
+	crowded := cc.guest && int(s.guest.Load()) > s.MaxGuests
 	cc.mu.Unlock()
-	s.Handle(m, func(r Reply) { answer(c, cc, m, r) })
+	s.Handle(m, func(r Reply) {
+		r.Close = r.Close || crowded
+		answer(c, cc, m, r)
+	})
 	return nil, evio.None
 }
 
