--- a/cmd/harrierreel/main.go
+++ b/cmd/harrierreel/main.go
@@ -14,6 +14,8 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/harrierreel/harrierreel/examples"
+	"github.com/harrierreel/harrierreel/internal/cli"
 	// The program must be linked against the system's C library.
 	_ "github.com/harrierreel/harrierreel/internal/libc"
 	"github.com/harrierreel/harrierreel/internal/node"
@@ -22,24 +24,19 @@
 
 const version = "0.1.0"
 
-// errSettings marks faults in the settings: exit 2.
-var errSettings = errors.New("bad settings")
-
 func main() {
-	err := root().Execute()
-	switch {
-	case err == nil:
-	case errors.Is(err, errSettings):
-		os.Exit(2)
-	default:
-		fmt.Fprintln(os.Stderr, "harrierreel:", err)
-		os.Exit(1)
+	code, text := cli.Code(root().Execute())
+	if text != "" {
+		fmt.Fprintln(os.Stderr, "harrierreel:", text)
 	}
+	os.Exit(code)
 }
 
 func root() *cobra.Command {
 	cmd := &cobra.Command{Use: "harrierreel", Short: "A cluster scheduler", SilenceUsage: true, SilenceErrors: true}
-	cmd.AddCommand(serve(), &cobra.Command{
+	cmd.AddCommand(serve(), cli.Try(logger(slog.LevelError), examples.KisiiPayouts))
+	cmd.AddCommand(cli.Commands()...)
+	cmd.AddCommand(&cobra.Command{
 		Use: "version", Short: "Print the version", Args: cobra.NoArgs,
 		Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), "harrierreel", version) },
 	})
@@ -51,36 +48,42 @@
 	cmd := &cobra.Command{
 		Use: "serve", Short: "Run one controller", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level(os.Getenv("LOG_LEVEL"))}))
+			log := logger(slog.LevelInfo)
+			if file == "" {
+				fmt.Fprintln(os.Stderr, "harrierreel: settings: --config: is missing; expected the platform's settings file")
+				return &cli.Exit{Code: cli.ExitUsage}
+			}
 			set, err := settings.Load(file, operator)
 			if err != nil {
 				for _, line := range strings.Split(err.Error(), "\n") {
 					fmt.Fprintln(os.Stderr, "harrierreel: settings:", line)
 				}
-				return errSettings
+				return &cli.Exit{Code: cli.ExitUsage}
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			log.Info("starting", "node", node.Describe(set), "version", version)
 			if err := node.Serve(ctx, set, log); !errors.Is(err, context.Canceled) {
-				return err
+				return &cli.Exit{Code: cli.ExitFailed, Text: err.Error()}
 			}
 			return nil
 		},
 	}
 	cmd.Flags().StringVar(&file, "config", "", "the platform's settings file (TOML)")
 	cmd.Flags().StringVar(&operator, "operator", os.Getenv("HARRIERREEL_OPERATOR"), "the operators' own settings (HCL), optional; also HARRIERREEL_OPERATOR")
-	_ = cmd.MarkFlagRequired("config")
 	return cmd
 }
 
-// level reads LOG_LEVEL; anything else is info.
-func level(s string) slog.Level {
-	switch s {
+// logger writes to standard error at the level that LOG_LEVEL names.
+func logger(otherwise slog.Level) *slog.Logger {
+	level := otherwise
+	switch os.Getenv("LOG_LEVEL") {
 	case "error":
-		return slog.LevelError
+		level = slog.LevelError
+	case "info":
+		level = slog.LevelInfo
 	case "debug":
-		return slog.LevelDebug
+		level = slog.LevelDebug
 	}
-	return slog.LevelInfo
+	return slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 }
--- a/internal/pipefile/pipefile.go
+++ b/internal/pipefile/pipefile.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"os"
 	"sort"
@@ -51,8 +52,39 @@
 
 type place struct{ line, column int }
 
-// Load reads and checks a file; "-" is standard input.
+// Load reads and checks a pipeline file; "-" is standard input.
 func Load(name string) (*File, []Fault) {
+	text, faults := text(name)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return Parse(name, text)
+}
+
+// LoadJob reads and checks a file with one job, its fields as in a submission; a
+// uid that is missing is taken from newUID.
+func LoadJob(name string, newUID func() string) (*jobs.Spec, []Fault) {
+	text, faults := text(name)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	f, faults := read(name, text)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	if f.Doc != nil && f.Doc["uid"] == nil {
+		f.Doc["uid"] = newUID()
+	}
+	spec, wrong := jobs.CheckSpec(jobs.Encode(f.Doc))
+	var out []pipelines.Fault
+	for _, w := range wrong {
+		out = append(out, pipelines.Fault{Path: w.Field, Want: w.What})
+	}
+	return spec, f.Place(out)
+}
+
+// text reads a file's text, up to its limit and one byte more.
+func text(name string) ([]byte, []Fault) {
 	whole := func(what string) []Fault { return []Fault{{File: name, Want: what}} }
 	in := os.Stdin
 	if name != "-" {
@@ -67,20 +99,29 @@
 		defer f.Close()
 		in = f
 	}
-	b := make([]byte, tuning.MostPipelineBytes+1)
-	n := 0
-	for n < len(b) {
-		got, err := in.Read(b[n:])
-		n += got
-		if err != nil {
-			break
-		}
+	b, err := io.ReadAll(io.LimitReader(in, tuning.MostPipelineBytes+1))
+	if err != nil {
+		return nil, whole("can't be read: " + err.Error())
 	}
-	return Parse(name, b[:n])
+	return b, nil
 }
 
-// Parse reads and checks a file's text.
+// Parse reads and checks a pipeline file's text.
 func Parse(name string, text []byte) (*File, []Fault) {
+	f, faults := read(name, text)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	plan, wrong := pipelines.Compile(anyOf(f.Doc))
+	if len(wrong) > 0 {
+		return nil, f.Place(wrong)
+	}
+	f.Plan = plan
+	return f, nil
+}
+
+// read reads the YAML of a file.
+func read(name string, text []byte) (*File, []Fault) {
 	if len(text) > tuning.MostPipelineBytes {
 		return nil, []Fault{{File: name, Want: fmt.Sprintf("expected at most %d bytes", tuning.MostPipelineBytes)}}
 	}
@@ -111,11 +152,6 @@
 		return nil, r.faults
 	}
 	f.Doc = doc
-	plan, faults := pipelines.Compile(anyOf(doc))
-	if len(faults) > 0 {
-		return nil, f.Place(faults)
-	}
-	f.Plan = plan
 	return f, nil
 }
 
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -1,9 +1,11 @@
 package settings
 
 import (
+	"errors"
 	"fmt"
 	"math"
 
+	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/hclsimple"
 
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -81,7 +83,15 @@
 	}
 	var f operatorFile
 	if err := hclsimple.DecodeFile(file, nil, &f); err != nil {
-		return op, []error{err}
+		var all hcl.Diagnostics
+		if !errors.As(err, &all) {
+			return op, []error{err}
+		}
+		var errs []error
+		for _, d := range all {
+			errs = append(errs, d)
+		}
+		return op, errs
 	}
 	c := &check{}
 	if s := f.Scaler; s != nil {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,9 +7,10 @@
 	"fmt"
 	"net"
 	"os"
+	"regexp"
+	"slices"
 	"strconv"
-
-	"github.com/pelletier/go-toml/v2"
+	"strings"
 
 	"github.com/harrierreel/harrierreel/internal/quota"
 )
@@ -116,10 +117,8 @@
 // Parse reads and checks the platform's file. Unknown fields are ignored.
 func Parse(b []byte) (*Settings, []error) {
 	s := &Settings{}
-	if err := toml.Unmarshal(b, s); err != nil {
-		return s, []error{fmt.Errorf("settings: %w", err)}
-	}
-	c := &check{}
+	faults, fields := decode(b, s)
+	c := &check{errs: faults, told: fields}
 	c.that(s.NodeName != "", "node_name", "is missing")
 	c.address("front", s.Front)
 	c.address("peer_listen", s.PeerListen)
@@ -175,10 +174,16 @@
 	return out
 }
 
-type check struct{ errs []error }
+// index is the place in a list that a field's name may hold.
+var index = regexp.MustCompile(`\[\d+\]`)
+
+type check struct {
+	errs []error
+	told []string // fields whose form is faulty already
+}
 
 func (c *check) that(ok bool, field, what string) {
-	if !ok {
+	if !ok && !slices.Contains(c.told, index.ReplaceAllString(field, "")) && !slices.Contains(c.told, field[strings.LastIndexByte(field, '.')+1:]) {
 		c.errs = append(c.errs, fmt.Errorf("%s: %s", field, what))
 	}
 }
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -68,6 +68,21 @@
 	}
 }
 
+func TestEveryFaultOfFormIsNamed(t *testing.T) {
+	bad := strings.NewReplacer(`size = 2`, `size = "two"`, `gpus_max = 4.0`, `gpus_max = [4]`, `rps = 3.0`, `rps = = 3.0`,
+		`node_name = "n1"`, `node_name = 7`, `txn_ops = 16`, `txn_ops = 1`).Replace(good)
+	_, errs := Parse([]byte(bad))
+	text := errors.Join(errs...).Error()
+	for _, want := range []string{"cluster.size: line 15,", "cluster.teams.gpus_max: line 19,", "rps: line 32,", "peers.node_name: line 8,", "cluster.state.txn_ops: must"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is not in:\n%s", want, text)
+		}
+	}
+	if len(errs) != 5 {
+		t.Errorf("%d faults, not 5:\n%s", len(errs), text)
+	}
+}
+
 func operator(t *testing.T, text string) (Operator, error) {
 	t.Helper()
 	file := filepath.Join(t.TempDir(), "operator.hcl")
@@ -92,4 +107,14 @@
 	if _, err = operator(t, "scaler {"); err == nil {
 		t.Error("a broken file was taken")
 	}
+	if _, err = operator(t, "scaler {\n  speed = 1\n  steps = 2\n}\n"); err == nil || strings.Count(err.Error(), "operator.hcl:") != 2 {
+		t.Errorf("not every unknown field is named: %v", err)
+	}
+	op, err = operator(t, "pipelines {\n  most_runs = 5\n}\n")
+	if err != nil || op.Pipelines == nil || op.Pipelines.MostRuns != 5 || op.Pipelines.MostSteps != DefaultPipelines().MostSteps {
+		t.Errorf("%+v %v", op.Pipelines, err)
+	}
+	if _, err = operator(t, "pipelines {\n  changes_share = 2\n}\n"); err == nil || !strings.Contains(err.Error(), "pipelines.changes_share") {
+		t.Errorf("%v", err)
+	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -467,3 +467,30 @@
 	MostNodes = 100_000
 	MostDepth = 64
 )
+
+// The command line's client.
+const (
+	// ClientTimeout: how long one controller may take to answer; the protocol
+	// gives users 5 s.
+	ClientTimeout = 5 * time.Second
+	// ClientPause, ClientMostPause: between two rounds of tries, and the most that
+	// an answer may make it wait (protocol).
+	ClientPause     = time.Second
+	ClientMostPause = 30 * time.Second
+	// ClientPatience: how long a request is repeated unless the user says
+	// otherwise (protocol).
+	ClientPatience = 60 * time.Second
+	// ClientPoll: pause between two looks at what is waited for; a controller
+	// answers from memory.
+	ClientPoll = time.Second
+)
+
+// Trying it out.
+const (
+	// TryStep: how often the stand-ins' clock is set after the real one.
+	TryStep = 10 * time.Millisecond
+	// TryPort: first port of the stand-ins and controllers.
+	TryPort = 7000
+	// TryPatience: how long the demonstration may take as a whole.
+	TryPatience = time.Minute
+)
--- a/internal/wire/message.go
+++ b/internal/wire/message.go
@@ -18,6 +18,8 @@
 	Status int
 	Body   []byte
 	Close  bool // the sender wants the connection closed afterwards
+	// RetryAfter, whole seconds: when an answer says to come back, 0 if it doesn't.
+	RetryAfter int
 }
 
 // Errors of the parser. Each of them ends the connection.
@@ -81,6 +83,11 @@
 				return nil, 0, ErrMalformed
 			}
 			chunked = true
+		case equalFold(name, "retry-after"):
+			// A date, which is allowed too, counts as none: our own servers send seconds.
+			if n, err := contentLength(value); err == nil && kind == Response {
+				m.RetryAfter = n
+			}
 		case equalFold(name, "connection"):
 			if equalFold(value, "close") {
 				m.Close = true
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -58,6 +58,9 @@
 
 func TestRoundTrip(t *testing.T) {
 	out := AppendResponse(nil, 503, []byte("{}"), false, 7)
+	if m, _, err := Parse(Response, out, 1000); err != nil || m.RetryAfter != 7 {
+		t.Errorf("%+v %v", m, err)
+	}
 	if !bytes.Contains(out, []byte("\r\nRetry-After: 7\r\n")) {
 		t.Errorf("%s", out)
 	}
