Runs: any order of events, the same work both ways, a lost first change

Need: the state machine's promises under any order of events, with losses and repeats; and that a pipeline's steps are treated as a user's jobs are. Found so: a run whose first change was lost was never looked at as a whole again; values of a matrix that read the same made two steps with one uid.

--- a/internal/pipelines/document.go
+++ b/internal/pipelines/document.go
@@ -105,6 +105,7 @@
 type compiler struct {
 	faults []Fault
 	seen   map[Fault]bool
+	names  map[string]bool // of steps
 	// circular: some steps need one another, so that it is not known which come
 	// before a step.
 	circular bool
@@ -121,7 +122,7 @@
 // Compile checks a document, as read from YAML or JSON, and makes its plan. The
 // plan is nil if there is any fault; every fault is told.
 func Compile(doc any) (*Plan, []Fault) {
-	c := &compiler{seen: map[Fault]bool{}}
+	c := &compiler{seen: map[Fault]bool{}, names: map[string]bool{}}
 	top, ok := doc.(map[string]any)
 	if !ok {
 		return nil, []Fault{{"", "expected a pipeline: fields name, owner and steps"}}
@@ -400,6 +401,13 @@
 		}
 		s.Name += "[" + strings.Join(parts, ",") + "]"
 	}
+	// Names are what uids are derived from: values that read the same would make
+	// two steps with one job.
+	if c.names[s.Name] && len(values) > 0 {
+		c.fail(under(path, "matrix"), "expected values that read differently, %s comes twice", s.Name)
+		return
+	}
+	c.names[s.Name] = true
 	s.AllowFailure, _ = fields["allow_failure"].(bool)
 	if v, ok := amount(fields["repeats"]); ok {
 		if s.Repeats = int(v); v > tuning.MostRepeats {
--- a/internal/pipelines/keeper.go
+++ b/internal/pipelines/keeper.go
@@ -370,7 +370,6 @@
 	if (d.moved || r.fresh) && d.state == RunLive {
 		d.moved = unfold(r.plan, d.steps, nowMs) || d.moved
 	}
-	r.fresh = false
 	if d.state == RunLive {
 		k.submit(d, w)
 		if d.moved {
@@ -378,7 +377,11 @@
 			unfold(r.plan, d.steps, nowMs)
 		}
 	}
-	return d.finish(), ask
+	c := d.finish()
+	// Only once nothing came of it: a change may be lost, and then the run must
+	// be looked at as a whole again.
+	r.fresh = c != nil
+	return c, ask
 }
 
 // lookAtJob takes in what became of a step's job; true if it must be read.
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -33,6 +33,10 @@
 	Refused        int
 	// Slow is added to every answer.
 	Slow time.Duration
+	// Committed, if set, is called for every write of a transaction, with a nil
+	// value for a removal. Requests counts all that were served.
+	Committed func(key string, v json.RawMessage)
+	Requests  int
 }
 
 // allow takes a request with some writes out of the limits.
@@ -187,6 +191,7 @@
 func (s *Store) serve(from, method, target string, body []byte, answer func(int, []byte)) {
 	path, query, _ := strings.Cut(target, "?")
 	q, _ := url.ParseQuery(query)
+	s.Requests++
 	if path == "/follow" && !s.Down {
 		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
 		ms, _ := strconv.Atoi(q.Get("hold_ms"))
@@ -293,6 +298,9 @@
 	}
 	for _, wr := range t.Writes {
 		s.Writes++
+		if s.Committed != nil {
+			s.Committed(wr.Write+wr.Remove, wr.V)
+		}
 		if wr.Write != "" {
 			s.items[wr.Write] = storeItem{wr.Write, wr.V, s.epoch, wr.Hold}
 			s.log = append(s.log, storeEvent{Write: wr.Write, V: wr.V, Stamp: s.epoch})
