--- a/internal/pipefile/pipefile.go
+++ b/internal/pipefile/pipefile.go
@@ -47,7 +47,8 @@
 	Name   string
 	Doc    map[string]any
 	Plan   *pipelines.Plan
-	places map[string]place // path in the document to where it stands
+	places map[string]place // path in the document to where its value stands
+	names  map[string]place // path of a field to where its name stands
 }
 
 type place struct{ line, column int }
@@ -125,8 +126,8 @@
 	if len(text) > tuning.MostPipelineBytes {
 		return nil, []Fault{{File: name, Want: fmt.Sprintf("expected at most %d bytes", tuning.MostPipelineBytes)}}
 	}
-	f := &File{Name: name, places: map[string]place{}}
-	tree, err := parser.ParseBytes(text, 0)
+	f := &File{Name: name, places: map[string]place{}, names: map[string]place{}}
+	tree, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
 		fault := Fault{File: name, Want: "expected YAML: " + err.Error()}
 		if y, ok := errors.AsType[yaml.Error](err); ok {
@@ -169,9 +170,13 @@
 	var out []Fault
 	for _, x := range faults {
 		p, path := place{}, x.Path
-		for {
-			var ok bool
-			if p, ok = f.places[path]; ok || path == "" {
+		for named, ok := f.names[path]; ; {
+			if x.AtName && ok {
+				p = named
+				break
+			}
+			var there bool
+			if p, there = f.places[path]; there || path == "" {
 				break
 			}
 			path = path[:max(strings.LastIndexAny(path, ".["), 0)]
@@ -210,6 +215,15 @@
 	if n == nil || n.GetToken() == nil || n.GetToken().Position == nil {
 		return place{}
 	}
+	// A block of fields begins where its first name stands.
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		if len(m.Values) > 0 && !m.IsFlowStyle {
+			return position(m.Values[0].Key)
+		}
+	case *ast.MappingValueNode:
+		return position(m.Key)
+	}
 	p := n.GetToken().Position
 	return place{p.Line, p.Column}
 }
@@ -299,7 +313,7 @@
 			r.fail(v.Key, at, "stands here twice")
 			continue
 		}
-		r.file.places[at] = position(v.Key)
+		r.file.places[at], r.file.names[at] = position(v.Key), position(v.Key)
 		out[key] = r.value(v.Value, at)
 		// A fault of a value is shown where the value stands.
 		if p := position(v.Value); p.line == position(v.Key).line && p.column > 0 {
--- /dev/null
+++ b/internal/pipefile/pipefile_test.go
@@ -0,0 +1,102 @@
+package pipefile
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// TestEveryFault checks, for each file of testdata, that exactly the faults that
+// its last lines name are told, each at its line and column.
+func TestEveryFault(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.yaml")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no files", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := map[string]bool{}
+		for _, line := range strings.Split(string(text), "\n") {
+			if fault, ok := strings.CutPrefix(line, "#! "); ok {
+				want[strings.TrimSpace(fault)] = true
+			}
+		}
+		_, faults := Load(file)
+		for _, f := range faults {
+			at := strings.TrimSpace(fmt.Sprintf("%d:%d %s", f.Line, f.Column, f.Path))
+			if !want[at] {
+				t.Errorf("%s: not expected: %s: %s", file, at, f.Want)
+			}
+			delete(want, at)
+		}
+		for at := range want {
+			t.Errorf("%s: not told: %s", file, at)
+		}
+	}
+}
+
+func TestGoodFile(t *testing.T) {
+	f, faults := Parse("x", []byte(`
+name: good
+owner: team
+defaults: &d {cores: 2, memory_gb: 8, bundle: "img-${{ step.name }}", jobclass: nightly}
+steps:
+  - {name: last, needs: [mid, first], when: always()}
+  - name: mid
+    needs: first
+    matrix: {zone: [a, b], gpus: [1, 2]}
+    accelerators: ${{ matrix.gpus }}
+    site: ${{ matrix.zone }}
+  - <<: *d
+    name: first
+    cores: 4
+`))
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	p := f.Plan
+	if len(p.Steps) != 6 || p.Steps[0].Name != "first" || p.Steps[0].Spec.Cores != 4 || p.Steps[5].Name != "last" {
+		t.Fatalf("%+v", p.Steps)
+	}
+	s := p.Steps[4]
+	if s.Name != "mid[gpus=2,zone=b]" || s.Spec.Accel != 2 || s.Spec.Site != "b" || s.Spec.Bundle != "img-mid" || s.Spec.Class != "nightly" || s.Spec.Owner != "team" {
+		t.Errorf("%+v", s)
+	}
+}
+
+// What is too large or too deep is refused before it takes memory.
+func TestBounds(t *testing.T) {
+	laughs := "a: &a [x,x,x,x,x,x,x,x,x,x]\n"
+	for i := range 7 {
+		laughs += fmt.Sprintf("%c: &%c [*%c,*%c,*%c,*%c,*%c,*%c,*%c,*%c,*%c,*%c]\n", 'b'+i, 'b'+i, 'a'+i, 'a'+i, 'a'+i, 'a'+i, 'a'+i, 'a'+i, 'a'+i, 'a'+i, 'a'+i, 'a'+i)
+	}
+	for name, text := range map[string]string{
+		"long": strings.Repeat("#", tuning.MostPipelineBytes+1), "laughs": laughs, "empty": "", "two": "a: 1\n---\nb: 2\n", "list": "- a", "text": "hello",
+		"deep": strings.Repeat("[", 500) + strings.Repeat("]", 500),
+	} {
+		if f, faults := Parse(name, []byte(text)); f != nil || len(faults) == 0 || len(faults) > tuning.MostFaults {
+			t.Errorf("%s: %d faults", name, len(faults))
+		}
+	}
+	if _, faults := Load("testdata/none"); len(faults) != 1 {
+		t.Error(faults)
+	}
+}
+
+// FuzzParse: no file makes the program panic.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("name: a\nowner: b\nsteps:\n  - {name: a, cores: 1, memory_gb: 1, bundle: x, when: always(), matrix: {a: [1]}}\n"))
+	f.Add([]byte("a: &a\n  <<: *a\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if file, faults := Parse("x", b); file == nil && len(faults) == 0 {
+			t.Error("neither a file nor a fault")
+		}
+	})
+}
--- /dev/null
+++ b/internal/pipelines/bench_test.go
@@ -0,0 +1,104 @@
+package pipelines
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+)
+
+// benched is 1,000 runs of five steps with a job under way each, as records.
+func benched(b *testing.B) (map[string]json.RawMessage, map[string]jobs.JobState) {
+	b.Helper()
+	var steps []string
+	for i := range 5 {
+		need := ""
+		if i > 0 {
+			need = fmt.Sprintf(`"needs":"s%d",`, i-1)
+		}
+		steps = append(steps, fmt.Sprintf(`{"name":"s%d",%s"timeout_s":900,%s}`, i, need, step))
+	}
+	doc := []byte(`{"name":"p","owner":"t","steps":[` + strings.Join(steps, ",") + `]}`)
+	p, faults := CompileJSON(doc)
+	if len(faults) > 0 {
+		b.Fatal(faults)
+	}
+	records, live := map[string]json.RawMessage{}, map[string]jobs.JobState{}
+	for i := range 1000 {
+		id := fmt.Sprintf("run-%d", i)
+		r := NewRecord(p, doc, id, 1e12)
+		r.Steps[0] = StepRun{State: Submitted, AtMs: 1e12}
+		records[id] = r.Encode()
+		live[UID(id, id, "s0", 0)] = jobs.Live
+	}
+	return records, live
+}
+
+func benchKeeper(b *testing.B, records map[string]json.RawMessage) *Keeper {
+	b.Helper()
+	k := NewKeeper(Limits{Runs: 2000, Steps: 20000, ValueBytes: 8 << 10, TxnOps: 16})
+	for id, value := range records {
+		if err := k.Changed(id, value); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return k
+}
+
+// BenchmarkSweep is the look at 1,000 owned runs of which nothing is new, as it
+// is taken each second, with the memory that a live run takes when owned.
+func BenchmarkSweep(b *testing.B) {
+	records, live := benched(b)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	k := benchKeeper(b, records)
+	s := &seat{k: k, jobs: live, now: time.Unix(1_900_000_000, 0), ms: 1e12}
+	yes := func(string) bool { return true }
+	room := func(int) bool { return true }
+	sweep := func() {
+		s.now = s.now.Add(10 * time.Millisecond)
+		k.swept = time.Time{}
+		for first := true; first || len(k.dirty) > 0; first = false {
+			if c, _ := k.Pass(s.now, s.ms, yes, room, s); len(c) > 0 {
+				b.Fatal("something changed")
+			}
+			k.swept = s.now
+		}
+	}
+	sweep()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	for b.Loop() {
+		sweep()
+	}
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(len(records)), "B/run")
+}
+
+// BenchmarkTakeOver is reading 1,000 runs' records and deciding what they need,
+// as a controller does that takes all of them over.
+func BenchmarkTakeOver(b *testing.B) {
+	records, live := benched(b)
+	for b.Loop() {
+		k := benchKeeper(b, maps.Clone(records))
+		s := &seat{k: k, jobs: live, now: time.Unix(1_900_000_000, 0), ms: 1e12}
+		for len(k.dirty) > 0 {
+			k.Pass(s.now, s.ms, func(string) bool { return true }, func(int) bool { return true }, s)
+		}
+	}
+}
+
+// BenchmarkCompile is checking a file with a matrix of 200 steps.
+func BenchmarkCompile(b *testing.B) {
+	doc := []byte(`{"name":"p","owner":"t","steps":[{"name":"a",` + step + `},{"name":"m","needs":"a","when":"steps.a.outcome == 'succeeded'","matrix":{"x":[1,2,3,4,5,6,7,8,9,10],"y":[1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20]},` + step + `}]}`)
+	for b.Loop() {
+		if p, _ := CompileJSON(doc); p == nil {
+			b.Fatal("refused")
+		}
+	}
+}
--- a/internal/pipelines/document.go
+++ b/internal/pipelines/document.go
@@ -22,6 +22,8 @@
 type Fault struct {
 	Path string `json:"path"`
 	Want string `json:"want"`
+	// AtName: the field's name is meant, not its value.
+	AtName bool `json:"at_name,omitempty"`
 }
 
 func (f Fault) Error() string {
@@ -112,7 +114,10 @@
 }
 
 func (c *compiler) fail(path, format string, args ...any) {
-	f := Fault{path, fmt.Sprintf(format, args...)}
+	c.tell(Fault{Path: path, Want: fmt.Sprintf(format, args...)})
+}
+
+func (c *compiler) tell(f Fault) {
 	if !c.seen[f] && len(c.faults) < tuning.MostFaults {
 		c.seen[f] = true
 		c.faults = append(c.faults, f)
@@ -125,7 +130,7 @@
 	c := &compiler{seen: map[Fault]bool{}, names: map[string]bool{}}
 	top, ok := doc.(map[string]any)
 	if !ok {
-		return nil, []Fault{{"", "expected a pipeline: fields name, owner and steps"}}
+		return nil, []Fault{{Want: "expected a pipeline: fields name, owner and steps"}}
 	}
 	c.fields("", top, topFields)
 	p := &Plan{}
@@ -164,7 +169,7 @@
 		at := under(path, k)
 		want, ok := known[k]
 		if !ok {
-			c.fail(at, "is no field here; expected one of %s", strings.Join(slices.Sorted(maps.Keys(known)), ", "))
+			c.tell(Fault{at, "is no field here; expected one of " + strings.Join(slices.Sorted(maps.Keys(known)), ", "), true})
 			continue
 		}
 		if s, isText := t[k].(string); isText && want != names && strings.Contains(s, "${{") {
@@ -294,7 +299,7 @@
 		if len(p.Steps) > tuning.MostSteps {
 			return
 		}
-		filled := map[string]any{}
+		filled, faulty := map[string]any{}, map[string]bool{}
 		for _, k := range slices.Sorted(maps.Keys(merged)) {
 			where := under(path, k)
 			if _, own := raw[k]; !own {
@@ -306,13 +311,14 @@
 			v := c.fill(where, merged[k], values, p.Name, p.Groups[group].Name)
 			if want, ok := defFields[k]; ok && !is(want, v) {
 				c.fail(where, "expected %s, found %s", want, describe(v))
+				faulty[k] = true
 				continue
 			}
 			if v != nil {
 				filled[k] = v
 			}
 		}
-		c.step(p, group, path, filled, values)
+		c.step(p, group, path, filled, values, faulty)
 	}
 }
 
@@ -392,7 +398,7 @@
 }
 
 // step checks one step's job as a submission is checked.
-func (c *compiler) step(p *Plan, group int, path string, fields, values map[string]any) {
+func (c *compiler) step(p *Plan, group int, path string, fields, values map[string]any, faulty map[string]bool) {
 	s := Step{Name: p.Groups[group].Name, Group: group, Matrix: values, DoubtS: tuning.StepDoubt.Seconds(), path: path}
 	if len(values) > 0 {
 		var parts []string
@@ -436,12 +442,9 @@
 	}
 	spec, faults := jobs.CheckSpec(jobs.Encode(job))
 	for _, f := range faults {
-		switch f.Field {
-		case "jobclass", "owner": // told of the pipeline's name and owner
-			if job[f.Field] != "" {
-				c.fail(under(path, f.Field), "%s", f.What)
-			}
-		default:
+		// What is wrong with the pipeline's name or owner, or with the field's
+		// kind, was told already.
+		if job[f.Field] != "" && !faulty[f.Field] {
 			c.fail(under(path, f.Field), "%s", f.What)
 		}
 	}
@@ -584,7 +587,7 @@
 func CompileJSON(b []byte) (*Plan, []Fault) {
 	var doc any
 	if err := json.Unmarshal(b, &doc); err != nil {
-		return nil, []Fault{{"", "expected JSON: " + err.Error()}}
+		return nil, []Fault{{Want: "expected JSON: " + err.Error()}}
 	}
 	return Compile(doc)
 }
--- a/internal/pipelines/view.go
+++ b/internal/pipelines/view.go
@@ -191,7 +191,7 @@
 	for i := range p.Steps {
 		s := &p.Steps[i]
 		if why := judge(&s.Spec); why != "" {
-			if f := (Fault{s.path, "can never run: " + why}); !slices.Contains(out, f) && len(out) < tuning.MostFaults {
+			if f := (Fault{Path: s.path, Want: "can never run: " + why}); !slices.Contains(out, f) && len(out) < tuning.MostFaults {
 				out = append(out, f)
 			}
 		}
--- a/internal/pipelines/when.go
+++ b/internal/pipelines/when.go
@@ -103,7 +103,7 @@
 }
 
 // compileWhen reads a condition of a step whose ancestors are named.
-func compileWhen(text string, ancestors []string, values map[string]any) (*Condition, string) {
+func compileWhen(text string, ancestors []string) (*Condition, string) {
 	if len(text) > tuning.MostWhen {
 		return nil, fmt.Sprintf("expected at most %d bytes", tuning.MostWhen)
 	}
@@ -119,7 +119,7 @@
 	case m.bare > 0:
 		return nil, "expected steps.NAME.outcome"
 	}
-	sample := facts{outcomes: map[string]outcome{}, matrix: values}
+	sample := facts{outcomes: map[string]outcome{}}
 	for _, s := range m.steps {
 		if !slices.Contains(ancestors, s) {
 			return nil, fmt.Sprintf("speaks of the step %q, which this step does not need, so that it may not have ended; expected one of: %s", s, some(ancestors))
@@ -147,21 +147,14 @@
 			continue
 		}
 		path := under(at("steps", i), "when")
-		if len(p.Groups[i].Steps) == 0 { // faulty otherwise; its condition is read all the same
-			if _, fault := compileWhen(text, c.above(p, i), nil); fault != "" {
-				c.fail(path, "%s", fault)
-			}
+		above := c.above(p, i)
+		w, fault := compileWhen(text, above)
+		if fault != "" {
+			c.fail(path, "%s", fault)
 			continue
 		}
-		above := c.above(p, i)
-		ever := false
+		ever := len(p.Groups[i].Steps) == 0 // faulty otherwise
 		for _, s := range p.Groups[i].Steps {
-			w, fault := compileWhen(text, above, p.Steps[s].Matrix)
-			if fault != "" {
-				c.fail(path, "%s", fault)
-				ever = true
-				break
-			}
 			p.Steps[s].When = w
 			ever = ever || p.canHold(i, &p.Steps[s])
 		}
--- /dev/null
+++ b/internal/scenario/measure_test.go
@@ -0,0 +1,131 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/pipefile"
+	"github.com/harrierreel/harrierreel/internal/pipelines"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standin"
+)
+
+// Size of the measurement: runs that live at once, and how they come.
+const (
+	measuredRuns  = 1000
+	measuredEvery = 150 * time.Millisecond
+	measuredStep  = 150 // seconds of a step's job
+	measuredSteps = 4
+	killEvery     = 20 * time.Second
+	killFor       = 4 * time.Second
+)
+
+// BenchmarkRuns plays 1,000 live runs on five stand-in controllers within the
+// limits of a fleet's state service, and reports what a step costs and how long
+// the next one waits. In simulated time: the figures repeat, but for ns/op,
+// which is the time it takes to play. With kills a controller ends every 20 s.
+//
+//	go test ./internal/scenario -run '^$' -bench Runs -benchtime 1x
+func BenchmarkRuns(b *testing.B) {
+	for _, kill := range []bool{false, true} {
+		b.Run(fmt.Sprintf("kills=%v", kill), func(b *testing.B) {
+			for b.Loop() {
+				measure(b, kill)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, kill bool) {
+	w := standin.NewWorld(5, slog.New(slog.DiscardHandler))
+	set := baseSettings(w)
+	set.Cluster.Size = 5
+	set.Cluster.Teams = []settings.Team{{Name: "team"}}
+	set.Cluster.Workers.ReportS, w.ReportS = 8, 8
+	set.Operator.Pipelines = settings.DefaultPipelines()
+	w.Store.RPS, w.Store.WPS = set.Cluster.State.RPS, set.Cluster.State.WriteRPS
+	w.Cloud.Limit = 400
+	for i := range 150 {
+		w.Cloud.AddRunning("g8", []string{"a", "b"}[i%2], false)
+	}
+	text := "name: chain\nowner: team\ndefaults: {cores: 2, accelerators: 1, memory_gb: 8, bundle: img-1, pull_gb: 1, expect_s: " + fmt.Sprint(measuredStep) + "}\nsteps:\n"
+	for i := range measuredSteps {
+		text += fmt.Sprintf("  - {name: s%d", i)
+		if i > 0 {
+			text += fmt.Sprintf(", needs: s%d", i-1)
+		}
+		text += "}\n"
+	}
+	f, faults := pipefile.Parse("chain", []byte(text))
+	if len(faults) > 0 {
+		b.Fatal(faults)
+	}
+	gaps := hdrhistogram.New(1, 600_000, 3)
+	ended := map[string]time.Time{} // uid to its end
+	after := map[string]string{}    // uid to the job before it
+	kinds := map[string]int{}
+	w.Store.Committed = func(key string, v json.RawMessage) {
+		kind, name, _ := strings.Cut(key, "/")
+		kinds[kind]++
+		switch kind + "/" {
+		case pipelines.RunPrefix:
+			if rec, err := pipelines.Decode(v); v != nil && err == nil {
+				for i := 1; i < measuredSteps; i++ {
+					uid := func(i int) string { return pipelines.UID(name, rec.Salt, fmt.Sprintf("s%d", i), 0) }
+					after[uid(i)] = uid(i - 1)
+				}
+			}
+		case jobs.FinalPrefix:
+			ended[name] = w.Now
+		case jobs.JobPrefix:
+			if at, ok := ended[after[name]]; ok && v != nil {
+				_ = gaps.RecordValue(w.Now.Sub(at).Milliseconds() + 1)
+				delete(after, name)
+			}
+		}
+	}
+	w.AddNodes(5, set)
+	w.RunUntil(10 * time.Second)
+	requests, writes := w.Store.Requests, w.Store.Writes
+	for i := range measuredRuns {
+		id := standin.RunID(i)
+		w.After(time.Duration(i)*measuredEvery, func() { w.SubmitRun(&standin.Run{ID: id, Body: f.Submission(id)}) })
+	}
+	at := 10 * time.Second
+	most, over := 0, 0
+	for next, victim := at+killEvery, 0; over < measuredRuns && at < time.Hour; at += time.Second {
+		if kill && at >= next {
+			node := w.Nodes[w.Order[victim%len(w.Order)]]
+			node.Crash()
+			w.After(killFor, node.Boot)
+			next, victim = next+killEvery, victim+1
+		}
+		w.RunUntil(at)
+		over = 0
+		for _, r := range w.Runs {
+			if pipelines.RunState(r.Told).Over() {
+				over++
+			}
+		}
+		most = max(most, w.Store.Count(pipelines.RunPrefix))
+	}
+	if over < measuredRuns || len(w.Broken) > 0 {
+		b.Fatalf("%d of %d runs ended; broken: %v", over, measuredRuns, w.Broken[:min(len(w.Broken), 5)])
+	}
+	steps := float64(measuredRuns * measuredSteps)
+	b.ReportMetric(float64(w.Store.Writes-writes)/steps, "changes/step")
+	b.ReportMetric(float64(kinds["run"]+kinds["ran"])/steps, "run-changes/step")
+	b.ReportMetric(float64(w.Store.Requests-requests)/steps, "requests/step")
+	b.ReportMetric(float64(most), "live-runs")
+	b.ReportMetric(float64(gaps.ValueAtQuantile(50)), "gap-p50-ms")
+	b.ReportMetric(float64(gaps.ValueAtQuantile(99)), "gap-p99-ms")
+	b.ReportMetric(float64(gaps.Max()), "gap-max-ms")
+	b.ReportMetric(at.Seconds(), "simulated-s")
+}
