--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -405,7 +405,6 @@
 		var f jobs.Final
 		if json.Unmarshal(value, &f) == nil {
 			n.finals.Put(key[len(jobs.FinalPrefix):], f)
-			n.runSees(key[len(jobs.FinalPrefix):])
 		}
 	case n.runs != nil && hasPrefix(key, pipelines.RunPrefix):
 		if err := n.runs.Changed(key[len(pipelines.RunPrefix):], value); err != nil {
--- a/internal/pipelines/keeper_test.go
+++ b/internal/pipelines/keeper_test.go
@@ -377,6 +377,26 @@
 	}
 }
 
+// While a user's cancellation is under way, the owner submits nothing that
+// would make it fail.
+func TestCancellationGoesFirst(t *testing.T) {
+	s, _ := one(t, `{"name":"p","owner":"t","steps":[{"name":"a","matrix":{"x":[1,2,3,4,5,6,7,8],"y":[1,2,3,4,5,6,7,8]},`+step+`}]}`)
+	s.turn(t)
+	if c := s.k.CancelRun("run-1", s.now, s.ms, s); c == nil || !c.Urgent || len(c.Submit) > 0 {
+		t.Fatalf("%+v", c)
+	}
+	// It was refused, since another change came between; the user asks again.
+	if c := s.turn(t); len(c) > 0 {
+		t.Fatalf("%+v", c)
+	}
+	for range 4 {
+		s.turn(t)
+	}
+	if len(s.jobs) < 20 {
+		t.Errorf("%d jobs after the user never came back", len(s.jobs))
+	}
+}
+
 // Changes beyond the runs' share wait, and none is lost.
 func TestPaced(t *testing.T) {
 	wide := `{"name":"p","owner":"t","steps":[{"name":"a","matrix":{"x":[1,2,3,4,5,6,7,8],"y":[1,2,3,4,5,6,7,8]},` + step + `}]}`
