--- a/internal/node/audit.go
+++ b/internal/book/audit.go
@@ -1,4 +1,4 @@
-package node
+package book
 
 import (
 	"fmt"
@@ -11,59 +11,59 @@
 
 // Audit counts again, from the records alone, what is kept up with each change,
 // and reports what differs. The scenarios run it; it looks at everything.
-func (n *Node) Audit() []string {
+func (b *Book) Audit(teams map[string]quota.Team) []string {
 	var out []string
 	room := map[string]parts.Room{}
 	account := quota.NewAccount()
 	var onRank [jobs.Ranks]int
 	book := func(host string, need parts.Room) { room[host] = room[host].Add(need) }
-	for uid, j := range n.jobs {
+	for uid, j := range b.Jobs {
 		done, on, active := 0, 0, 0
-		for _, sl := range j.slices {
-			for i, t := range sl.tasks {
-				if j.tasks[sl.from+i] != t || t.slice != sl || t.n != sl.from+i {
-					out = append(out, fmt.Sprintf("%s: task %d is not where its slice has it", uid, sl.from+i))
+		for _, sl := range j.Slices {
+			for i, t := range sl.Tasks {
+				if j.Tasks[sl.From+i] != t || t.Slice != sl || t.N != sl.From+i {
+					out = append(out, fmt.Sprintf("%s: task %d is not where its slice has it", uid, sl.From+i))
 				}
 				switch {
 				case t.On():
 					on++
-					if j.rec != nil {
-						onRank[j.rec.Spec.RankOrder()]++
+					if j.Rec != nil {
+						onRank[j.Rec.Spec.RankOrder()]++
 					}
-					book(t.Host, t.need)
-				case t.State == jobs.Released && t.Want != "" && !t.unwanted:
-					book(t.Want, t.need)
+					book(t.Host, t.Need)
+				case t.State == jobs.Released && t.Want != "" && !t.Unwanted:
+					book(t.Want, t.Need)
 				case t.State == jobs.Finished:
 					done++
 				}
-				if t.Charged() || t.State == unreadable {
+				if t.Charged() || t.State == Unreadable {
 					active++
 				}
 			}
 		}
-		if done != j.done || on != j.on || active != len(j.active) {
-			out = append(out, fmt.Sprintf("%s: %d done, %d on machines, %d active; kept %d, %d, %d", uid, done, on, active, j.done, j.on, len(j.active)))
+		if done != j.Done || on != j.On || active != len(j.Active) {
+			out = append(out, fmt.Sprintf("%s: %d done, %d on machines, %d active; kept %d, %d, %d", uid, done, on, active, j.Done, j.On, len(j.Active)))
 		}
-		if j.rec == nil {
+		if j.Rec == nil {
 			continue
 		}
-		account.Charge(j.rec.Spec.Owner, j.rec.Spec.Amount(), float64(active))
-		if live := j.rec.State == jobs.Live; live == (n.closed[uid] != nil) {
-			out = append(out, fmt.Sprintf("%s: live %v, but closed %v", uid, live, n.closed[uid] != nil))
+		account.Charge(j.Rec.Spec.Owner, j.Rec.Spec.Amount(), float64(active))
+		if live := j.Rec.State == jobs.Live; live == (b.Closed[uid] != nil) {
+			out = append(out, fmt.Sprintf("%s: live %v, but closed %v", uid, live, b.Closed[uid] != nil))
 		}
 	}
-	if onRank != n.onRank {
-		out = append(out, fmt.Sprintf("%v tasks on machines by rank, kept %v", onRank, n.onRank))
+	if onRank != b.OnRank {
+		out = append(out, fmt.Sprintf("%v tasks on machines by rank, kept %v", onRank, b.OnRank))
 	}
-	for _, r := range n.reserve {
-		book(r.host, r.need)
-		if r.owner != "" {
-			account.Charge(r.owner, r.amount, 1)
+	for _, r := range b.Reserved {
+		book(r.Host, r.Need)
+		if r.Owner != "" {
+			account.Charge(r.Owner, r.Amount, 1)
 		}
 	}
-	for host, u := range n.usage {
-		if !near(room[host].Cores, u.room.Cores) || !near(room[host].Accelerators, u.room.Accelerators) || !near(room[host].MemoryGB, u.room.MemoryGB) {
-			out = append(out, fmt.Sprintf("%s: %v used, kept %v", host, room[host], u.room))
+	for host, u := range b.Usages {
+		if !near(room[host].Cores, u.Room.Cores) || !near(room[host].Accelerators, u.Room.Accelerators) || !near(room[host].MemoryGB, u.Room.MemoryGB) {
+			out = append(out, fmt.Sprintf("%s: %v used, kept %v", host, room[host], u.Room))
 		}
 		delete(room, host)
 	}
@@ -72,8 +72,8 @@
 			out = append(out, fmt.Sprintf("%s: %v used, none kept", host, r))
 		}
 	}
-	for team := range n.teams {
-		if got, kept := account.Used(team), n.account.Used(team); !near(got.Cores, kept.Cores) || !near(got.Accelerators, kept.Accelerators) {
+	for team := range teams {
+		if got, kept := account.Used(team), b.Account.Used(team); !near(got.Cores, kept.Cores) || !near(got.Accelerators, kept.Accelerators) {
 			out = append(out, fmt.Sprintf("team %s: %v charged, kept %v", team, got, kept))
 		}
 	}
--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"github.com/harrierreel/harrierreel/internal/book"
 	"maps"
 	"math"
 	"slices"
@@ -118,18 +119,18 @@
 	if c.filled.IsZero() {
 		c.tokens = rate
 	} else {
-		c.tokens = math.Min(c.tokens+n.now.Sub(c.filled).Seconds()*rate, math.Max(rate, 1))
+		c.tokens = math.Min(c.tokens+n.Now.Sub(c.filled).Seconds()*rate, math.Max(rate, 1))
 	}
-	c.filled = n.now
-	if !c.catalogRun && (c.catalog == nil || n.now.Sub(c.catalogAt) > tuning.CatalogEvery) {
+	c.filled = n.Now
+	if !c.catalogRun && (c.catalog == nil || n.Now.Sub(c.catalogAt) > tuning.CatalogEvery) {
 		n.readCatalog()
 	}
-	if !c.listRun && (c.listAt.IsZero() || n.now.Sub(c.listAt) > n.listEvery()) {
+	if !c.listRun && (c.listAt.IsZero() || n.Now.Sub(c.listAt) > n.listEvery()) {
 		n.readList()
 	}
 	step := seconds(n.set.Operator.StepS)
-	if c.catalog != nil && !c.listAt.IsZero() && n.now.Sub(c.stepAt) >= step && !n.client.Down() {
-		c.stepAt = n.now
+	if c.catalog != nil && !c.listAt.IsZero() && n.Now.Sub(c.stepAt) >= step && !n.client.Down() {
+		c.stepAt = n.Now
 		c.open = 0
 		n.scalerStep()
 	}
@@ -150,13 +151,13 @@
 			Builds []*jobs.Build `json:"builds"`
 		}
 		if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil || len(answer.Builds) == 0 {
-			c.catalogAt = n.now.Add(tuning.CatalogAgain - tuning.CatalogEvery)
+			c.catalogAt = n.Now.Add(tuning.CatalogAgain - tuning.CatalogEvery)
 			if c.catalog == nil {
-				c.catalogAt = n.now
+				c.catalogAt = n.Now
 			}
 			return
 		}
-		c.catalogAt = n.now
+		c.catalogAt = n.Now
 		c.catalog = map[string]*jobs.Build{}
 		var ds []decision
 		for _, b := range answer.Builds {
@@ -167,7 +168,7 @@
 			// Prices move and are the leader's business; the rest is told to all.
 			told := *b
 			told.Hourly, told.LowPrice = 0, 0
-			if old := n.builds[b.Name]; old == nil || string(jobs.Encode(old)) != string(jobs.Encode(told)) {
+			if old := n.Builds[b.Name]; old == nil || string(jobs.Encode(old)) != string(jobs.Encode(told)) {
 				ds = append(ds, decision{writes: []store.Write{put(buildPrefix+b.Name, told)}, urgent: true})
 			}
 		}
@@ -186,7 +187,7 @@
 func (n *Node) readList() {
 	c := &n.lead.cloud
 	c.listRun = true
-	started := n.now
+	started := n.Now
 	all := map[string]fleet.Listed{}
 	var page func(since string)
 	page = func(since string) {
@@ -213,7 +214,7 @@
 			c.listRun = false
 			for h := range c.listed {
 				if _, ok := all[h]; !ok && c.gone[h].IsZero() {
-					c.gone[h] = n.now
+					c.gone[h] = n.Now
 				}
 			}
 			for h := range all {
@@ -223,13 +224,13 @@
 				}
 			}
 			for h, at := range c.deleted {
-				if n.now.Sub(at) > tuning.ForgetGone {
+				if n.Now.Sub(at) > tuning.ForgetGone {
 					delete(c.deleted, h)
 				}
 			}
 			c.listed, c.listAt = all, started
 			for h, at := range c.gone {
-				if n.now.Sub(at) > tuning.ForgetGone {
+				if n.Now.Sub(at) > tuning.ForgetGone {
 					delete(c.gone, h)
 				}
 			}
@@ -242,10 +243,10 @@
 // those whose delete was answered 200.
 func (n *Node) condemnPass() {
 	c := &n.lead.cloud
-	if n.now.Sub(n.lead.condemnAt) < tuning.CondemnEvery {
+	if n.Now.Sub(n.lead.condemnAt) < tuning.CondemnEvery {
 		return
 	}
-	n.lead.condemnAt = n.now
+	n.lead.condemnAt = n.Now
 	// Machines with cancelled tasks first: there a rule hangs on it.
 	ds := n.condemnCancelled()
 	ds = append(ds, n.condemnListed()...)
@@ -253,21 +254,21 @@
 	var names []string
 	// What was on many machines is freed together: tasks of one slice share a
 	// write.
-	free := n.client.Allows(0, 1) || n.now.Sub(c.freedAt) > tuning.ReleaseLate
+	free := n.client.Allows(0, 1) || n.Now.Sub(c.freedAt) > tuning.ReleaseLate
 	if free {
-		c.freedAt = n.now
+		c.freedAt = n.Now
 	}
-	for _, m := range n.byName() {
+	for _, m := range n.ByName() {
 		switch {
 		case m.State == fleet.Faulty:
-			ds = append(ds, n.moving(m.name, fleet.Condemn, "faulty")...)
-		case c.freed[m.name], m.State == fleet.Deleted: // the latter by an earlier version
+			ds = append(ds, n.moving(m.Name, fleet.Condemn, "faulty")...)
+		case c.freed[m.Name], m.State == fleet.Deleted: // the latter by an earlier version
 			if free {
 				ds = append(ds, n.removed(m)...)
 			}
-		case m.State == fleet.Deleting, c.lost[m.name] != "":
-			if at, ok := c.deleting[m.name]; !ok || n.now.Sub(at) > tuning.DeleteAgain {
-				names = append(names, m.name)
+		case m.State == fleet.Deleting, c.lost[m.Name] != "":
+			if at, ok := c.deleting[m.Name]; !ok || n.Now.Sub(at) > tuning.DeleteAgain {
+				names = append(names, m.Name)
 			}
 		}
 	}
@@ -276,16 +277,16 @@
 	// and the record removed, or the record cannot be read. Delete again;
 	// unknown names are ignored by the cloud.
 	var unknown []decision
-	for h := range n.onHost {
-		if n.machines[h] == nil && n.mirror.Stamp(fleet.HostPrefix+h) == 0 {
+	for h := range n.OnHost {
+		if n.Machines[h] == nil && n.mirror.Stamp(fleet.HostPrefix+h) == 0 {
 			unknown = append(unknown, n.condemnUnknown(h, "tasks on a machine without a record")...)
 		}
 	}
 	n.commit(unknown)
-	if len(names) == 0 || len(names) < tuning.DeleteMost && n.now.Sub(c.deleteAt) < n.deleteGap() {
+	if len(names) == 0 || len(names) < tuning.DeleteMost && n.Now.Sub(c.deleteAt) < n.deleteGap() {
 		return
 	}
-	c.deleteAt = n.now
+	c.deleteAt = n.Now
 	// Machines with cancelled tasks first, whose time runs out, then those with
 	// others, which wait for the answer.
 	sort.SliceStable(names, func(a, b int) bool { return n.deleteRank(names[a]) > n.deleteRank(names[b]) })
@@ -293,7 +294,7 @@
 		names = names[:tuning.DeleteMost]
 	}
 	for _, h := range names {
-		c.deleting[h] = n.now
+		c.deleting[h] = n.Now
 	}
 	body := jobs.Encode(map[string][]string{"hosts": names})
 	n.cloudFirst("POST", "/hosts/delete", body, func(status int, _ []byte, err error) {
@@ -301,7 +302,7 @@
 			if err == nil && status == 200 {
 				delete(c.deleting, h)
 				c.freed[h] = true
-				c.deleted[h] = n.now
+				c.deleted[h] = n.Now
 				delete(c.listed, h)
 			}
 		}
@@ -312,8 +313,8 @@
 // deleteRank tells how soon a machine should be deleted.
 func (n *Node) deleteRank(host string) int {
 	rank := 0
-	for _, t := range n.onHost[host] {
-		if rank = max(rank, 1); t.job.rec != nil && t.job.rec.State == jobs.Cancelled {
+	for _, t := range n.OnHost[host] {
+		if rank = max(rank, 1); t.Job.Rec != nil && t.Job.Rec.State == jobs.Cancelled {
 			rank = 2
 		}
 	}
@@ -329,19 +330,19 @@
 // removed is the decisions that free the tasks of a machine whose delete was
 // answered 200, and remove its record. A leader that does not know of the
 // answer any more deletes again.
-func (n *Node) removed(m *machine) []decision {
+func (n *Node) removed(m *book.Machine) []decision {
 	var ds []decision
-	key := fleet.HostPrefix + m.name
-	for _, piece := range sorted(n.onHost[m.name]) {
-		d := n.gone(n.onHost[m.name][piece], jobs.Gone, 0)
+	key := fleet.HostPrefix + m.Name
+	for _, piece := range sorted(n.OnHost[m.Name]) {
+		d := n.gone(n.OnHost[m.Name][piece], jobs.Gone, 0)
 		if len(d.changes) > 0 {
 			d.seen = append(d.seen, key)
 			ds = append(ds, d)
 		}
 	}
 	// The record itself is in no hurry: no task is placed by it any more.
-	if len(n.onHost[m.name]) == 0 && !n.busy[key] && (n.client.Spare() || n.now.Sub(n.lead.cloud.deleted[m.name]) > tuning.RecordLate) {
-		host := m.name
+	if len(n.OnHost[m.Name]) == 0 && !n.busy[key] && (n.client.Spare() || n.Now.Sub(n.lead.cloud.deleted[m.Name]) > tuning.RecordLate) {
+		host := m.Name
 		ds = append(ds, decision{writes: []store.Write{remove(key)}, done: func(ok bool) {
 			if ok {
 				delete(n.lead.cloud.freed, host)
@@ -356,7 +357,7 @@
 // delete it.
 func (n *Node) condemnUnknown(host, why string) []decision {
 	key := fleet.HostPrefix + host
-	if n.machines[host] != nil || n.busy[key] {
+	if n.Machines[host] != nil || n.busy[key] {
 		return nil
 	}
 	l := n.lead.cloud.listed[host]
@@ -371,9 +372,9 @@
 // condemnListed condemns machines that never came up or have stopped.
 func (n *Node) condemnListed() []decision {
 	var ds []decision
-	age := n.now.Sub(n.lead.cloud.listAt)
+	age := n.Now.Sub(n.lead.cloud.listAt)
 	for h, l := range n.lead.cloud.listed {
-		m := n.machines[h]
+		m := n.Machines[h]
 		if m != nil && (m.State == fleet.Deleting || m.State == fleet.Deleted) {
 			continue
 		}
@@ -398,7 +399,7 @@
 
 func (n *Node) bootLimit(build string) time.Duration {
 	limit := tuning.BootSlackMin
-	if b := n.builds[build]; b != nil {
+	if b := n.Builds[build]; b != nil {
 		limit = max(limit, seconds(b.ReadyS*tuning.BootSlack))
 	}
 	return limit
@@ -408,10 +409,10 @@
 // cloud's answer to its delete is all that frees what was on it, and a leader
 // that does not know it any more finds the machine quiet and deletes it again.
 // After a wave of losses one change less for each machine is much.
-func (n *Node) lose(m *machine, why string) {
-	if c := &n.lead.cloud; c.lost[m.name] == "" && m.State != fleet.Deleting && m.State != fleet.Deleted {
-		c.lost[m.name] = why
-		n.log.Info("machine", "machine", m.name, "from", string(m.State), "to", "lost", "why", why)
+func (n *Node) lose(m *book.Machine, why string) {
+	if c := &n.lead.cloud; c.lost[m.Name] == "" && m.State != fleet.Deleting && m.State != fleet.Deleted {
+		c.lost[m.Name] = why
+		n.log.Info("machine", "machine", m.Name, "from", string(m.State), "to", "lost", "why", why)
 	}
 }
 
@@ -421,11 +422,11 @@
 func (n *Node) loseSilent() {
 	quiet, all := 0, 0
 	sites, owners := map[string]fleet.Site{}, map[string]fleet.Site{}
-	for _, m := range n.machines {
+	for _, m := range n.Machines {
 		if m.State == fleet.Deleting || m.State == fleet.Deleted {
 			continue
 		}
-		z, o := sites[m.Site], owners[m.owner]
+		z, o := sites[m.Site], owners[m.Owner]
 		all++
 		z.All++
 		o.All++
@@ -434,7 +435,7 @@
 			z.Quiet++
 			o.Quiet++
 		}
-		sites[m.Site], owners[m.owner] = z, o
+		sites[m.Site], owners[m.Owner] = z, o
 	}
 	if quiet == 0 {
 		return
@@ -442,18 +443,18 @@
 	many := quiet > 2 && float64(quiet) > tuning.SilentMost*float64(all)
 	lease := seconds(n.set.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
 	// A new leader first waits whether the workers come to it.
-	fresh := n.now.Sub(n.lead.since) < seconds(n.set.Cluster.Workers.ReportS*tuning.SilentReports)
-	for _, m := range n.byName() {
-		h := m.name
+	fresh := n.Now.Sub(n.lead.since) < seconds(n.set.Cluster.Workers.ReportS*tuning.SilentReports)
+	for _, m := range n.ByName() {
+		h := m.Name
 		since, is := n.quietSince(m)
-		if !is || n.now.Sub(n.heard[h]) < tuning.HeardFresh {
+		if !is || n.Now.Sub(n.heard[h]) < tuning.HeardFresh {
 			continue
 		}
-		long := min(n.now.Sub(since), n.now.Sub(n.lead.since))
+		long := min(n.Now.Sub(since), n.Now.Sub(n.lead.since))
 		_, listed := n.lead.cloud.listed[h]
 		vanished := !listed && !n.lead.cloud.gone[h].IsZero()
 		cut := sites[m.Site].Cut(tuning.CutLeast, tuning.CutShare)
-		blind := owners[m.owner].Cut(tuning.CutLeast, tuning.CutShare)
+		blind := owners[m.Owner].Cut(tuning.CutLeast, tuning.CutShare)
 		switch {
 		case vanished && long > tuning.CondemnEvery:
 			n.lose(m, "silent and no longer listed")
@@ -470,11 +471,11 @@
 func (n *Node) condemnCancelled() []decision {
 	limit := int64(n.set.Cluster.Workers.CancelS * tuning.CancelDelete * 1000)
 	hosts := map[string]bool{}
-	for _, j := range n.closed {
-		if j.rec.State != jobs.Cancelled || n.ms()-j.rec.EndMs <= limit {
+	for _, j := range n.Closed {
+		if j.Rec.State != jobs.Cancelled || n.ms()-j.Rec.EndMs <= limit {
 			continue
 		}
-		for _, t := range j.active {
+		for _, t := range j.Active {
 			if t.On() {
 				hosts[t.Host] = true
 			}
@@ -530,14 +531,14 @@
 			}
 			for _, site := range b.Sites {
 				k := kind{fleet.Group{Build: name, Loaner: loaner}, site}
-				if !spec.Allows(name, site, loaner) || !zoneAllowed(spec, zones, site) {
+				if !spec.Allows(name, site, loaner) || !book.ZoneAllowed(spec, zones, site) {
 					continue
 				}
 				// Whole tasks per machine: what a task really costs there.
 				fit := math.Floor(1/share + 1e-9)
 				c := n.price(k.Group) / fit
 				least = min(least, c)
-				if n.now.Before(n.lead.cloud.refused[k.String()]) {
+				if n.Now.Before(n.lead.cloud.refused[k.String()]) {
 					continue
 				}
 				if c < cost-1e-9 || (c < cost+1e-9 && found && (counts[k] < counts[best] || counts[k] == counts[best] && k.String() < best.String())) {
@@ -558,7 +559,7 @@
 // bootLate is the age from which a machine that has not come up is overdue.
 func (n *Node) bootLate(build string) time.Duration {
 	late := tuning.BootSlackMin
-	if b := n.builds[build]; b != nil {
+	if b := n.Builds[build]; b != nil {
 		late = max(late, seconds(b.ReadyS*tuning.BootLate))
 	}
 	return late
@@ -570,18 +571,18 @@
 func (n *Node) supplyOf() (counts map[kind]int, booting map[kind]int) {
 	counts, booting = map[kind]int{}, map[kind]int{}
 	c := &n.lead.cloud
-	for h, m := range n.machines {
+	for h, m := range n.Machines {
 		if n.inUse(m) {
 			if _, draining := n.summary.Drain[h]; !draining {
 				counts[kind{fleet.Group{Build: m.Build, Loaner: m.Loaner}, m.Site}]++
 			}
 		}
 	}
-	age := n.now.Sub(c.listAt)
+	age := n.Now.Sub(c.listAt)
 	for h, l := range c.listed {
 		// An overdue one may never come; a replacement is rented before the
 		// queue suffers, and the late one is used or returned if it comes.
-		if n.machines[h] == nil && (l.Status == "booting" || l.Status == "running") && seconds(l.AgeS)+age <= n.bootLate(l.Build) {
+		if n.Machines[h] == nil && (l.Status == "booting" || l.Status == "running") && seconds(l.AgeS)+age <= n.bootLate(l.Build) {
 			k := kind{fleet.Group{Build: l.Build, Loaner: l.Loaner}, l.Site}
 			counts[k]++
 			booting[k]++
@@ -596,7 +597,7 @@
 		}
 		k := kind{fleet.Group{Build: a.Build, Loaner: a.Loaner}, a.Site}
 		for _, h := range a.Hosts {
-			if _, listed := c.listed[h]; !listed && n.machines[h] == nil && c.gone[h].IsZero() && c.deleted[h].IsZero() {
+			if _, listed := c.listed[h]; !listed && n.Machines[h] == nil && c.gone[h].IsZero() && c.deleted[h].IsZero() {
 				counts[k]++
 				booting[k]++
 			}
@@ -616,13 +617,13 @@
 // queuedFor is how many machines of a group the waiting tasks would fill that
 // may go there, by share.
 func (n *Node) queuedFor(g fleet.Group) float64 {
-	b := n.builds[g.Build]
+	b := n.Builds[g.Build]
 	if b == nil {
 		return 0
 	}
 	sum := 0.0
 	for _, w := range n.stillWaiting() {
-		spec := &w.t.job.rec.Spec
+		spec := &w.t.Job.Rec.Spec
 		if share := spec.Need().Share(b.Whole()); share <= 1+1e-9 && spec.AllowsBuild(g.Build) && (spec.Loaner || !g.Loaner) {
 			sum += share * float64(w.count)
 		}
@@ -642,21 +643,21 @@
 
 	waiting := map[string]int{}
 	for _, w := range n.stillWaiting() {
-		waiting[w.t.job.rec.Spec.Class] += w.count
+		waiting[w.t.Job.Rec.Spec.Class] += w.count
 	}
-	n.log.Debug("queue", "waiting", fmt.Sprint(waiting), "jobs", len(n.queued), "released", len(n.released), "under_way", len(n.reserve), "calls_held", n.client.Waiting(), "spare", n.client.Spare())
+	n.log.Debug("queue", "waiting", fmt.Sprint(waiting), "jobs", len(n.Queued), "released", len(n.Released), "under_way", len(n.Reserved), "calls_held", n.client.Waiting(), "spare", n.client.Spare())
 
 	// Booked room by group, and what is on each machine.
 	demand := map[fleet.Group]float64{}
 	var idle = map[fleet.Group][]fleet.Idle{}
-	for _, h := range sorted(n.machines) {
-		m := n.machines[h]
-		b := n.builds[m.Build]
+	for _, h := range sorted(n.Machines) {
+		m := n.Machines[h]
+		b := n.Builds[m.Build]
 		if b == nil || !n.inUse(m) {
 			continue
 		}
 		g := fleet.Group{Build: m.Build, Loaner: m.Loaner}
-		share := n.used(h).Share(b.Whole())
+		share := n.Used(h).Share(b.Whole())
 		if _, draining := n.summary.Drain[h]; !draining {
 			demand[g] += share
 		}
@@ -756,19 +757,19 @@
 // grain is the machines of a group that one job there takes on average, by
 // demand: a job's tasks come together.
 func (n *Node) grain(g fleet.Group) float64 {
-	b := n.builds[g.Build]
+	b := n.Builds[g.Build]
 	if b == nil {
 		return 0
 	}
-	each := map[*job]float64{}
-	for h, ts := range n.onHost {
-		m := n.machines[h]
+	each := map[*book.Job]float64{}
+	for h, ts := range n.OnHost {
+		m := n.Machines[h]
 		if m == nil || m.Build != g.Build || m.Loaner != g.Loaner {
 			continue
 		}
 		for _, t := range ts {
-			if t.job.rec != nil {
-				each[t.job] += t.need.Share(b.Whole())
+			if t.Job.Rec != nil {
+				each[t.Job] += t.Need.Share(b.Whole())
 			}
 		}
 	}
@@ -813,17 +814,17 @@
 		}
 	}
 	fit := map[fleet.Group]int{}
-	zonesOf := map[*job]map[string]int{}
+	zonesOf := map[*book.Job]map[string]int{}
 	wanted := map[kind]int{}
 	for k, v := range counts {
 		wanted[k] = v
 	}
 	for _, w := range n.stillWaiting() {
-		spec := &w.t.job.rec.Spec
-		zones := zonesOf[w.t.job]
+		spec := &w.t.Job.Rec.Spec
+		zones := zonesOf[w.t.Job]
 		if zones == nil {
-			zones = n.zones(w.t.job)
-			zonesOf[w.t.job] = zones
+			zones = n.Zones(w.t.Job)
+			zonesOf[w.t.Job] = zones
 		}
 		left := w.count
 		for i := 0; i < len(bins) && left > 0; i++ {
@@ -832,7 +833,7 @@
 				continue
 			}
 			share := spec.Need().Share(c.catalog[b.k.Build].Whole())
-			for left > 0 && b.free.Fits(spec.Need()) && zoneAllowed(spec, zones, b.k.site) {
+			for left > 0 && b.free.Fits(spec.Need()) && book.ZoneAllowed(spec, zones, b.k.site) {
 				b.free = b.free.Sub(spec.Need())
 				demand[b.k.Group] += share
 				zones[b.k.site]++
@@ -840,7 +841,7 @@
 			}
 		}
 		for left > 0 {
-			k, ok := n.cheapest(w.t.job.rec, zones, wanted)
+			k, ok := n.cheapest(w.t.Job.Rec, zones, wanted)
 			if !ok {
 				break
 			}
@@ -848,7 +849,7 @@
 			wanted[k]++
 			fit[k.Group]++
 			free := b.Whole()
-			for left > 0 && free.Fits(spec.Need()) && zoneAllowed(spec, zones, k.site) {
+			for left > 0 && free.Fits(spec.Need()) && book.ZoneAllowed(spec, zones, k.site) {
 				free = free.Sub(spec.Need())
 				demand[k.Group] += spec.Need().Share(b.Whole())
 				zones[k.site]++
@@ -875,7 +876,7 @@
 	var kinds []kind
 	for _, site := range b.Sites {
 		k := kind{g, site}
-		if !n.now.Before(c.refused[k.String()]) {
+		if !n.Now.Before(c.refused[k.String()]) {
 			kinds = append(kinds, k)
 		}
 	}
@@ -984,7 +985,7 @@
 				}
 			}
 			if len(got.Hosts) < a.Count {
-				c.refused[k.String()] = n.now.Add(tuning.NoCapacity)
+				c.refused[k.String()] = n.Now.Add(tuning.NoCapacity)
 			}
 			n.rentEnded(len(got.Hosts) < a.Count)
 		case err == nil && status == 503:
@@ -992,7 +993,7 @@
 			n.log.Info("rent refused", "kind", k.String(), "error", got.Error)
 			n.dropAsked(a.Hire)
 			if got.Error == "no capacity" {
-				c.refused[k.String()] = n.now.Add(tuning.NoCapacity)
+				c.refused[k.String()] = n.Now.Add(tuning.NoCapacity)
 			}
 			n.rentEnded(got.Error == "no capacity")
 		case again < tuning.RentRetries && err != errOldView && (err != nil || status == 429):
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"github.com/harrierreel/harrierreel/internal/book"
 	"maps"
 	"slices"
 	"sort"
@@ -37,8 +38,8 @@
 // waiting is queued tasks of one job that may run by their team's limit but have
 // found no room.
 type waiting struct {
-	t      *task   // the first of them
-	tasks  []*task // the first few
+	t      *book.Task   // the first of them
+	tasks  []*book.Task // the first few
 	count  int
 	rank   int
 	within bool // inside its team's guarantee
@@ -81,8 +82,8 @@
 	if n.scarce() {
 		least = tuning.BatchLeast
 	}
-	if n.client.Allows(0, least) || n.now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
-		n.lead.releasedAt = n.now
+	if n.client.Allows(0, least) || n.Now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
+		n.lead.releasedAt = n.Now
 		n.release()
 	}
 }
@@ -90,12 +91,12 @@
 // closeJobs ends jobs whose tasks are done and clears the records of closed
 // ones.
 func (n *Node) closeJobs() {
-	for _, uid := range sorted(n.complete) {
-		j := n.complete[uid]
+	for _, uid := range sorted(n.Complete) {
+		j := n.Complete[uid]
 		if n.lead.closing[uid] || n.busy[jobs.JobPrefix+uid] {
 			continue
 		}
-		next, ok := jobs.NextJob(j.rec.State, jobs.TasksAllDone)
+		next, ok := jobs.NextJob(j.Rec.State, jobs.TasksAllDone)
 		if !ok {
 			continue
 		}
@@ -108,11 +109,11 @@
 	}
 	// Clearing is in no hurry and must not hold up decisions that are.
 	var ds []decision
-	for _, uid := range sorted(n.closed) {
+	for _, uid := range sorted(n.Closed) {
 		if len(ds) >= n.set.Cluster.State.TxnOps || !n.client.Spare() {
 			break
 		}
-		ds = append(ds, n.clear(n.closed[uid])...)
+		ds = append(ds, n.clear(n.Closed[uid])...)
 	}
 	n.commit(ds)
 }
@@ -120,12 +121,12 @@
 // closeWhole is the urgent decision that writes a job's final state and removes
 // its live records in one, when none of its tasks may be on a machine any more and
 // one transaction holds it all.
-func (n *Node) closeWhole(j *job, state jobs.JobState) (decision, bool) {
-	if len(j.active) > 0 || len(j.slices)+2 > n.set.Cluster.State.TxnOps {
+func (n *Node) closeWhole(j *book.Job, state jobs.JobState) (decision, bool) {
+	if len(j.Active) > 0 || len(j.Slices)+2 > n.set.Cluster.State.TxnOps {
 		return decision{}, false
 	}
-	for _, sl := range j.slices {
-		if n.busy[sl.key] {
+	for _, sl := range j.Slices {
+		if n.busy[sl.Key] {
 			return decision{}, false
 		}
 	}
@@ -135,13 +136,13 @@
 // finalWrites is the decision that writes a job's final state in place of its
 // live records. Urgent: users wait for it, the records do not change any more,
 // and as a large decision it would never find the budget that small ones leave.
-func (n *Node) finalWrites(j *job, state jobs.JobState) decision {
+func (n *Node) finalWrites(j *book.Job, state jobs.JobState) decision {
 	d := decision{urgent: true, writes: []store.Write{
-		put(jobs.FinalPrefix+j.uid, jobs.Final{State: state, Done: j.rec.Spec.Pieces}),
-		remove(jobs.JobPrefix + j.uid),
+		put(jobs.FinalPrefix+j.UID, jobs.Final{State: state, Done: j.Rec.Spec.Pieces}),
+		remove(jobs.JobPrefix + j.UID),
 	}}
-	for _, from := range slices.Sorted(maps.Keys(j.slices)) {
-		d.writes = append(d.writes, remove(j.slices[from].key))
+	for _, from := range slices.Sorted(maps.Keys(j.Slices)) {
+		d.writes = append(d.writes, remove(j.Slices[from].Key))
 	}
 	d.ends = true
 	return d
@@ -149,19 +150,19 @@
 
 // clear removes the records of a closed job: those of slices without a task on
 // a machine, and the job's own once no slice is left.
-func (n *Node) clear(j *job) []decision {
-	if len(j.slices) == 0 {
-		return []decision{{writes: []store.Write{remove(jobs.JobPrefix + j.uid)}}}
+func (n *Node) clear(j *book.Job) []decision {
+	if len(j.Slices) == 0 {
+		return []decision{{writes: []store.Write{remove(jobs.JobPrefix + j.UID)}}}
 	}
 	var ds []decision
-	for _, from := range slices.Sorted(maps.Keys(j.slices)) {
-		sl := j.slices[from]
+	for _, from := range slices.Sorted(maps.Keys(j.Slices)) {
+		sl := j.Slices[from]
 		rest := true
-		for _, t := range sl.tasks {
-			rest = rest && !t.On() && t.State != unreadable
+		for _, t := range sl.Tasks {
+			rest = rest && !t.On() && t.State != book.Unreadable
 		}
-		if rest && !n.busy[sl.key] && len(ds) < n.set.Cluster.State.TxnOps {
-			ds = append(ds, decision{writes: []store.Write{remove(sl.key)}})
+		if rest && !n.busy[sl.Key] && len(ds) < n.set.Cluster.State.TxnOps {
+			ds = append(ds, decision{writes: []store.Write{remove(sl.Key)}})
 		}
 	}
 	return ds
@@ -170,17 +171,17 @@
 // takeBack withdraws tasks that their part did not place.
 func (n *Node) takeBack() {
 	var ds []decision
-	for _, piece := range sorted(n.released) {
-		t := n.released[piece]
+	for _, piece := range sorted(n.Released) {
+		t := n.Released[piece]
 		gone := n.view.Inc(t.Part) == 0
-		if !gone && n.now.Sub(t.since) < tuning.ReleaseStale {
+		if !gone && n.Now.Sub(t.Since) < tuning.ReleaseStale {
 			continue
 		}
 		if !gone && t.Want != "" {
-			n.lead.avoid[t.Want] = n.now.Add(tuning.AvoidAfter)
+			n.lead.avoid[t.Want] = n.Now.Add(tuning.AvoidAfter)
 		}
 		next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.TakeBack})
-		if ok && !n.busy[t.slice.key] {
+		if ok && !n.busy[t.Slice.Key] {
 			ds = append(ds, decision{changes: []change{{t, next}}})
 		}
 	}
@@ -190,11 +191,11 @@
 // dropClaims clears claims that an earlier leader left.
 func (n *Node) dropClaims() {
 	var ds []decision
-	for _, m := range n.byName() {
+	for _, m := range n.ByName() {
 		if m.Claim != "" && !n.lead.claiming[m.Claim] {
 			rec := m.Host
 			rec.Claim = ""
-			ds = append(ds, decision{writes: []store.Write{put(fleet.HostPrefix+m.name, rec)}})
+			ds = append(ds, decision{writes: []store.Write{put(fleet.HostPrefix+m.Name, rec)}})
 		}
 	}
 	n.commit(ds)
@@ -202,9 +203,9 @@
 
 // queue orders the live jobs that wait: by rank, then what lies within a
 // guarantee, then by the time by which they must start to meet their aim.
-func (n *Node) queue(a *quota.Account) []*job {
+func (n *Node) queue(a *quota.Account) []*book.Job {
 	type entry struct {
-		j      *job
+		j      *book.Job
 		rank   int
 		beyond bool
 		late   bool
@@ -212,12 +213,12 @@
 		start  int64
 	}
 	late := func(r *jobs.Record, start int64) bool { return start >= r.AtMs+tuning.QueueHorizon.Milliseconds() }
-	q := make([]entry, 0, len(n.queued))
-	for _, j := range n.queued {
-		spec := &j.rec.Spec
+	q := make([]entry, 0, len(n.Queued))
+	for _, j := range n.Queued {
+		spec := &j.Rec.Spec
 		within := n.teams[spec.Owner].Guarantees(a.Used(spec.Owner).Add(spec.Amount(), 1))
-		start := n.startBy(j.rec, within)
-		q = append(q, entry{j, spec.RankOrder(), !within, late(j.rec, start), spec.Accel * float64(spec.Pieces-j.done), start})
+		start := n.startBy(j.Rec, within)
+		q = append(q, entry{j, spec.RankOrder(), !within, late(j.Rec, start), spec.Accel * float64(spec.Pieces-j.Done), start})
 	}
 	sort.Slice(q, func(x, y int) bool {
 		a, b := &q[x], &q[y]
@@ -233,9 +234,9 @@
 		case a.start != b.start:
 			return a.start < b.start
 		}
-		return a.j.uid < b.j.uid
+		return a.j.UID < b.j.UID
 	})
-	out := make([]*job, len(q))
+	out := make([]*book.Job, len(q))
 	for i := range q {
 		out[i] = q[i].j
 	}
@@ -269,25 +270,25 @@
 
 // pending lists up to most tasks of a job that wait, those that have tried
 // before first.
-func (n *Node) pending(j *job, most int) []*task {
-	var out []*task
-	for _, t := range j.again {
-		if t.After <= n.ms() && !n.busy[t.slice.key] {
+func (n *Node) pending(j *book.Job, most int) []*book.Task {
+	var out []*book.Task
+	for _, t := range j.Again {
+		if t.After <= n.ms() && !n.busy[t.Slice.Key] {
 			out = append(out, t)
 		}
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].n < out[b].n })
-	for j.free < j.rec.Spec.Pieces && j.tasks[j.free] != nil {
-		j.free++
+	sort.Slice(out, func(a, b int) bool { return out[a].N < out[b].N })
+	for j.Free < j.Rec.Spec.Pieces && j.Tasks[j.Free] != nil {
+		j.Free++
 	}
 	// Where a slice cannot be read, nobody knows which tasks it holds.
-	for i := j.free; i < j.rec.Spec.Pieces && len(out) < most && !j.unreadable; i++ {
-		if j.tasks[i] != nil {
+	for i := j.Free; i < j.Rec.Spec.Pieces && len(out) < most && !j.Unreadable; i++ {
+		if j.Tasks[i] != nil {
 			continue
 		}
-		piece := jobs.Piece(j.uid, i)
-		if _, booked := n.reserve[piece]; !booked {
-			out = append(out, &task{Task: jobs.Task{State: jobs.Pending}, piece: piece, n: i, job: j})
+		piece := jobs.Piece(j.UID, i)
+		if _, booked := n.Reserved[piece]; !booked {
+			out = append(out, &book.Task{Task: jobs.Task{State: jobs.Pending}, Piece: piece, N: i, Job: j})
 		}
 	}
 	if len(out) > most {
@@ -296,48 +297,9 @@
 	return out
 }
 
-// zones counts the job's tasks by zone, counting released ones and every old
-// attempt that is still on a machine. Only jobs whose zones matter are counted.
-func (n *Node) zones(j *job) map[string]int {
-	out := map[string]int{}
-	if j.rec == nil || !j.rec.Spec.SamePlace && !j.rec.Spec.Scatter {
-		return out
-	}
-	for _, t := range j.active {
-		switch {
-		case t.State == jobs.Released:
-			out[t.Site]++
-		case t.On():
-			if m := n.machines[t.Host]; m != nil && m.Site != "" {
-				out[m.Site]++
-			} else {
-				out[t.Site]++
-			}
-		}
-	}
-	for _, r := range n.reserve {
-		if r.t.job == j && j.active[r.t.n] == nil {
-			out[r.site]++
-		}
-	}
-	return out
-}
-
-// zoneAllowed tells whether one more task of the job may go into a zone.
-func zoneAllowed(spec *jobs.Spec, zones map[string]int, site string) bool {
-	if spec.SamePlace {
-		for z, c := range zones {
-			if c > 0 && z != site {
-				return false
-			}
-		}
-	}
-	return !spec.Scatter || zones[site] < spec.ZoneMost()
-}
-
 // offer is a task with the machine that the leader has room in mind on.
 type offer struct {
-	t    *task
+	t    *book.Task
 	host string
 }
 
@@ -351,25 +313,25 @@
 	full     map[string]bool      // teams whose next task does not fit their limit
 	nowhere  map[string][]refusal // what found no room, by where it may go
 	searches int                  // looks for tasks to stop
-	stopping map[*task]bool       // to be stopped by this pass
+	stopping map[*book.Task]bool  // to be stopped by this pass
 	chosen   int                  // machines newly chosen to be kept
 	ds       []decision
-	machines []*machine        // those that the leader may have room on in mind
+	machines []*book.Machine   // those that the leader may have room on in mind
 	cands    []parts.Candidate // room for the board of one job after another
 }
 
 // board lists the machines with room for a task; it holds until the next.
-func (p *pass) board(n *Node, t *task) []parts.Candidate {
-	p.cands = n.board(p.cands, p.open(n), func(m *machine) bool { return suits(t, m) }, &t.job.rec.Spec)
+func (p *pass) board(n *Node, t *book.Task) []parts.Candidate {
+	p.cands = n.board(p.cands, p.open(n), func(m *book.Machine) bool { return book.Suits(t, m) }, &t.Job.Rec.Spec)
 	return p.cands
 }
 
 // open lists the machines that the leader may have room on in mind. It is the
 // same for every job of a pass, and a look at a machine's standing costs more
 // than one at its room.
-func (p *pass) open(n *Node) []*machine {
+func (p *pass) open(n *Node) []*book.Machine {
 	if p.machines == nil {
-		for _, m := range n.byName() {
+		for _, m := range n.ByName() {
 			if m.State == fleet.Up && n.openFor(m) {
 				p.machines = append(p.machines, m)
 			}
@@ -394,18 +356,18 @@
 }
 
 func (n *Node) newPass() *pass {
-	return &pass{account: n.account.Clone(), held: map[string]bool{}, full: map[string]bool{}, nowhere: map[string][]refusal{}, stopping: map[*task]bool{}}
+	return &pass{account: n.Account.Clone(), held: map[string]bool{}, full: map[string]bool{}, nowhere: map[string][]refusal{}, stopping: map[*book.Task]bool{}}
 }
 
 // keep takes room on a machine until the pass ends.
 func (p *pass) keep(n *Node, host string, need parts.Room) {
-	n.occupy(host, need)
+	n.Occupy(host, need)
 	p.hosts, p.holds = append(p.hosts, host), append(p.holds, need)
 }
 
 func (p *pass) end(n *Node) {
 	for i, h := range p.hosts {
-		n.vacate(h, p.holds[i])
+		n.Vacate(h, p.holds[i])
 	}
 }
 
@@ -450,14 +412,14 @@
 	if !budget {
 		most = tuning.MostLooks
 	}
-	seen := map[*job]bool{}
+	seen := map[*book.Job]bool{}
 	looked := 0
 	for _, j := range n.queue(p.account) {
 		if looked >= most || budget && !n.client.Allows(p.writes(), 1) {
 			break
 		}
 		seen[j] = true
-		spec := &j.rec.Spec
+		spec := &j.Rec.Spec
 		if p.full[spec.Owner] {
 			continue
 		}
@@ -471,7 +433,7 @@
 	n.preempt(p)
 	// What was not looked at waits as it did.
 	for _, w := range before {
-		if !seen[w.t.job] {
+		if !seen[w.t.Job] {
 			n.lead.waiting = append(n.lead.waiting, w)
 		}
 	}
@@ -482,28 +444,28 @@
 // stillWaiting lists what found no room when it was last looked at and whose
 // job still waits.
 func (n *Node) stillWaiting() []*waiting {
-	return slices.DeleteFunc(slices.Clone(n.lead.waiting), func(w *waiting) bool { return n.queued[w.t.job.uid] != w.t.job })
+	return slices.DeleteFunc(slices.Clone(n.lead.waiting), func(w *waiting) bool { return n.Queued[w.t.Job.UID] != w.t.Job })
 }
 
 // releaseTasks releases what waits of a job of independent tasks or replicas,
 // and returns how many tasks it looked at.
-func (n *Node) releaseTasks(j *job, p *pass, most int) int {
-	spec := &j.rec.Spec
+func (n *Node) releaseTasks(j *book.Job, p *pass, most int) int {
+	spec := &j.Rec.Spec
 	team := n.teams[spec.Owner]
 	var cands []parts.Candidate
 	room := 0
 	if !p.hopeless(spec, 1) {
-		probe := &task{job: j}
+		probe := &book.Task{Job: j}
 		cands = p.board(n, probe)
 		if len(cands) == 0 {
 			p.refuse(spec, 1)
 		}
-		enough := spec.Pieces - j.done - len(j.active)
+		enough := spec.Pieces - j.Done - len(j.Active)
 		for i := 0; i < len(cands) && room <= enough; i++ {
 			room += cands[i].Free.Times(spec.Need())
 		}
 	}
-	probing := n.trust(j, "") == jobs.Probing
+	probing := n.Trust(j, "") == jobs.Probing
 	tasks := n.pending(j, min(most, room+tuning.WaitingEach, n.unstarted(j)))
 	if probing {
 		tasks = n.probe(j)
@@ -511,7 +473,7 @@
 	if len(tasks) == 0 {
 		return 1
 	}
-	zones := n.zones(j)
+	zones := n.Zones(j)
 	cands = n.gatherParts(spec, cands, len(tasks))
 	var offers []offer
 	looked := 0
@@ -562,23 +524,23 @@
 
 // probe is the one task that a job in doubt may try next, if any: the one that
 // has failed most, whose pause is the longest.
-func (n *Node) probe(j *job) []*task {
-	if len(j.active) > 0 {
+func (n *Node) probe(j *book.Job) []*book.Task {
+	if len(j.Active) > 0 {
 		return nil
 	}
-	var most *task
-	for _, t := range j.again {
-		if n.busy[t.slice.key] {
+	var most *book.Task
+	for _, t := range j.Again {
+		if n.busy[t.Slice.Key] {
 			return nil
 		}
-		if most == nil || t.Fails > most.Fails || t.Fails == most.Fails && t.n < most.n {
+		if most == nil || t.Fails > most.Fails || t.Fails == most.Fails && t.N < most.N {
 			most = t
 		}
 	}
 	if most == nil || most.After > n.ms() {
 		return nil
 	}
-	return []*task{most}
+	return []*book.Task{most}
 }
 
 // scarce tells whether changes of the state service are few for the number of
@@ -586,7 +548,7 @@
 // leader names their machines in the change that releases them: every slice and
 // every step of it by itself is a change.
 func (n *Node) scarce() bool {
-	return float64(len(n.machines)) > n.set.Cluster.State.WriteRPS
+	return float64(len(n.Machines)) > n.set.Cluster.State.WriteRPS
 }
 
 // gatherParts keeps, while changes are scarce, the candidates of as few parts
@@ -641,47 +603,41 @@
 
 // gathers tells whether the few tasks of a sweep that there is room for should
 // wait a moment for more of them, to share a slice. Their room is kept.
-func (n *Node) gathers(j *job, offers, room int) bool {
-	if !n.scarce() || n.client.Spare() || j.rec.Spec.Shape != jobs.Sweep || offers == 0 ||
-		offers >= min(tuning.GatherTasks, j.rec.Spec.Pieces-j.done-len(j.active)) || offers < room {
-		j.gather = time.Time{}
+func (n *Node) gathers(j *book.Job, offers, room int) bool {
+	if !n.scarce() || n.client.Spare() || j.Rec.Spec.Shape != jobs.Sweep || offers == 0 ||
+		offers >= min(tuning.GatherTasks, j.Rec.Spec.Pieces-j.Done-len(j.Active)) || offers < room {
+		j.Gather = time.Time{}
 		return false
 	}
-	if j.gather.IsZero() {
-		j.gather = n.now
+	if j.Gather.IsZero() {
+		j.Gather = n.Now
 	}
-	if n.now.Sub(j.gather) < tuning.GatherFor {
+	if n.Now.Sub(j.Gather) < tuning.GatherFor {
 		return true
 	}
-	j.gather = time.Time{}
+	j.Gather = time.Time{}
 	return false
 }
 
-// anywhere is the task without its own memory of machines, for questions about
-// the whole job.
-func (t *task) anywhere() *task {
-	return &task{Task: jobs.Task{State: t.State}, piece: t.piece, n: t.n, job: t.job}
-}
-
 // pickFor is the best candidate for one of a job's tasks, or -1.
-func (n *Node) pickFor(t *task, cands []parts.Candidate, zones map[string]int) int {
-	spec := &t.job.rec.Spec
+func (n *Node) pickFor(t *book.Task, cands []parts.Candidate, zones map[string]int) int {
+	spec := &t.Job.Rec.Spec
 	return parts.PickIf(spec.Need(), spec.Loaner, cands, func(c *parts.Candidate) bool {
-		return zoneAllowed(spec, zones, c.Site) && (t.Site == "" || t.Site == c.Site) && !slices.Contains(t.Bad, c.Host)
+		return book.ZoneAllowed(spec, zones, c.Site) && (t.Site == "" || t.Site == c.Site) && !slices.Contains(t.Bad, c.Host)
 	})
 }
 
 // unstarted is how many more tasks of a job may start by now. Of a very large one
 // only so many are under way at once: with all of 100,000 tasks of some seconds on
 // machines, their reports took all of the controllers' processor time.
-func (n *Node) unstarted(j *job) int {
-	return max(0, min(j.rec.Spec.Pieces-j.done, tuning.MostActive)-len(j.active))
+func (n *Node) unstarted(j *book.Job) int {
+	return max(0, min(j.Rec.Spec.Pieces-j.Done, tuning.MostActive)-len(j.Active))
 }
 
 // wait notes tasks that found no room: they keep their turn, and a machine is
 // kept for the first of them.
-func (n *Node) wait(j *job, tasks []*task, within bool, zones map[string]int, p *pass) {
-	spec := &j.rec.Spec
+func (n *Node) wait(j *book.Job, tasks []*book.Task, within bool, zones map[string]int, p *pass) {
+	spec := &j.Rec.Spec
 	count := n.teams[spec.Owner].More(p.account.Used(spec.Owner), spec.Amount(), n.unstarted(j))
 	if count == 0 {
 		return
@@ -695,22 +651,22 @@
 // mind; those of the leader's own part are placed at once. New tasks of a part
 // make a slice: it does not matter which of a job's tasks goes where, so each
 // part gets consecutive ones.
-func (n *Node) releasing(j *job, offers []offer) []decision {
+func (n *Node) releasing(j *book.Job, offers []offer) []decision {
 	var ds []decision
 	byPart := map[string][]string{}
-	var fresh []*task
+	var fresh []*book.Task
 	for _, o := range offers {
-		if o.t.slice != nil {
+		if o.t.Slice != nil {
 			if d, ok := n.releaseOld(o); ok {
 				ds = append(ds, d)
 			}
 			continue
 		}
 		fresh = append(fresh, o.t)
-		part := n.machines[o.host].owner
+		part := n.Machines[o.host].Owner
 		byPart[part] = append(byPart[part], o.host)
 	}
-	slices.SortFunc(fresh, func(a, b *task) int { return a.n - b.n })
+	slices.SortFunc(fresh, func(a, b *book.Task) int { return a.N - b.N })
 	for _, part := range sorted(byPart) {
 		hosts := byPart[part]
 		for len(hosts) > 0 {
@@ -724,31 +680,31 @@
 
 // releaseOld gives a task to a part once more.
 func (n *Node) releaseOld(o offer) (decision, bool) {
-	m := n.machines[o.host]
+	m := n.Machines[o.host]
 	if n.ours(o.t, m) {
 		return n.placing(o.t, o.host, m.Site, o.t.Try+1)
 	}
-	next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.owner, Site: m.Site, Want: o.host})
+	next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host})
 	if !ok {
 		return decision{}, false
 	}
-	n.book(o.t, o.host, m.Site)
-	piece := o.t.piece
+	n.Reserve(o.t, o.host, m.Site)
+	piece := o.t.Piece
 	return decision{
 		changes: []change{{o.t, next}},
-		seen:    []string{jobs.JobPrefix + o.t.job.uid},
-		done:    func(bool) { n.unbook(piece) },
+		seen:    []string{jobs.JobPrefix + o.t.Job.UID},
+		done:    func(bool) { n.Unreserve(piece) },
 	}, true
 }
 
 // beginSlice is the decision that begins a slice of consecutive tasks that
 // have never been released. The key must not exist yet. Tasks that place allows
 // are placed at once, the others are released to the machine's part.
-func (n *Node) beginSlice(j *job, tasks []*task, hosts []string, place func(*task, *machine) bool, try uint64) decision {
-	d := decision{seen: []string{jobs.JobPrefix + j.uid}}
+func (n *Node) beginSlice(j *book.Job, tasks []*book.Task, hosts []string, place func(*book.Task, *book.Machine) bool, try uint64) decision {
+	d := decision{seen: []string{jobs.JobPrefix + j.UID}}
 	records := make([]jobs.Task, len(tasks))
 	for i, t := range tasks {
-		m := n.machines[hosts[i]]
+		m := n.Machines[hosts[i]]
 		if place(t, m) {
 			records[i], _ = n.placed(t, hosts[i], m.Site, try)
 			if key := fleet.HostPrefix + hosts[i]; !slices.Contains(d.seen, key) {
@@ -756,13 +712,13 @@
 			}
 			continue
 		}
-		records[i], _ = jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.owner, Site: m.Site, Want: hosts[i]})
-		n.book(t, hosts[i], m.Site)
+		records[i], _ = jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: hosts[i]})
+		n.Reserve(t, hosts[i], m.Site)
 	}
-	d.writes = []store.Write{{Put: jobs.SliceKey(j.uid, tasks[0].n), Value: jobs.EncodeSlice(records, n.sliceLimit())}}
+	d.writes = []store.Write{{Put: jobs.SliceKey(j.UID, tasks[0].N), Value: jobs.EncodeSlice(records, n.sliceLimit())}}
 	d.done = func(bool) {
 		for _, t := range tasks {
-			n.unbook(t.piece)
+			n.Unreserve(t.Piece)
 		}
 	}
 	return d
@@ -770,37 +726,37 @@
 
 // ours tells whether the leader may place a task itself: in its own part, and
 // where changes are scarce in every part, by the machine's record.
-func (n *Node) ours(t *task, m *machine) bool {
-	if m.owner != n.set.NodeName {
+func (n *Node) ours(t *book.Task, m *book.Machine) bool {
+	if m.Owner != n.set.NodeName {
 		return n.scarce() && n.offers(t, m)
 	}
 	return n.canPlace(t, m)
 }
 
-func always(*task, *machine) bool { return true }
+func always(*book.Task, *book.Machine) bool { return true }
 
-func never(*task, *machine) bool { return false }
+func never(*book.Task, *book.Machine) bool { return false }
 
 // run is how many of the first of fresh tasks, up to most, are consecutive.
-func (n *Node) run(fresh []*task, most int) int {
+func (n *Node) run(fresh []*book.Task, most int) int {
 	k := 1
-	for k < most && k < len(fresh) && k < n.sliceMost() && fresh[k].n == fresh[0].n+k {
+	for k < most && k < len(fresh) && k < n.sliceMost() && fresh[k].N == fresh[0].N+k {
 		k++
 	}
 	return k
 }
 
 // offers tells whether the leader may have room on a machine in mind.
-func (n *Node) offers(t *task, m *machine) bool { return n.openFor(m) && suits(t, m) }
+func (n *Node) offers(t *book.Task, m *book.Machine) bool { return n.openFor(m) && book.Suits(t, m) }
 
 // openFor tells whether the leader may have room on a machine in mind at all.
-func (n *Node) openFor(m *machine) bool {
-	return m.Claim == "" && !n.now.Before(n.lead.avoid[m.name]) && n.ready(m)
+func (n *Node) openFor(m *book.Machine) bool {
+	return m.Claim == "" && !n.Now.Before(n.lead.avoid[m.Name]) && n.ready(m)
 }
 
 // findHost picks the machine to have in mind for a task.
-func (n *Node) findHost(t *task, zones map[string]int) string {
-	cands := n.board(nil, n.byName(), func(m *machine) bool { return n.offers(t, m) }, &t.job.rec.Spec)
+func (n *Node) findHost(t *book.Task, zones map[string]int) string {
+	cands := n.board(nil, n.ByName(), func(m *book.Machine) bool { return n.offers(t, m) }, &t.Job.Rec.Spec)
 	if i := n.pickFor(t, cands, zones); i >= 0 {
 		return cands[i].Host
 	}
@@ -814,14 +770,14 @@
 //
 // What is kept for a job is chosen anew from time to time only: choosing means
 // a look at every machine for each.
-func (n *Node) holdFor(t *task, count int, zones map[string]int, p *pass) {
-	spec := &t.job.rec.Spec
-	kept := n.lead.holds[t.job.uid]
+func (n *Node) holdFor(t *book.Task, count int, zones map[string]int, p *pass) {
+	spec := &t.Job.Rec.Spec
+	kept := n.lead.holds[t.Job.UID]
 	zones = maps.Clone(zones)
-	if n.now.Sub(kept.at) > tuning.HoldAgain {
-		kept = hold{at: n.now}
+	if n.Now.Sub(kept.at) > tuning.HoldAgain {
+		kept = hold{at: n.Now}
 		for range count {
-			if float64(len(p.held)+1) > tuning.HoldShare*float64(len(n.machines)) || p.chosen >= tuning.HoldMost {
+			if float64(len(p.held)+1) > tuning.HoldShare*float64(len(n.Machines)) || p.chosen >= tuning.HoldMost {
 				break
 			}
 			p.chosen++
@@ -829,14 +785,14 @@
 			if m == nil {
 				break
 			}
-			kept.hosts = append(kept.hosts, m.name)
-			p.held[m.name] = true
+			kept.hosts = append(kept.hosts, m.Name)
+			p.held[m.Name] = true
 			zones[m.Site]++
 		}
-		n.lead.holds[t.job.uid] = kept
+		n.lead.holds[t.Job.UID] = kept
 	}
 	for _, h := range kept.hosts {
-		if n.machines[h] != nil {
+		if n.Machines[h] != nil {
 			p.held[h] = true
 			p.keep(n, h, spec.Need())
 		}
@@ -850,20 +806,20 @@
 }
 
 // fullest is the machine that lacks least for a task.
-func (n *Node) fullest(t *task, zones map[string]int, p *pass) *machine {
-	spec := &t.job.rec.Spec
-	var best *machine
+func (n *Node) fullest(t *book.Task, zones map[string]int, p *pass) *book.Machine {
+	spec := &t.Job.Rec.Spec
+	var best *book.Machine
 	most := -1.0
 	for _, m := range p.open(n) {
-		if p.held[m.name] || !suits(t, m) || !zoneAllowed(spec, zones, m.Site) {
+		if p.held[m.Name] || !book.Suits(t, m) || !book.ZoneAllowed(spec, zones, m.Site) {
 			continue
 		}
-		whole := n.builds[m.Build].Whole()
+		whole := n.Builds[m.Build].Whole()
 		if !whole.Fits(spec.Need()) {
 			continue
 		}
 		// By how much of the task would fit.
-		if part := 1 / max(spec.Need().Share(whole.Sub(m.use.room)), 1e-9); part > most {
+		if part := 1 / max(spec.Need().Share(whole.Sub(m.Use.Room)), 1e-9); part > most {
 			best, most = m, part
 		}
 	}
@@ -872,7 +828,7 @@
 
 // lowerRuns tells whether any task of a lower rank is on a machine.
 func (n *Node) lowerRuns(rank int) bool {
-	for _, count := range n.onRank[rank+1:] {
+	for _, count := range n.OnRank[rank+1:] {
 		if count > 0 {
 			return true
 		}
@@ -886,23 +842,23 @@
 // a while.
 func (n *Node) preempt(p *pass) {
 	for _, w := range n.lead.waiting {
-		spec := &w.t.job.rec.Spec
+		spec := &w.t.Job.Rec.Spec
 		if !w.within && !n.lowerRuns(w.rank) || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
 			continue
 		}
 		for _, t := range w.tasks {
-			if !n.now.Before(n.lead.preempted[t.piece].until) {
+			if !n.Now.Before(n.lead.preempted[t.Piece].until) {
 				n.stopFor(&waiting{t: t, rank: w.rank, within: w.within}, false, p)
 			}
 		}
 	}
 	for piece, m := range n.lead.preempted {
-		if n.now.After(m.until) {
+		if n.Now.After(m.until) {
 			delete(n.lead.preempted, piece)
 		}
 	}
 	for uid, h := range n.lead.holds {
-		if n.now.Sub(h.at) > tuning.HoldAgain {
+		if n.Now.Sub(h.at) > tuning.HoldAgain {
 			delete(n.lead.holds, uid)
 		}
 	}
@@ -912,25 +868,25 @@
 // keep them for ever: one is stopped where another machine has room for it and
 // holds its image, so that it is away for a moment only. A few at a time.
 func (n *Node) moveReplicas() {
-	if n.now.Sub(n.lead.movedAt) < tuning.MoveEvery {
+	if n.Now.Sub(n.lead.movedAt) < tuning.MoveEvery {
 		return
 	}
-	n.lead.movedAt = n.now
-	most := max(1, int(tuning.MovesShare*float64(len(n.machines))))
+	n.lead.movedAt = n.Now
+	most := max(1, int(tuning.MovesShare*float64(len(n.Machines))))
 	var ds []decision
 	for _, h := range sorted(n.summary.Drain) {
-		for _, piece := range sorted(n.onHost[h]) {
-			t := n.onHost[h][piece]
-			if t.job.rec == nil || t.State != jobs.Placed || !t.ran && n.owner(h) == n.set.NodeName || t.job.rec.Spec.Shape != jobs.Standing ||
-				n.now.Sub(t.since) < tuning.MoveAfter || len(ds) >= most {
+		for _, piece := range sorted(n.OnHost[h]) {
+			t := n.OnHost[h][piece]
+			if t.Job.Rec == nil || t.State != jobs.Placed || !t.Ran && n.owner(h) == n.set.NodeName || t.Job.Rec.Spec.Shape != jobs.Standing ||
+				n.Now.Sub(t.Since) < tuning.MoveAfter || len(ds) >= most {
 				continue
 			}
-			zones := n.zones(t.job)
-			if m := n.machines[h]; m != nil {
+			zones := n.Zones(t.Job)
+			if m := n.Machines[h]; m != nil {
 				zones[m.Site]--
 			}
-			to := n.findHost(t.anywhere(), zones)
-			if to == "" || !n.cached(to, t.job.rec.Spec.Bundle) {
+			to := n.findHost(t.Anywhere(), zones)
+			if to == "" || !n.Cached(to, t.Job.Rec.Spec.Bundle) {
 				continue
 			}
 			next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "moved off a draining machine"})
@@ -950,13 +906,13 @@
 	p.searches++
 	var ds []decision
 	for _, v := range n.victims(w, p, onlyCached) {
-		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.t.piece}); ok {
+		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.t.Piece}); ok {
 			ds = append(ds, decision{changes: []change{{v, next}}})
 			p.stopping[v] = true
 		}
 	}
 	if len(ds) > 0 {
-		n.lead.preempted[w.t.piece] = making{n.now.Add(tuning.PreemptAgain), onlyCached}
+		n.lead.preempted[w.t.Piece] = making{n.Now.Add(tuning.PreemptAgain), onlyCached}
 	}
 	p.ds = append(p.ds, ds...)
 	return len(ds) > 0
@@ -966,19 +922,19 @@
 // that holds its image rather than go to one that would have to fetch it: when
 // the fetch would take it past its aim, and it may stop others there.
 func (n *Node) clearCached(w *waiting, host string, p *pass) bool {
-	rec := w.t.job.rec
-	if (w.rank > 1 && !w.within) || n.cached(host, rec.Spec.Bundle) {
+	rec := w.t.Job.Rec
+	if (w.rank > 1 && !w.within) || n.Cached(host, rec.Spec.Bundle) {
 		return false
 	}
-	rate := n.builds[n.machines[host].Build].PullRate
+	rate := n.Builds[n.Machines[host].Build].PullRate
 	aim := n.startAim(rec, w.within)
 	if rate <= 0 || aim < n.ms() || n.ms()+int64(rec.Spec.PullGB/rate*1000) <= aim {
 		return false
 	}
-	if m := n.lead.preempted[w.t.piece]; n.now.Before(m.until) {
+	if m := n.lead.preempted[w.t.Piece]; n.Now.Before(m.until) {
 		// Room is being made; if it does not come at once, go elsewhere. What
 		// has been found already is kept meanwhile: others would take it.
-		if !m.cached || m.until.Sub(n.now) < tuning.PreemptAgain-tuning.ClearWait {
+		if !m.cached || m.until.Sub(n.Now) < tuning.PreemptAgain-tuning.ClearWait {
 			return false
 		}
 		p.keep(n, host, rec.Spec.Need())
@@ -1006,12 +962,12 @@
 }
 
 // yields tells whether a running task has to make way for a waiting one.
-func (n *Node) yields(w *waiting, t *task, account *quota.Account) bool {
-	spec := &t.job.rec.Spec
+func (n *Node) yields(w *waiting, t *book.Task, account *quota.Account) bool {
+	spec := &t.Job.Rec.Spec
 	if spec.RankOrder() > w.rank {
 		return true
 	}
-	if !w.within || spec.Owner == w.t.job.rec.Spec.Owner || spec.Shape == jobs.Standing {
+	if !w.within || spec.Owner == w.t.Job.Rec.Spec.Owner || spec.Shape == jobs.Standing {
 		return false
 	}
 	// With this task gone the team must still have all of its guarantee.
@@ -1022,38 +978,38 @@
 
 // victims finds the machine where stopping the fewest tasks makes room, one
 // with the image if there is any.
-func (n *Node) victims(w *waiting, p *pass, onlyCached bool) []*task {
-	spec := &w.t.job.rec.Spec
-	zones := n.zones(w.t.job)
-	var best []*task
+func (n *Node) victims(w *waiting, p *pass, onlyCached bool) []*book.Task {
+	spec := &w.t.Job.Rec.Spec
+	zones := n.Zones(w.t.Job)
+	var best []*book.Task
 	cached := false
-	for _, m := range n.byName() {
-		h := m.name
-		if m.State != fleet.Up || !n.offers(w.t, m) || !zoneAllowed(spec, zones, m.Site) {
+	for _, m := range n.ByName() {
+		h := m.Name
+		if m.State != fleet.Up || !n.offers(w.t, m) || !book.ZoneAllowed(spec, zones, m.Site) {
 			continue
 		}
-		has := n.cached(h, spec.Bundle)
+		has := n.Cached(h, spec.Bundle)
 		if onlyCached && !has || cached && !has {
 			continue
 		}
-		whole := n.builds[m.Build].Whole()
+		whole := n.Builds[m.Build].Whole()
 		if !whole.Fits(spec.Need()) {
 			continue
 		}
-		free := whole.Sub(m.use.room)
-		var lower []*task
-		for _, t := range n.onHost[h] {
-			if t.job.rec == nil || n.busy[t.slice.key] || p.stopping[t] {
+		free := whole.Sub(m.Use.Room)
+		var lower []*book.Task
+		for _, t := range n.OnHost[h] {
+			if t.Job.Rec == nil || n.busy[t.Slice.Key] || p.stopping[t] {
 				continue
 			}
 			if t.State == jobs.Stopping {
-				free = free.Add(t.job.rec.Spec.Need()) // already on its way out
+				free = free.Add(t.Job.Rec.Spec.Need()) // already on its way out
 				continue
 			}
 			if !n.yields(w, t, p.account) {
 				continue
 			}
-			if gang := &t.job.rec.Spec; gang.Shape == jobs.Ensemble && gang.Pieces > 1 {
+			if gang := &t.Job.Rec.Spec; gang.Shape == jobs.Ensemble && gang.Pieces > 1 {
 				continue
 			}
 			lower = append(lower, t)
@@ -1066,17 +1022,17 @@
 		}
 		// The youngest have the least to lose.
 		sort.Slice(lower, func(a, b int) bool {
-			if !lower[a].since.Equal(lower[b].since) {
-				return lower[a].since.After(lower[b].since)
+			if !lower[a].Since.Equal(lower[b].Since) {
+				return lower[a].Since.After(lower[b].Since)
 			}
-			return lower[a].piece < lower[b].piece
+			return lower[a].Piece < lower[b].Piece
 		})
-		var chosen []*task
+		var chosen []*book.Task
 		for _, t := range lower {
 			if free.Fits(spec.Need()) {
 				break
 			}
-			free = free.Add(t.job.rec.Spec.Need())
+			free = free.Add(t.Job.Rec.Spec.Need())
 			chosen = append(chosen, t)
 		}
 		if free.Fits(spec.Need()) && len(chosen) > 0 && (best == nil || (has && !cached) || (has == cached && len(chosen) < len(best))) {
@@ -1088,19 +1044,19 @@
 
 // releaseGang offers a resting gang to a part that can hold it whole, or lets
 // the leader place it across parts; a broken one is stopped.
-func (n *Node) releaseGang(j *job, p *pass) {
-	spec := &j.rec.Spec
-	if n.lead.claiming[j.uid] {
+func (n *Node) releaseGang(j *book.Job, p *pass) {
+	spec := &j.Rec.Spec
+	if n.lead.claiming[j.UID] {
 		return
 	}
-	records := make([]*jobs.Task, 0, len(j.tasks))
-	for _, t := range j.tasks {
+	records := make([]*jobs.Task, 0, len(j.Tasks))
+	for _, t := range j.Tasks {
 		records = append(records, &t.Task)
 	}
 	switch gangs.PhaseOf(spec.Pieces, records) {
 	case gangs.Broken:
-		for _, num := range slices.Sorted(maps.Keys(j.tasks)) {
-			t := j.tasks[num]
+		for _, num := range slices.Sorted(maps.Keys(j.Tasks)) {
+			t := j.Tasks[num]
 			kind := jobs.Stop
 			if t.State == jobs.Released {
 				kind = jobs.TakeBack
@@ -1119,10 +1075,10 @@
 		return // some rest, or are under a transaction
 	}
 	try := gangs.NextTry(records)
-	probing := n.trust(j, "") == jobs.Probing
+	probing := n.Trust(j, "") == jobs.Probing
 	if probing {
 		for _, t := range all {
-			if n.now.Sub(t.since) < backoff(int(min(try, 10))) {
+			if n.Now.Sub(t.Since) < backoff(int(min(try, 10))) {
 				return
 			}
 		}
@@ -1139,7 +1095,7 @@
 	}
 	if offers == nil {
 		n.lead.waiting = append(n.lead.waiting, &waiting{t: all[0], count: spec.Pieces, rank: spec.RankOrder(), within: within})
-		n.holdFor(all[0].anywhere(), min(spec.Pieces, tuning.HoldEach), n.zones(j), p)
+		n.holdFor(all[0].Anywhere(), min(spec.Pieces, tuning.HoldEach), n.Zones(j), p)
 		return
 	}
 	if whole {
@@ -1158,8 +1114,8 @@
 
 // offerGang is the one decision that gives a whole gang to the part that all
 // its machines belong to; the leader's own part places it at once.
-func (n *Node) offerGang(j *job, offers []offer) (decision, bool) {
-	one := decision{seen: []string{jobs.JobPrefix + j.uid}}
+func (n *Node) offerGang(j *book.Job, offers []offer) (decision, bool) {
+	one := decision{seen: []string{jobs.JobPrefix + j.UID}}
 	var dones []func(bool)
 	add := func(d decision) {
 		one.changes = append(one.changes, d.changes...)
@@ -1179,17 +1135,17 @@
 	place := always
 	var top uint64
 	for _, o := range offers {
-		if !n.ours(o.t, n.machines[o.host]) {
+		if !n.ours(o.t, n.Machines[o.host]) {
 			place = never
 		}
 		top = max(top, o.t.Try)
 	}
-	var fresh []*task
+	var fresh []*book.Task
 	var hosts []string
 	for _, o := range offers {
-		m := n.machines[o.host]
+		m := n.Machines[o.host]
 		switch {
-		case o.t.slice == nil:
+		case o.t.Slice == nil:
 			fresh, hosts = append(fresh, o.t), append(hosts, o.host)
 			continue
 		case place(o.t, m):
@@ -1200,14 +1156,14 @@
 			}
 			add(d)
 		default:
-			next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.owner, Site: m.Site, Want: o.host})
+			next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host})
 			if !ok {
 				one.done(false)
 				return one, false
 			}
-			n.book(o.t, o.host, m.Site)
-			piece := o.t.piece
-			add(decision{changes: []change{{o.t, next}}, done: func(bool) { n.unbook(piece) }})
+			n.Reserve(o.t, o.host, m.Site)
+			piece := o.t.Piece
+			add(decision{changes: []change{{o.t, next}}, done: func(bool) { n.Unreserve(piece) }})
 		}
 	}
 	for len(fresh) > 0 {
@@ -1225,19 +1181,19 @@
 // fitGang finds a machine for every task of a gang, in one part if one holds
 // it, else across parts; nil when it does not fit. whole tells that all the
 // machines are of one part.
-func (n *Node) fitGang(all []*task, p *pass) (offers []offer, whole bool) {
+func (n *Node) fitGang(all []*book.Task, p *pass) (offers []offer, whole bool) {
 	t := all[0]
-	spec := &t.job.rec.Spec
+	spec := &t.Job.Rec.Spec
 	if p.hopeless(spec, spec.Pieces) {
 		return nil, false
 	}
-	cands := p.board(n, t.anywhere())
+	cands := p.board(n, t.Anywhere())
 	if len(cands) == 0 {
 		p.refuse(spec, 1)
 		p.refuse(spec, spec.Pieces)
 		return nil, false
 	}
-	zones := n.zones(t.job)
+	zones := n.Zones(t.Job)
 	type group struct{ site, part string }
 	type holding struct{ places, cached int }
 	groups := map[group]*holding{}
@@ -1255,7 +1211,7 @@
 	}
 	for i := range cands {
 		c := &cands[i]
-		if !zoneAllowed(spec, zones, c.Site) {
+		if !book.ZoneAllowed(spec, zones, c.Site) {
 			continue
 		}
 		site := ""
@@ -1303,8 +1259,8 @@
 }
 
 // tryFit finds a machine for every task of a gang among the candidates.
-func (n *Node) tryFit(all []*task, cands []parts.Candidate, zones map[string]int) []offer {
-	spec := &all[0].job.rec.Spec
+func (n *Node) tryFit(all []*book.Task, cands []parts.Candidate, zones map[string]int) []offer {
+	spec := &all[0].Job.Rec.Spec
 	out := make([]offer, len(all))
 	for i, t := range all {
 		k := n.pickFor(t, cands, zones)
@@ -1323,15 +1279,15 @@
 // claimGang places a gang larger than a part: its machines are claimed in the
 // state service first, so that no part places anything else on them, then the
 // tasks are placed, then the claims are dropped.
-func (n *Node) claimGang(j *job, all []*task, hosts []string, try uint64) {
-	n.lead.claiming[j.uid] = true
+func (n *Node) claimGang(j *book.Job, all []*book.Task, hosts []string, try uint64) {
+	n.lead.claiming[j.UID] = true
 	unique := map[string]bool{}
 	for _, h := range hosts {
 		unique[h] = true
 	}
-	n.claim(unique, j.uid, func(ok bool) {
+	n.claim(unique, j.UID, func(ok bool) {
 		release := func() {
-			n.claim(unique, "", func(bool) { delete(n.lead.claiming, j.uid) })
+			n.claim(unique, "", func(bool) { delete(n.lead.claiming, j.UID) })
 		}
 		ds, good := n.placeClaimed(j, all, hosts, try, ok)
 		if !good {
@@ -1357,34 +1313,34 @@
 
 // placeClaimed is the decisions that place a gang on the machines claimed for
 // it; false if the claims or the room are not there.
-func (n *Node) placeClaimed(j *job, all []*task, hosts []string, try uint64, claimed bool) ([]decision, bool) {
-	if !claimed || j.rec == nil {
+func (n *Node) placeClaimed(j *book.Job, all []*book.Task, hosts []string, try uint64, claimed bool) ([]decision, bool) {
+	if !claimed || j.Rec == nil {
 		return nil, false
 	}
-	need := j.rec.Spec.Need()
+	need := j.Rec.Spec.Need()
 	extra := map[string]parts.Room{}
 	for _, h := range hosts {
-		m := n.machines[h]
-		if m == nil || m.Claim != j.uid || n.builds[m.Build] == nil {
+		m := n.Machines[h]
+		if m == nil || m.Claim != j.UID || n.Builds[m.Build] == nil {
 			return nil, false
 		}
 		extra[h] = extra[h].Add(need)
-		if !n.builds[m.Build].Whole().Sub(n.used(h)).Fits(extra[h]) {
+		if !n.Builds[m.Build].Whole().Sub(n.Used(h)).Fits(extra[h]) {
 			return nil, false
 		}
 	}
 	var ds []decision
-	var fresh []*task
+	var fresh []*book.Task
 	var where []string
 	for i, t := range all {
-		if now := j.tasks[t.n]; now != nil {
+		if now := j.Tasks[t.N]; now != nil {
 			t = now
 		}
-		if t.slice == nil {
+		if t.Slice == nil {
 			fresh, where = append(fresh, t), append(where, hosts[i])
 			continue
 		}
-		d, ok := n.placing(t, hosts[i], n.machines[hosts[i]].Site, try)
+		d, ok := n.placing(t, hosts[i], n.Machines[hosts[i]].Site, try)
 		if !ok {
 			return ds, false
 		}
@@ -1403,7 +1359,7 @@
 	var ds []decision
 	left, good := 0, true
 	for _, h := range sorted(hosts) {
-		m := n.machines[h]
+		m := n.Machines[h]
 		if m == nil || m.Claim == uid {
 			continue
 		}
@@ -1425,12 +1381,12 @@
 }
 
 // placeGang places a gang that was offered to this part, whole or not at all.
-func (n *Node) placeGang(j *job, all []*task) []decision {
-	if len(all) != j.rec.Spec.Pieces {
+func (n *Node) placeGang(j *book.Job, all []*book.Task) []decision {
+	if len(all) != j.Rec.Spec.Pieces {
 		return nil
 	}
 	var records []*jobs.Task
-	for _, t := range j.tasks {
+	for _, t := range j.Tasks {
 		records = append(records, &t.Task)
 	}
 	try := gangs.NextTry(records)
@@ -1438,7 +1394,7 @@
 	var pieces []string
 	one.done = func(bool) {
 		for _, p := range pieces {
-			n.unbook(p)
+			n.Unreserve(p)
 		}
 	}
 	for _, t := range all {
@@ -1446,11 +1402,11 @@
 		if !ok {
 			one.done(false)
 			for _, t := range all {
-				t.tried = n.now
+				t.Tried = n.Now
 			}
 			return nil // the leader takes it back
 		}
-		pieces = append(pieces, t.piece)
+		pieces = append(pieces, t.Piece)
 		one.changes = append(one.changes, d.changes...)
 		one.seen = append(one.seen, d.seen...)
 	}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"github.com/harrierreel/harrierreel/internal/book"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/fleet"
@@ -48,11 +49,11 @@
 		s.StoodStill(gap)
 	}
 	n.complaints = members.Complaints{}
-	n.lead.since = n.now
+	n.lead.since = n.Now
 	if gap < n.memberTTL()-tuning.MemberRenew-tuning.Standstill/2 {
 		return
 	}
-	n.renewedAt, n.wokeAt = time.Time{}, n.now
+	n.renewedAt, n.wokeAt = time.Time{}, n.Now
 	n.certain = n.certain.Next(members.StandingEvent{Kind: members.StoodStill})
 }
 
@@ -96,8 +97,8 @@
 	case n.granting:
 	case n.hold == 0:
 		n.granting = true
-		n.renewedAt = n.now
-		asked := n.now
+		n.renewedAt = n.Now
+		asked := n.Now
 		n.client.Grant(n.memberTTL(), func(hold uint64, err error) {
 			n.granting = false
 			if err == nil {
@@ -106,9 +107,9 @@
 				n.putMember()
 			}
 		})
-	case n.now.Sub(n.renewedAt) >= tuning.MemberRenew:
-		n.renewedAt = n.now
-		hold, asked := n.hold, n.now
+	case n.Now.Sub(n.renewedAt) >= tuning.MemberRenew:
+		n.renewedAt = n.Now
+		hold, asked := n.hold, n.Now
 		n.client.Renew(hold, func(err error) {
 			if err == nil && n.hold == hold {
 				n.settled(asked)
@@ -205,7 +206,7 @@
 		// What a leader keeps must not outlive its view, here either: a machine
 		// that it gave up may be in use under the next one.
 		n.lead.reset()
-		n.lead.since = n.now
+		n.lead.since = n.Now
 	}
 	n.role, n.roleEpoch = role, epoch
 	n.budget()
@@ -220,8 +221,8 @@
 		s.NewEpoch(epoch)
 		s.LastCall = time.Time{}
 	}
-	for _, m := range n.machines {
-		if m.owner == n.set.NodeName {
+	for _, m := range n.Machines {
+		if m.Owner == n.set.NodeName {
 			n.keepSession(m)
 		}
 	}
@@ -231,8 +232,8 @@
 
 // complain notes a report by a worker that was sent to its owner.
 func (n *Node) complain(owner, host string, here bool) {
-	n.complaints.Note(owner, host, here, n.now)
-	n.heard[host] = n.now
+	n.complaints.Note(owner, host, here, n.Now)
+	n.heard[host] = n.Now
 }
 
 // unreachable lists the members that workers cannot reach: the workers were
@@ -246,25 +247,25 @@
 			continue
 		}
 		// One that says that it still reaches no worker stays out for longer.
-		if p := n.peersState[name]; n.now.Before(o.until) || p.blind && n.now.Sub(p.at) < tuning.PeerFresh {
+		if p := n.peersState[name]; n.Now.Before(o.until) || p.blind && n.Now.Sub(p.at) < tuning.PeerFresh {
 			out[name] = true
 		}
 	}
 	if n.role == members.Outside {
 		return out
 	}
-	lasting := n.complaints.Lasting(n.now, n.owner)
+	lasting := n.complaints.Lasting(n.Now, n.owner)
 	if len(lasting) == 0 {
 		return out
 	}
 	owned := map[string]int{}
-	for _, m := range n.machines {
-		owned[m.owner]++
+	for _, m := range n.Machines {
+		owned[m.Owner]++
 	}
 	for owner, machines := range lasting {
 		if float64(machines) >= tuning.SilentShare*float64(owned[owner]) && !out[owner] {
 			n.log.Info("workers cannot reach a member", "member", owner, "machines", machines)
-			n.outUntil[owner] = votedOut{n.memberInc(owner), n.now.Add(tuning.OutFor)}
+			n.outUntil[owner] = votedOut{n.memberInc(owner), n.Now.Add(tuning.OutFor)}
 			out[owner] = true
 		}
 	}
@@ -279,11 +280,11 @@
 		n.blind = false
 		return
 	}
-	if !n.sync.live || n.looking > 0 || n.now.Sub(n.lookedAt) < tuning.LookEvery {
+	if !n.sync.live || n.looking > 0 || n.Now.Sub(n.lookedAt) < tuning.LookEvery {
 		return
 	}
-	var up []*machine
-	for _, m := range n.byName() {
+	var up []*book.Machine
+	for _, m := range n.ByName() {
 		if m.State == fleet.Up && m.Endpoint != "" {
 			up = append(up, m)
 		}
@@ -292,7 +293,7 @@
 		n.blind = false
 		return
 	}
-	n.lookedAt = n.now
+	n.lookedAt = n.Now
 	seen := false
 	for range tuning.CutLeast {
 		m := up[n.rng.IntN(len(up))]
@@ -307,8 +308,8 @@
 }
 
 // keepSession makes sure that a machine of ours has a session.
-func (n *Node) keepSession(m *machine) {
-	if s := n.session(m.name); s != nil && s.Endpoint == "" {
+func (n *Node) keepSession(m *book.Machine) {
+	if s := n.session(m.Name); s != nil && s.Endpoint == "" {
 		s.Endpoint, s.Build, s.Site, s.Loaner = m.Endpoint, m.Build, m.Site, m.Loaner
 	}
 }
@@ -320,7 +321,7 @@
 		if len(n.sessions) >= tuning.MaxSessions {
 			return nil
 		}
-		s = workers.NewSession(host, n.roleEpoch, n.now)
+		s = workers.NewSession(host, n.roleEpoch, n.Now)
 		n.sessions[host] = s
 	}
 	return s
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"slices"
+	"github.com/harrierreel/harrierreel/internal/book"
 	"sort"
 	"time"
 
@@ -37,13 +37,13 @@
 		return
 	}
 	owner := ""
-	if m := n.machines[r.Host]; m != nil {
-		owner = m.owner
+	if m := n.Machines[r.Host]; m != nil {
+		owner = m.Owner
 	} else {
 		owner = n.owner(r.Host)
 	}
 	if owner != n.set.NodeName {
-		if n.machines[r.Host] != nil {
+		if n.Machines[r.Host] != nil {
 			n.complain(owner, r.Host, true)
 		}
 		respond(misdirected(owner))
@@ -60,8 +60,8 @@
 		respond(misdirected(owner))
 		return
 	}
-	s.LastBeat = n.now
-	if s.Accept(&r, n.now, n.placedOn(r.Host)) {
+	s.LastBeat = n.Now
+	if s.Accept(&r, n.Now, n.placedOn(r.Host)) {
 		n.touched[r.Host] = true
 		n.dirty = true
 	}
@@ -98,7 +98,7 @@
 
 func (n *Node) placedOn(host string) map[string]uint64 {
 	out := map[string]uint64{}
-	for piece, t := range n.onHost[host] {
+	for piece, t := range n.OnHost[host] {
 		out[piece] = t.Try
 	}
 	return out
@@ -113,26 +113,26 @@
 // review compares a machine's records with its reports.
 func (n *Node) review(s *workers.Session) reviewed {
 	var out reviewed
-	for _, piece := range sorted(n.onHost[s.Host]) {
-		t := n.onHost[s.Host][piece]
-		if n.busy[t.slice.key] {
+	for _, piece := range sorted(n.OnHost[s.Host]) {
+		t := n.OnHost[s.Host][piece]
+		if n.busy[t.Slice.Key] {
 			continue // its end is touched again
 		}
-		over := t.job.rec == nil || t.job.rec.State != jobs.Live
+		over := t.Job.Rec == nil || t.Job.Rec.State != jobs.Live
 		verdict, p := s.Judge(piece, t.Try)
 		switch verdict {
 		case workers.ToLaunch:
-			m := n.machines[s.Host]
+			m := n.Machines[s.Host]
 			if over || t.State == jobs.Stopping || m == nil || m.State == fleet.Deleting || m.State == fleet.Deleted {
 				out.decisions = append(out.decisions, n.gone(t, jobs.Gone, 0))
 				continue
 			}
 			out.orders = append(out.orders, workers.Order{Verb: workers.Launch, Piece: piece, Try: t.Try})
 		case workers.OnIt:
-			if p.Status == workers.Running && !t.ran {
-				t.ran = true
-				if t.job.rec != nil {
-					n.log.Debug("runs", "task", piece, "class", t.job.rec.Spec.Class, "machine", s.Host, "try", t.Try, "since_accepted_ms", n.ms()-t.job.rec.AtMs, "since_placed_ms", n.now.Sub(t.since).Milliseconds())
+			if p.Status == workers.Running && !t.Ran {
+				t.Ran = true
+				if t.Job.Rec != nil {
+					n.log.Debug("runs", "task", piece, "class", t.Job.Rec.Spec.Class, "machine", s.Host, "try", t.Try, "since_accepted_ms", n.ms()-t.Job.Rec.AtMs, "since_placed_ms", n.Now.Sub(t.Since).Milliseconds())
 				}
 			}
 			if over || t.State == jobs.Stopping || n.saveNow(s, t, p) {
@@ -149,7 +149,7 @@
 		return out
 	}
 	for _, piece := range sorted(s.Pieces) {
-		p, t := s.Pieces[piece], n.onHost[s.Host][piece]
+		p, t := s.Pieces[piece], n.OnHost[s.Host][piece]
 		if t != nil && t.Try == p.Try || n.writing(piece) {
 			continue // recorded here, or its record is being written
 		}
@@ -167,64 +167,64 @@
 
 // writing tells whether the record of a task is under a transaction.
 func (n *Node) writing(piece string) bool {
-	if _, booked := n.reserve[piece]; booked {
+	if _, booked := n.Reserved[piece]; booked {
 		return true
 	}
 	uid, num, ok := jobs.SplitPiece(piece)
-	if !ok || n.jobs[uid] == nil {
+	if !ok || n.Jobs[uid] == nil {
 		return false
 	}
-	t := n.jobs[uid].tasks[num]
-	return t != nil && n.busy[t.slice.key]
+	t := n.Jobs[uid].Tasks[num]
+	return t != nil && n.busy[t.Slice.Key]
 }
 
 // saveNow tells whether a task should save before its machine is taken.
-func (n *Node) saveNow(s *workers.Session, t *task, p workers.Piece) bool {
+func (n *Node) saveNow(s *workers.Session, t *book.Task, p workers.Piece) bool {
 	if s.Warning == nil || p.Status != workers.Running {
 		return false
 	}
-	spec := &t.job.rec.Spec
+	spec := &t.Job.Rec.Spec
 	if spec.Shape == jobs.Standing {
 		return true // a replica has nothing to finish: start it elsewhere
 	}
-	left := *s.Warning - n.now.Sub(s.LastReport).Seconds()
+	left := *s.Warning - n.Now.Sub(s.LastReport).Seconds()
 	if spec.SnapshotS > 0 {
 		return left <= spec.StashS+tuning.SaveMargin
 	}
 	// What cannot finish in time had better begin elsewhere at once.
-	return spec.ExpectS-n.now.Sub(t.since).Seconds() > left*tuning.NoticeDoubt
+	return spec.ExpectS-n.Now.Sub(t.Since).Seconds() > left*tuning.NoticeDoubt
 }
 
-func (n *Node) stopOrder(t *task, over bool) workers.Order {
+func (n *Node) stopOrder(t *book.Task, over bool) workers.Order {
 	grace := 0.0
-	if !over && t.job.rec.Spec.SnapshotS > 0 {
-		grace = t.job.rec.Spec.StashS + 1
+	if !over && t.Job.Rec.Spec.SnapshotS > 0 {
+		grace = t.Job.Rec.Spec.StashS + 1
 	}
-	return workers.Order{Verb: workers.Stop, Piece: t.piece, Try: t.Try, WindDownS: &grace}
+	return workers.Order{Verb: workers.Stop, Piece: t.Piece, Try: t.Try, WindDownS: &grace}
 }
 
 // gone commits that a task is no longer on its machine.
-func (n *Node) gone(t *task, kind jobs.TaskEventKind, pause time.Duration) decision {
-	if t.job.rec == nil || t.job.rec.State != jobs.Live {
+func (n *Node) gone(t *book.Task, kind jobs.TaskEventKind, pause time.Duration) decision {
+	if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live {
 		kind = jobs.Gone
 	}
 	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, AfterMs: n.ms() + pause.Milliseconds()})
 	if !ok {
 		return decision{}
 	}
-	return decision{changes: []change{{t, next}}, seen: []string{jobs.JobPrefix + t.job.uid}}
+	return decision{changes: []change{{t, next}}, seen: []string{jobs.JobPrefix + t.Job.UID}}
 }
 
 // ended commits a reported end.
-func (n *Node) ended(s *workers.Session, t *task, p workers.Piece) decision {
+func (n *Node) ended(s *workers.Session, t *book.Task, p workers.Piece) decision {
 	h := n.healthOf(s.Host)
-	if t.job.rec == nil || t.job.rec.State != jobs.Live {
+	if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live {
 		return n.gone(t, jobs.Gone, 0)
 	}
 	switch p.Cause {
 	case workers.CauseDone:
 		h.Succeeded()
-		if t.job.rec.Spec.Shape == jobs.Standing {
+		if t.Job.Rec.Spec.Shape == jobs.Standing {
 			return n.gone(t, jobs.Gone, 0)
 		}
 		if d, whole := n.endWhole(t); whole {
@@ -238,7 +238,7 @@
 	case workers.CauseNoSuch:
 		return n.gone(t, jobs.Fail, backoff(t.Fails))
 	case workers.CauseNoRoom, workers.CauseInUse:
-		h.Rest(n.now.Add(tuning.RefusedRest))
+		h.Rest(n.Now.Add(tuning.RefusedRest))
 		return n.gone(t, jobs.Gone, tuning.Backoff)
 	}
 	return n.gone(t, jobs.Gone, 0)
@@ -247,15 +247,15 @@
 // endWhole is the decision that ends a sweep with its last task, when one slice
 // holds all of the job. For a job of one task that is four changes instead of
 // five, and the leader's turn is not waited for.
-func (n *Node) endWhole(t *task) (decision, bool) {
-	j, sl := t.job, t.slice
-	if j.rec.Spec.Shape != jobs.Sweep || len(j.slices) != 1 || len(sl.tasks) != j.rec.Spec.Pieces || j.done != len(sl.tasks)-1 {
+func (n *Node) endWhole(t *book.Task) (decision, bool) {
+	j, sl := t.Job, t.Slice
+	if j.Rec.Spec.Shape != jobs.Sweep || len(j.Slices) != 1 || len(sl.Tasks) != j.Rec.Spec.Pieces || j.Done != len(sl.Tasks)-1 {
 		return decision{}, false
 	}
 	if _, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Complete}); !ok {
 		return decision{}, false
 	}
-	state, ok := jobs.NextJob(j.rec.State, jobs.TasksAllDone)
+	state, ok := jobs.NextJob(j.Rec.State, jobs.TasksAllDone)
 	if !ok {
 		return decision{}, false
 	}
@@ -270,51 +270,19 @@
 // blame tells a faulty machine from a faulty job. A job that has failed on
 // several machines is itself to blame and costs no machine; a machine on which
 // several blameless jobs fail, or one that others finish elsewhere, is faulty.
-func (n *Node) blame(host string, h *fleet.Health, t *task) {
-	if n.trust(t.job, host) == jobs.Probing {
+func (n *Node) blame(host string, h *fleet.Health, t *book.Task) {
+	if n.Trust(t.Job, host) == jobs.Probing {
 		return
 	}
 	blameless := func(uid string) bool {
-		j := n.jobs[uid]
-		return j != nil && j.rec != nil && j.rec.State == jobs.Live && n.trust(j, "") == jobs.Trusted
+		j := n.Jobs[uid]
+		return j != nil && j.Rec != nil && j.Rec.State == jobs.Live && n.Trust(j, "") == jobs.Trusted
 	}
-	if h.Failed(t.job.uid, n.now, t.job.done > 0, blameless) {
+	if h.Failed(t.Job.UID, n.Now, t.Job.Done > 0, blameless) {
 		n.moveMachine(host, fleet.Sick, "tasks fail on it")
 	}
 }
 
-// trust tells how far to trust a job by its tasks' records, and by a failure on
-// one more machine that is not recorded yet.
-func (n *Node) trust(j *job, host string) jobs.Trust {
-	if j.done > 0 || len(j.again) == 0 && host == "" {
-		return jobs.Trusted
-	}
-	bad := map[string]bool{}
-	if host != "" {
-		bad[host] = true
-	}
-	proven := false
-	for _, some := range []map[int]*task{j.active, j.again} {
-		for _, t := range some {
-			for _, b := range t.Bad {
-				bad[b] = true
-			}
-			proven = proven || t.State == jobs.Placed && n.now.Sub(t.since) > n.provenAfter(t)
-		}
-	}
-	return jobs.TrustOf(len(bad), proven)
-}
-
-// provenAfter is how long a task must have been on its machine to speak for its
-// job: broken ones fail soon after their image has come.
-func (n *Node) provenAfter(t *task) time.Duration {
-	pull := 0.0
-	if m := n.machines[t.Host]; m != nil && n.builds[m.Build] != nil && n.builds[m.Build].PullRate > 0 {
-		pull = t.job.rec.Spec.PullGB / n.builds[m.Build].PullRate
-	}
-	return tuning.ProvenAfter + seconds(tuning.ProvenPulls*pull)
-}
-
 // moveMachine commits an event of a machine's record.
 func (n *Node) moveMachine(host string, e fleet.Event, why string) {
 	n.commit(n.moving(host, e, why))
@@ -323,7 +291,7 @@
 // moving is the decision that a machine's record changes by an event, if it
 // does.
 func (n *Node) moving(host string, e fleet.Event, why string) []decision {
-	m := n.machines[host]
+	m := n.Machines[host]
 	if m == nil || n.busy[fleet.HostPrefix+host] {
 		return nil
 	}
@@ -350,9 +318,9 @@
 		return
 	}
 	ds := n.place()
-	sweep := n.now.Sub(n.lastSweep) >= tuning.SweepEvery
+	sweep := n.Now.Sub(n.lastSweep) >= tuning.SweepEvery
 	if sweep {
-		n.lastSweep = n.now
+		n.lastSweep = n.Now
 		unheard := map[string]bool{}
 		for _, host := range sorted(n.sessions) {
 			s := n.sessions[host]
@@ -369,13 +337,13 @@
 	}
 	// Ends are gathered while writes are short: many tasks of a slice end soon
 	// after one another, and all of them are one write.
-	gather := !n.client.Spare() && n.now.Sub(n.lastEnds) < tuning.GatherFor
+	gather := !n.client.Spare() && n.Now.Sub(n.lastEnds) < tuning.GatherFor
 	if !gather {
-		n.lastEnds = n.now
+		n.lastEnds = n.Now
 	}
 	for _, host := range sorted(n.touched) {
 		s := n.sessions[host]
-		if m := n.machines[host]; s == nil && m != nil && m.owner == n.set.NodeName && m.State != fleet.Deleted {
+		if m := n.Machines[host]; s == nil && m != nil && m.Owner == n.set.NodeName && m.State != fleet.Deleted {
 			n.keepSession(m)
 			s = n.sessions[host]
 		}
@@ -401,18 +369,18 @@
 // watchHealth keeps a machine's record in step with what its owner hears, and
 // notes in unheard whether it does not.
 func (n *Node) watchHealth(s *workers.Session, unheard map[string]bool) []decision {
-	m := n.machines[s.Host]
+	m := n.Machines[s.Host]
 	if m == nil {
 		if s.State == workers.Known {
 			rec := fleet.Host{State: fleet.Up, Endpoint: s.Endpoint, Build: s.Build, Site: s.Site, Loaner: s.Loaner, SinceMs: n.ms()}
 			return []decision{{writes: []store.Write{put(fleet.HostPrefix+s.Host, rec)}}}
 		}
-		if n.now.Sub(s.LastReport) > tuning.ForgetSession {
+		if n.Now.Sub(s.LastReport) > tuning.ForgetSession {
 			delete(n.sessions, s.Host)
 		}
 		return nil
 	}
-	quiet := n.now.Sub(s.LastReport)
+	quiet := n.Now.Sub(s.LastReport)
 	report := n.set.Cluster.Workers.ReportS
 	switch {
 	case quiet > seconds(report*tuning.SilentReports) || s.CallFails >= tuning.SilentCalls && quiet > seconds(report*tuning.ReportLate):
@@ -453,28 +421,28 @@
 }
 
 // quietSince tells since when a machine's owner has not heard it.
-func (n *Node) quietSince(m *machine) (time.Time, bool) {
+func (n *Node) quietSince(m *book.Machine) (time.Time, bool) {
 	if m.State == fleet.Silent {
-		return m.since, true
+		return m.Since, true
 	}
-	since, quiet := n.quiet[m.owner][m.name]
+	since, quiet := n.quiet[m.Owner][m.Name]
 	return since, quiet
 }
 
 // inUse tells whether a machine is up and heard.
-func (n *Node) inUse(m *machine) bool {
+func (n *Node) inUse(m *book.Machine) bool {
 	if m.State != fleet.Up {
 		return false
 	}
-	_, quiet := n.quiet[m.owner][m.name]
-	return !quiet && n.lead.cloud.lost[m.name] == "" && !n.lead.cloud.freed[m.name]
+	_, quiet := n.quiet[m.Owner][m.Name]
+	return !quiet && n.lead.cloud.lost[m.Name] == "" && !n.lead.cloud.freed[m.Name]
 }
 
 // overdue tells whether a machine should have reported by now. It is then
 // asked directly: where reports are seldom, waiting for the next would leave
 // its tasks dead for long.
 func (n *Node) overdue(s *workers.Session) bool {
-	return n.now.Sub(s.LastReport) > seconds(n.set.Cluster.Workers.ReportS*tuning.ReportLate)
+	return n.Now.Sub(s.LastReport) > seconds(n.set.Cluster.Workers.ReportS*tuning.ReportLate)
 }
 
 // command sends orders to a worker directly, or shows it the baton.
@@ -482,7 +450,7 @@
 	if s.Busy || s.Endpoint == "" || n.calls >= tuning.MaxWorkerCalls {
 		return
 	}
-	since := n.now.Sub(s.LastCall)
+	since := n.Now.Sub(s.LastCall)
 	if s.State != workers.Known {
 		if since < tuning.AdoptAgain<<min(s.CallFails, 3) {
 			return
@@ -509,7 +477,7 @@
 		Tenure uint64          `json:"tenure"`
 		Orders []workers.Order `json:"orders"`
 	}{baton, tenure, orders})
-	s.Sending(orders, n.now)
+	s.Sending(orders, n.Now)
 	n.calls++
 	n.out.Worker(s.Endpoint, "POST", "/commands", body, tuning.CommandTimeout, func(status int, answer []byte, err error) {
 		n.calls--
@@ -528,51 +496,51 @@
 		if err != nil || (status != 200 && status != 409) || json.Unmarshal(answer, &r) != nil || r.Host != s.Host {
 			n.log.Debug("command without answer", "machine", s.Host, "status", status, "error", err)
 			s.Unanswered()
-			n.healthOf(s.Host).Rest(n.now.Add(tuning.UnansweredRest))
+			n.healthOf(s.Host).Rest(n.Now.Add(tuning.UnansweredRest))
 			return
 		}
 		if status == 409 {
 			s.Refused()
-			s.Accept(&r, n.now, n.placedOn(s.Host))
+			s.Accept(&r, n.Now, n.placedOn(s.Host))
 			if r.Tenure != tenure {
 				s.LastCall = time.Time{} // try again with the right session
 			}
 			return
 		}
 		s.Answered()
-		s.Accept(&r, n.now, n.placedOn(s.Host))
+		s.Accept(&r, n.Now, n.placedOn(s.Host))
 	})
 }
 
 // place puts released tasks of this part on machines.
 func (n *Node) place() []decision {
-	var mine []*task
-	for _, t := range n.released {
-		if t.Part == n.set.NodeName && t.job.rec != nil && t.job.rec.State == jobs.Live && !n.busy[t.slice.key] && n.now.Sub(t.tried) >= tuning.PlaceAgain {
+	var mine []*book.Task
+	for _, t := range n.Released {
+		if t.Part == n.set.NodeName && t.Job.Rec != nil && t.Job.Rec.State == jobs.Live && !n.busy[t.Slice.Key] && n.Now.Sub(t.Tried) >= tuning.PlaceAgain {
 			mine = append(mine, t)
 		}
 	}
 	sort.Slice(mine, func(a, b int) bool {
-		if mine[a].job != mine[b].job {
-			return mine[a].job.uid < mine[b].job.uid
+		if mine[a].Job != mine[b].Job {
+			return mine[a].Job.UID < mine[b].Job.UID
 		}
-		return mine[a].n < mine[b].n
+		return mine[a].N < mine[b].N
 	})
 	var out []decision
 	for len(mine) > 0 {
-		j := mine[0].job
+		j := mine[0].Job
 		k := 1
-		for k < len(mine) && mine[k].job == j {
+		for k < len(mine) && mine[k].Job == j {
 			k++
 		}
-		if j.rec.Spec.Shape == jobs.Ensemble && j.rec.Spec.Pieces > 1 {
+		if j.Rec.Spec.Shape == jobs.Ensemble && j.Rec.Spec.Pieces > 1 {
 			out = append(out, n.placeGang(j, mine[:k])...)
 		} else {
 			for _, t := range mine[:k] {
 				if d, ok := n.placeOne(t, t.Try+1); ok {
 					out = append(out, d)
 				} else {
-					t.tried = n.now
+					t.Tried = n.Now
 				}
 			}
 		}
@@ -582,20 +550,20 @@
 }
 
 // placeOne picks a machine of this part and makes the decision.
-func (n *Node) placeOne(t *task, try uint64) (decision, bool) {
-	spec := &t.job.rec.Spec
+func (n *Node) placeOne(t *book.Task, try uint64) (decision, bool) {
+	spec := &t.Job.Rec.Spec
 	host := ""
-	if m := n.machines[t.Want]; m != nil && n.canPlace(t, m) {
-		free := n.builds[m.Build].Whole().Sub(n.used(t.Want))
-		if !t.unwanted {
-			free = free.Add(t.need) // its own booking is there for it
+	if m := n.Machines[t.Want]; m != nil && n.canPlace(t, m) {
+		free := n.Builds[m.Build].Whole().Sub(n.Used(t.Want))
+		if !t.Unwanted {
+			free = free.Add(t.Need) // its own booking is there for it
 		}
 		if free.Fits(spec.Need()) {
 			host = t.Want
 		}
 	}
 	if host == "" {
-		b := n.board(nil, n.byName(), func(m *machine) bool { return m.owner == n.set.NodeName && n.canPlace(t, m) }, spec)
+		b := n.board(nil, n.ByName(), func(m *book.Machine) bool { return m.Owner == n.set.NodeName && n.canPlace(t, m) }, spec)
 		if i := parts.Pick(spec.Need(), spec.Loaner, b); i >= 0 {
 			host = b[i].Host
 		}
@@ -608,66 +576,60 @@
 
 // placing is the decision that puts a task on a machine. The machine's record
 // is among its conditions: a machine condemned meanwhile takes no task.
-func (n *Node) placing(t *task, host, site string, try uint64) (decision, bool) {
+func (n *Node) placing(t *book.Task, host, site string, try uint64) (decision, bool) {
 	next, ok := n.placed(t, host, site, try)
 	if !ok {
 		return decision{}, false
 	}
-	piece := t.piece
+	piece := t.Piece
 	return decision{
 		changes: []change{{t, next}},
-		seen:    []string{jobs.JobPrefix + t.job.uid, fleet.HostPrefix + host},
-		done:    func(bool) { n.unbook(piece) },
+		seen:    []string{jobs.JobPrefix + t.Job.UID, fleet.HostPrefix + host},
+		done:    func(bool) { n.Unreserve(piece) },
 	}, true
 }
 
 // placed is a task's record on a machine; it books the place.
-func (n *Node) placed(t *task, host, site string, try uint64) (jobs.Task, bool) {
+func (n *Node) placed(t *book.Task, host, site string, try uint64) (jobs.Task, bool) {
 	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Place, Host: host, Site: site, Try: try})
 	if !ok {
 		return next, false
 	}
-	n.log.Debug("places", "task", t.piece, "class", t.job.rec.Spec.Class, "machine", host, "kind", n.machines[host].Build, "cheap", n.machines[host].Loaner,
-		"try", try, "cached", n.cached(host, t.job.rec.Spec.Bundle), "since_accepted_ms", n.ms()-t.job.rec.AtMs)
-	n.book(t, host, n.machines[host].Site)
+	n.log.Debug("places", "task", t.Piece, "class", t.Job.Rec.Spec.Class, "machine", host, "kind", n.Machines[host].Build, "cheap", n.Machines[host].Loaner,
+		"try", try, "cached", n.Cached(host, t.Job.Rec.Spec.Bundle), "since_accepted_ms", n.ms()-t.Job.Rec.AtMs)
+	n.Reserve(t, host, n.Machines[host].Site)
 	return next, true
 }
 
 // canPlace tells whether a task may go on a machine of this part now.
-func (n *Node) canPlace(t *task, m *machine) bool {
-	s := n.sessions[m.name]
+func (n *Node) canPlace(t *book.Task, m *book.Machine) bool {
+	s := n.sessions[m.Name]
 	if s == nil || s.State != workers.Known || s.Warning != nil {
 		return false
 	}
-	if n.now.Sub(s.LastReport) > seconds(n.set.Cluster.Workers.ReportS*tuning.FreshReports) {
+	if n.Now.Sub(s.LastReport) > seconds(n.set.Cluster.Workers.ReportS*tuning.FreshReports) {
 		return false
 	}
-	return n.takes(t, m) && (m.Claim == "" || m.Claim == t.job.uid)
+	return n.takes(t, m) && (m.Claim == "" || m.Claim == t.Job.UID)
 }
 
 // takes tells whether a machine is one that a task may go on, by its record.
-func (n *Node) takes(t *task, m *machine) bool { return n.ready(m) && suits(t, m) }
+func (n *Node) takes(t *book.Task, m *book.Machine) bool { return n.ready(m) && book.Suits(t, m) }
 
 // ready tells whether a machine takes new tasks at all, by its record.
-func (n *Node) ready(m *machine) bool {
-	if !n.inUse(m) || n.builds[m.Build] == nil {
+func (n *Node) ready(m *book.Machine) bool {
+	if !n.inUse(m) || n.Builds[m.Build] == nil {
 		return false
 	}
-	if _, draining := n.summary.Drain[m.name]; draining {
+	if _, draining := n.summary.Drain[m.Name]; draining {
 		return false
 	}
-	return !n.health[m.name].Rests(n.now)
-}
-
-// suits tells whether a task may be on a kind of machine, and on this one after
-// what happened to it there.
-func suits(t *task, m *machine) bool {
-	return t.job.rec.Spec.Allows(m.Build, m.Site, m.Loaner) && (t.Site == "" || t.Site == m.Site) && !slices.Contains(t.Bad, m.name)
+	return !n.health[m.Name].Rests(n.Now)
 }
 
 // board lists those of some machines that have room for a task of a job and
 // that takes allows, in the room of out.
-func (n *Node) board(out []parts.Candidate, among []*machine, takes func(*machine) bool, spec *jobs.Spec) []parts.Candidate {
+func (n *Node) board(out []parts.Candidate, among []*book.Machine, takes func(*book.Machine) bool, spec *jobs.Spec) []parts.Candidate {
 	out = out[:0]
 	var b *jobs.Build
 	var whole parts.Room
@@ -677,18 +639,18 @@
 			continue
 		}
 		if b == nil || b.Name != m.Build { // machines of a type mostly follow one another
-			if b = n.builds[m.Build]; b == nil {
+			if b = n.Builds[m.Build]; b == nil {
 				continue
 			}
 			whole = b.Whole()
 		}
-		used := m.use.room
+		used := m.Use.Room
 		if !whole.Sub(used).Fits(need) || !takes(m) {
 			continue
 		}
 		c := parts.Candidate{
-			Host: m.name, Whole: whole, Free: whole.Sub(used), Loaner: m.Loaner, Site: m.Site, Part: m.owner,
-			Load: used.Share(whole), Cached: n.cached(m.name, spec.Bundle),
+			Host: m.Name, Whole: whole, Free: whole.Sub(used), Loaner: m.Loaner, Site: m.Site, Part: m.Owner,
+			Load: used.Share(whole), Cached: n.Cached(m.Name, spec.Bundle),
 		}
 		if !c.Cached && b.PullRate > 0 {
 			c.PullS = spec.PullGB / b.PullRate
@@ -697,19 +659,3 @@
 	}
 	return out
 }
-
-// cached tells whether a machine probably holds an image.
-func (n *Node) cached(host, bundle string) bool { return n.images.Has(host, bundle) }
-
-// sawImage notes that a task's image is on its machine.
-func (n *Node) sawImage(t *task) {
-	m := n.machines[t.Host]
-	if t.job.rec == nil || m == nil {
-		return
-	}
-	cache := 0.0
-	if b := n.builds[m.Build]; b != nil {
-		cache = b.CacheGB
-	}
-	n.images.Saw(t.Host, fleet.Image{Bundle: t.job.rec.Spec.Bundle, GB: t.job.rec.Spec.PullGB}, cache)
-}
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"github.com/harrierreel/harrierreel/internal/book"
 	"log/slog"
 	"math/rand/v2"
 	"testing"
@@ -25,7 +26,7 @@
 	}
 	silent := func(string, string, []byte, time.Duration, func(int, []byte, error)) {}
 	n := New(set, Outside{State: silent, Watch: silent, Cloud: silent, Hint: func(string, []byte) {}}, slog.New(slog.DiscardHandler), rand.New(rand.NewPCG(1, 1)))
-	n.now = time.UnixMilli(1e12)
+	n.Now = time.UnixMilli(1e12)
 	stamp := uint64(0)
 	enter := func(key string, v any) {
 		stamp++
@@ -43,9 +44,9 @@
 	}
 	n.hold, n.sync.live, n.mirror.Epoch = 1, true, stamp
 	n.role, n.roleEpoch = members.Leader, 1
-	n.client.Pump(n.now)
-	n.now = n.now.Add(time.Second) // the budget fills
-	n.client.Pump(n.now)
+	n.client.Pump(n.Now)
+	n.Now = n.Now.Add(time.Second) // the budget fills
+	n.client.Pump(n.Now)
 	return n
 }
 
@@ -53,12 +54,12 @@
 // make; what it does not get to keeps its place among what waits.
 func TestReleaseLooksNoFurtherThanTheBudget(t *testing.T) {
 	n := leading(500, 1000, 40)
-	n.lead.waiting = []*waiting{{t: &task{job: n.jobs["wk-000999"]}, count: 1}, {t: &task{job: &job{uid: "wk-000998"}}, count: 1}}
+	n.lead.waiting = []*waiting{{t: &book.Task{Job: n.Jobs["wk-000999"]}, count: 1}, {t: &book.Task{Job: &book.Job{UID: "wk-000998"}}, count: 1}}
 	n.release()
-	if got := len(n.reserve); got < 10 || got > 40 {
+	if got := len(n.Reserved); got < 10 || got > 40 {
 		t.Errorf("released %d tasks with 40 changes a second", got)
 	}
-	if len(n.lead.waiting) != 1 || n.lead.waiting[0].t.job.uid != "wk-000999" {
+	if len(n.lead.waiting) != 1 || n.lead.waiting[0].t.Job.UID != "wk-000999" {
 		t.Errorf("what waits: %v", n.lead.waiting)
 	}
 	for _, bad := range n.Audit() {
@@ -85,7 +86,7 @@
 	for i := range 50 {
 		uid := fmt.Sprintf("wk-%06d", i)
 		n.mirror.Put(jobs.SliceKey(uid, 0), jobs.EncodeSlice([]jobs.Task{{State: jobs.Placed, Host: "i-000001", Try: 1}}, 8192), 5000)
-		d, ok := n.endWhole(n.jobs[uid].tasks[0])
+		d, ok := n.endWhole(n.Jobs[uid].Tasks[0])
 		if !ok || len(d.writes) != 3 {
 			t.Fatalf("end of %s: %v %v", uid, ok, d.writes)
 		}
--- a/internal/node/runs.go
+++ b/internal/node/runs.go
@@ -33,7 +33,7 @@
 	if n.role != members.Outside {
 		size = len(n.view.Members)
 	}
-	n.runs.SetRate(n.now, n.set.Cluster.State.WriteRPS*tuning.StateBudget*n.set.Operator.Pipelines.ChangesShare/float64(max(size, 1)))
+	n.runs.SetRate(n.Now, n.set.Cluster.State.WriteRPS*tuning.StateBudget*n.set.Operator.Pipelines.ChangesShare/float64(max(size, 1)))
 }
 
 // runSees tells the runs that something became known of a job.
@@ -54,7 +54,7 @@
 		return !n.busy[pipelines.RunPrefix+id] && parts.Owner(id, names) == n.set.NodeName
 	}
 	room := func(ops int) bool { return n.client.Allows(0, ops) }
-	changes, ask := n.runs.Pass(n.now, n.ms(), owned, room, runWorld{n})
+	changes, ask := n.runs.Pass(n.Now, n.ms(), owned, room, runWorld{n})
 	for _, uid := range ask {
 		n.read(uid, func(_ jobs.Final, err error) {
 			if errors.Is(err, errNoJob) {
@@ -91,7 +91,7 @@
 		d.writes, d.seen = append(d.writes, w), append(d.seen, seen)
 	}
 	for _, uid := range c.Cancel {
-		if j := n.jobs[uid]; j != nil && j.rec != nil {
+		if j := n.Jobs[uid]; j != nil && j.Rec != nil {
 			d.writes = append(d.writes, n.endingWrites(j, jobs.Cancelled)...)
 		}
 	}
@@ -106,17 +106,17 @@
 
 func (w runWorld) Job(uid string) (pipelines.JobView, bool) {
 	n := w.n
-	j := n.jobs[uid]
-	if j == nil || j.rec == nil {
+	j := n.Jobs[uid]
+	if j == nil || j.Rec == nil {
 		return pipelines.JobView{}, false
 	}
-	v := pipelines.JobView{State: j.rec.State, Running: j.on, Done: j.done, Probing: n.trust(j, "") == jobs.Probing}
-	spec := &j.rec.Spec
-	switch waits := spec.Pieces - j.on - j.done; {
+	v := pipelines.JobView{State: j.Rec.State, Running: j.On, Done: j.Done, Probing: n.Trust(j, "") == jobs.Probing}
+	spec := &j.Rec.Spec
+	switch waits := spec.Pieces - j.On - j.Done; {
 	case v.Probing:
 		v.Why = "its tasks failed on several machines; one is tried at a time"
 	case waits <= 0:
-	case n.teams[spec.Owner].More(n.account.Used(spec.Owner), spec.Amount(), 1) == 0:
+	case n.teams[spec.Owner].More(n.Account.Used(spec.Owner), spec.Amount(), 1) == 0:
 		v.Why = fmt.Sprintf("%d tasks wait: team %s is at its limit", waits, spec.Owner)
 	default:
 		v.Why = fmt.Sprintf("%d tasks wait for room on a machine", waits)
@@ -130,7 +130,7 @@
 }
 
 func (w runWorld) Judge(spec *jobs.Spec) string {
-	return jobs.CanEverRun(spec, w.n.teams, w.n.builds)
+	return jobs.CanEverRun(spec, w.n.teams, w.n.Builds)
 }
 
 // pipelinesPath is where users' requests about runs go.
@@ -218,7 +218,7 @@
 		respond(wire.Reply{Status: 400, Body: jobs.Encode(bad)})
 		return
 	}
-	if !n.able() || len(n.builds) == 0 {
+	if !n.able() || len(n.Builds) == 0 {
 		respond(refuse("not able to accept"))
 		return
 	}
@@ -282,7 +282,7 @@
 		respond(refuse("not able to cancel"))
 		return
 	}
-	c := n.runs.CancelRun(id, n.now, n.ms(), runWorld{n})
+	c := n.runs.CancelRun(id, n.Now, n.ms(), runWorld{n})
 	if c == nil { // over, being cancelled, or unknown
 		n.showRun(id, 200, false, "", respond)
 		return
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -55,7 +55,7 @@
 		},
 	}
 	n := New(set, out, log, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
-	n.now = time.Now()
+	n.Now = time.Now()
 	conns := max(set.Cluster.Limits.FdLimit-tuning.ReservedSockets, set.Cluster.Limits.FdLimit/2)
 	srv := &wire.Server{
 		Front: set.Front, Peer: set.PeerListen, MaxConns: conns,
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"github.com/harrierreel/harrierreel/internal/book"
 	"slices"
 	"time"
 
@@ -47,7 +48,7 @@
 
 // keepSync lists what must be listed and keeps one watch open.
 func (n *Node) keepSync() {
-	if n.now.Before(n.sync.next) {
+	if n.Now.Before(n.sync.next) {
 		return
 	}
 	switch {
@@ -63,7 +64,7 @@
 	prefix := n.prefixes()[n.sync.prefix]
 	n.client.List(store.Urgent, prefix, since, func(p store.Page, err error) {
 		if err != nil {
-			n.sync = syncState{next: n.now.Add(tuning.SyncAgain)}
+			n.sync = syncState{next: n.Now.Add(tuning.SyncAgain)}
 			return
 		}
 		if n.sync.since == 0 {
@@ -88,7 +89,7 @@
 		if n.sync.since > n.mirror.Epoch {
 			n.mirror.Epoch = n.sync.since
 		}
-		n.log.Info("state read", "jobs", len(n.jobs), "machines", len(n.machines), "epoch", n.mirror.Epoch)
+		n.log.Info("state read", "jobs", len(n.Jobs), "machines", len(n.Machines), "epoch", n.mirror.Epoch)
 		n.followNow()
 	})
 }
@@ -113,10 +114,10 @@
 			n.log.Info("watch too old, reading again", "epoch", n.mirror.Epoch)
 			n.sync = syncState{}
 		case err != nil:
-			n.sync.next = n.now.Add(tuning.SyncAgain)
+			n.sync.next = n.Now.Add(tuning.SyncAgain)
 		default:
 			n.mirror.Follow(epoch, events)
-			n.sync.next = n.now.Add(n.followGap())
+			n.sync.next = n.Now.Add(n.followGap())
 			n.keepCertain()
 			n.answerPolls()
 		}
@@ -140,7 +141,7 @@
 
 // change is what becomes of a task that a slice holds already.
 type change struct {
-	t    *task
+	t    *book.Task
 	next jobs.Task
 }
 
@@ -157,10 +158,10 @@
 
 // rank is the rank of the job whose tasks a decision changes, the first for others.
 func (d *decision) rank() int {
-	if len(d.changes) == 0 || d.changes[0].t.job.rec == nil {
+	if len(d.changes) == 0 || d.changes[0].t.Job.Rec == nil {
 		return 0
 	}
-	return d.changes[0].t.job.rec.Spec.RankOrder()
+	return d.changes[0].t.Job.Rec.Spec.RankOrder()
 }
 
 // keys lists the records that a decision writes.
@@ -170,8 +171,8 @@
 		out = append(out, writeKey(w))
 	}
 	for _, c := range d.changes {
-		if !slices.Contains(out, c.t.slice.key) {
-			out = append(out, c.t.slice.key)
+		if !slices.Contains(out, c.t.Slice.Key) {
+			out = append(out, c.t.Slice.Key)
 		}
 	}
 	return out
@@ -181,8 +182,8 @@
 type batch struct {
 	ds     []decision
 	writes []store.Write
-	edits  map[string]map[*task]jobs.Task // slice to its tasks' new records
-	order  []string                       // the slices, as they came
+	edits  map[string]map[*book.Task]jobs.Task // slice to its tasks' new records
+	order  []string                            // the slices, as they came
 	conds  map[string]bool
 	size   int // bytes, at least
 	urgent bool
@@ -232,7 +233,7 @@
 	var all []*batch
 	spent := 0
 	in := map[string]*batch{} // record to the batch that writes it
-	changed := map[*task]bool{}
+	changed := map[*book.Task]bool{}
 	for i := range ds {
 		d := &ds[i]
 		keys := d.keys()
@@ -258,7 +259,7 @@
 			ok = ok && in[writeKey(w)] == nil
 		}
 		for _, c := range d.changes {
-			ok = ok && !changed[c.t] && c.t.job.tasks[c.t.n] == c.t && (in[c.t.slice.key] == nil || in[c.t.slice.key].edits[c.t.slice.key] != nil)
+			ok = ok && !changed[c.t] && c.t.Job.Tasks[c.t.N] == c.t && (in[c.t.Slice.Key] == nil || in[c.t.Slice.Key].edits[c.t.Slice.Key] != nil)
 		}
 		if !ok {
 			drop(d)
@@ -279,7 +280,7 @@
 			}
 		}
 		if b == nil {
-			b = &batch{edits: map[string]map[*task]jobs.Task{}, conds: map[string]bool{}}
+			b = &batch{edits: map[string]map[*book.Task]jobs.Task{}, conds: map[string]bool{}}
 			all = append(all, b)
 		}
 		spent += more
@@ -299,9 +300,9 @@
 		}
 		b.writes = append(b.writes, d.writes...)
 		for _, c := range d.changes {
-			key := c.t.slice.key
+			key := c.t.Slice.Key
 			if b.edits[key] == nil {
-				b.edits[key] = map[*task]jobs.Task{}
+				b.edits[key] = map[*book.Task]jobs.Task{}
 				b.order = append(b.order, key)
 			}
 			b.edits[key][c.t] = c.next
@@ -323,21 +324,21 @@
 
 // write is the record of a slice with some of its tasks changed. A slice of a
 // job that is over, none of whose tasks may be on a machine, is removed.
-func (n *Node) write(key string, edits map[*task]jobs.Task) store.Write {
-	var sl *slice
+func (n *Node) write(key string, edits map[*book.Task]jobs.Task) store.Write {
+	var sl *book.Slice
 	for t := range edits {
-		sl = t.slice
+		sl = t.Slice
 	}
-	records := make([]jobs.Task, len(sl.tasks))
+	records := make([]jobs.Task, len(sl.Tasks))
 	rest := true
-	for i, t := range sl.tasks {
+	for i, t := range sl.Tasks {
 		records[i] = t.Task
 		if next, ok := edits[t]; ok {
 			records[i] = next
 		}
 		rest = rest && !records[i].On()
 	}
-	if rest && (sl.job.rec == nil || sl.job.rec.State != jobs.Live) {
+	if rest && (sl.Job.Rec == nil || sl.Job.Rec.State != jobs.Live) {
 		return remove(key)
 	}
 	return store.Write{Put: key, Value: jobs.EncodeSlice(records, n.sliceLimit())}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"github.com/harrierreel/harrierreel/internal/book"
 	"strings"
 	"time"
 
@@ -71,7 +72,7 @@
 	ok := n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure
 	if n.client.Down() {
 		for _, p := range n.peersState {
-			if p.stateOK && n.now.Sub(p.at) < tuning.PeerFresh {
+			if p.stateOK && n.Now.Sub(p.at) < tuning.PeerFresh {
 				ok = false
 			}
 		}
@@ -96,8 +97,8 @@
 	out := status{UID: uid, Status: string(f.State)}
 	done, on := f.Done, 0
 	if f.State == jobs.Live {
-		if j := n.jobs[uid]; j != nil {
-			done, on = j.done, j.on
+		if j := n.Jobs[uid]; j != nil {
+			done, on = j.Done, j.On
 		}
 		out.Status = "pending"
 		if on > 0 {
@@ -224,7 +225,7 @@
 		respond(refuse("state unavailable"))
 		return
 	}
-	n.polls.waiting = append(n.polls.waiting, poll{answer, respond, n.now})
+	n.polls.waiting = append(n.polls.waiting, poll{answer, respond, n.Now})
 	n.keepPolls()
 }
 
@@ -232,19 +233,19 @@
 // have waited for too long.
 func (n *Node) keepPolls() {
 	p := &n.polls
-	for len(p.rounds) > 0 && n.now.Sub(p.rounds[0].polls[0].at) > tuning.PollWait {
+	for len(p.rounds) > 0 && n.Now.Sub(p.rounds[0].polls[0].at) > tuning.PollWait {
 		n.refusePolls(p.rounds[0].polls)
 		p.rounds = p.rounds[1:]
 	}
-	if len(p.waiting) > 0 && n.now.Sub(p.waiting[0].at) > tuning.PollWait {
+	if len(p.waiting) > 0 && n.Now.Sub(p.waiting[0].at) > tuning.PollWait {
 		n.refusePolls(p.waiting)
 		p.waiting = nil
 	}
-	if len(p.waiting) == 0 || p.asking || n.now.Sub(p.askedAt) < tuning.PollGap {
+	if len(p.waiting) == 0 || p.asking || n.Now.Sub(p.askedAt) < tuning.PollGap {
 		return
 	}
 	asked := p.waiting
-	p.waiting, p.asking, p.askedAt = nil, true, n.now
+	p.waiting, p.asking, p.askedAt = nil, true, n.Now
 	n.client.Epoch(store.Poll, func(epoch uint64, err error) {
 		p.asking = false
 		if err != nil {
@@ -278,8 +279,8 @@
 }
 
 func (n *Node) answerPoll(uid string, respond func(wire.Reply)) {
-	if j := n.jobs[uid]; j != nil && j.rec != nil {
-		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, jobs.Final{State: j.rec.State, Done: j.rec.Done}, true)})
+	if j := n.Jobs[uid]; j != nil && j.Rec != nil {
+		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, jobs.Final{State: j.Rec.State, Done: j.Rec.Done}, true)})
 		return
 	}
 	// Unknown here, so it has ended or was never accepted.
@@ -314,7 +315,7 @@
 	}
 	// A job that is known already is answered by a read; only an unknown one
 	// is judged, since what made it acceptable may have changed since.
-	if n.jobs[spec.UID] != nil {
+	if n.Jobs[spec.UID] != nil {
 		n.read(spec.UID, func(s jobs.Final, err error) {
 			if err != nil {
 				respond(refuse("state unavailable"))
@@ -324,11 +325,11 @@
 		})
 		return
 	}
-	if len(n.builds) == 0 {
+	if len(n.Builds) == 0 {
 		respond(refuse("machine types not known yet"))
 		return
 	}
-	if why := jobs.CanEverRun(spec, n.teams, n.builds); why != "" {
+	if why := jobs.CanEverRun(spec, n.teams, n.Builds); why != "" {
 		n.read(spec.UID, func(s jobs.Final, err error) {
 			switch {
 			case err == nil:
@@ -387,7 +388,7 @@
 // find tells a job's state for a decision that is conditional on the job's
 // record and therefore may start from a copy that is behind.
 func (n *Node) find(uid string, done func(jobs.Final, error)) {
-	if j := n.jobs[uid]; j != nil && j.rec != nil && j.rec.State == jobs.Live {
+	if j := n.Jobs[uid]; j != nil && j.Rec != nil && j.Rec.State == jobs.Live {
 		done(jobs.Final{State: jobs.Live}, nil)
 		return
 	}
@@ -412,13 +413,13 @@
 			respond(refuse("state unavailable"))
 			return
 		}
-		j := n.jobs[uid]
+		j := n.Jobs[uid]
 		next, ok := jobs.NextJob(s.State, jobs.UserCancels)
 		if !ok {
 			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
 			return
 		}
-		if j == nil || j.rec == nil {
+		if j == nil || j.Rec == nil {
 			respond(refuse("try again"))
 			return
 		}
@@ -434,19 +435,19 @@
 
 // endingWrites is the records of a job that ends, its live one among them: its tasks
 // are yet to act on it.
-func (n *Node) endingWrites(j *job, state jobs.JobState) []store.Write {
-	rec := *j.rec
-	rec.State, rec.EndMs, rec.Done = state, n.ms(), j.done
+func (n *Node) endingWrites(j *book.Job, state jobs.JobState) []store.Write {
+	rec := *j.Rec
+	rec.State, rec.EndMs, rec.Done = state, n.ms(), j.Done
 	if state == jobs.Done {
 		rec.Done = rec.Spec.Pieces // of a gang, one done means all are
 	}
-	return []store.Write{put(jobs.JobPrefix+j.uid, rec), put(jobs.FinalPrefix+j.uid, jobs.Final{State: state, Done: rec.Done})}
+	return []store.Write{put(jobs.JobPrefix+j.UID, rec), put(jobs.FinalPrefix+j.UID, jobs.Final{State: state, Done: rec.Done})}
 }
 
 // close commits a job's final state, for its tasks to act on and for users to
 // read for ever.
-func (n *Node) close(j *job, state jobs.JobState, p store.Priority, done func(bool)) {
-	key, final := jobs.JobPrefix+j.uid, jobs.FinalPrefix+j.uid
+func (n *Node) close(j *book.Job, state jobs.JobState, p store.Priority, done func(bool)) {
+	key, final := jobs.JobPrefix+j.UID, jobs.FinalPrefix+j.UID
 	t := store.Txn{
 		If: []store.Cond{
 			{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)},
