--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -30,7 +30,7 @@
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
 			t.Parallel()
-			run(t, f)
+			run(t, f, nil)
 		})
 	}
 }
@@ -46,7 +46,9 @@
 	vars map[string]string
 }
 
-func run(t *testing.T, file string) {
+// run plays a scenario. committed, if given, is told of each write of a
+// transaction.
+func run(t *testing.T, file string, committed func(key string, v json.RawMessage)) {
 	f, err := os.Open(file)
 	if err != nil {
 		t.Fatal(err)
@@ -57,6 +59,7 @@
 		log = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
 	}
 	s := &script{t: t, size: 3, vars: map[string]string{}, w: standin.NewWorld(7, log)}
+	s.w.Store.Committed = committed
 	s.set = baseSettings(s.w)
 	started := false
 	sc := bufio.NewScanner(f)
