Quotas are a tree: organisations, teams, classes; amounts are whole numbers

Need: teams divide what they have among classes, and organisations among teams; sums of decimals drifted. Change: package quota keeps an immutable tree and its account in millionths; a charge goes to all nodes above a leaf in one place; entitlement, yielding, borrowing, lending and progressive filling by weight are functions of account and tree. The platform's teams alone make a flat tree, which is all that is in force as yet.

--- a/internal/book/audit.go
+++ b/internal/book/audit.go
@@ -11,10 +11,10 @@
 
 // Audit counts again, from the records alone, what is kept up with each change,
 // and reports what differs. The scenarios run it; it looks at everything.
-func (b *Book) Audit(teams map[string]quota.Team) []string {
+func (b *Book) Audit() []string {
 	var out []string
 	room := map[string]parts.Room{}
-	account := quota.NewAccount()
+	account := quota.NewAccount(b.Account.Tree())
 	var onRank [jobs.Ranks]int
 	book := func(host string, need parts.Room) { room[host] = room[host].Add(need) }
 	for uid, j := range b.Jobs {
@@ -47,7 +47,7 @@
 		if j.Rec == nil {
 			continue
 		}
-		account.Charge(j.Rec.Spec.Owner, j.Rec.Spec.Amount(), float64(active))
+		account.Charge(j.Rec.Spec.Key(), j.Rec.Spec.Amount(), active)
 		if live := j.Rec.State == jobs.Live; live == (b.Closed[uid] != nil) {
 			out = append(out, fmt.Sprintf("%s: live %v, but closed %v", uid, live, b.Closed[uid] != nil))
 		}
@@ -57,8 +57,8 @@
 	}
 	for _, r := range b.Reserved {
 		book(r.Host, r.Need)
-		if r.Owner != "" {
-			account.Charge(r.Owner, r.Amount, 1)
+		if r.Key.Team != "" {
+			account.Charge(r.Key, r.Amount, 1)
 		}
 	}
 	for host, u := range b.Usages {
@@ -72,9 +72,9 @@
 			out = append(out, fmt.Sprintf("%s: %v used, none kept", host, r))
 		}
 	}
-	for team := range teams {
-		if got, kept := account.Used(team), b.Account.Used(team); !near(got.Cores, kept.Cores) || !near(got.Accelerators, kept.Accelerators) {
-			out = append(out, fmt.Sprintf("team %s: %v charged, kept %v", team, got, kept))
+	for i, path := range b.Account.Tree().Paths() {
+		if got, kept := account.Used(i), b.Account.Used(i); got != kept {
+			out = append(out, fmt.Sprintf("node %q: %s charged, kept %s", path, got, kept))
 		}
 	}
 	return out
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -87,7 +87,7 @@
 	Host   string
 	Site   string
 	Need   parts.Room
-	Owner  string // team charged, if any
+	Key    quota.Key // charged, if any
 	Amount quota.Amount
 }
 
@@ -118,15 +118,18 @@
 
 // New makes an empty book. happened is told of each machine on which something
 // changed.
-func New(happened func(host string)) *Book {
+func New(tree *quota.Tree, happened func(host string)) *Book {
 	return &Book{
 		Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, OnHost: map[string]map[string]*Task{}, Released: map[string]*Task{},
-		Usages: map[string]*Usage{}, Account: quota.NewAccount(), Builds: map[string]*jobs.Build{},
+		Usages: map[string]*Usage{}, Account: quota.NewAccount(tree), Builds: map[string]*jobs.Build{},
 		Queued: map[string]*Job{}, Complete: map[string]*Job{}, Closed: map[string]*Job{}, Reserved: map[string]Reservation{},
 		Images: fleet.Images{}, happened: happened,
 	}
 }
 
+// Leaf is the node of the quotas' tree that a job's tasks are charged to.
+func (b *Book) Leaf(s *jobs.Spec) int { return b.Account.Tree().Leaf(s.Key()) }
+
 // touch tells that something changed on a task's machine.
 func (b *Book) touch(t *Task) {
 	if t.Host != "" {
@@ -231,9 +234,9 @@
 }
 
 // charge books a task that is released or may be on a machine.
-func (b *Book) charge(t *Task, k float64) {
+func (b *Book) charge(t *Task, k int) {
 	if t.Job.Rec != nil && (t.Charged() || t.State == Unreadable) {
-		b.Account.Charge(t.Job.Rec.Spec.Owner, t.Job.Rec.Spec.Amount(), k)
+		b.Account.Charge(t.Job.Rec.Spec.Key(), t.Job.Rec.Spec.Amount(), k)
 	}
 }
 
@@ -282,8 +285,8 @@
 	// A release under way is in no job's active tasks yet; left out here, the
 	// next pass would give its share away a second time.
 	if t.Job.Active[t.N] == nil {
-		r.Owner, r.Amount = spec.Owner, spec.Amount()
-		b.Account.Charge(r.Owner, r.Amount, 1)
+		r.Key, r.Amount = spec.Key(), spec.Amount()
+		b.Account.Charge(r.Key, r.Amount, 1)
 	}
 	b.Reserved[t.Piece] = r
 	b.Occupy(host, r.Need)
@@ -304,8 +307,8 @@
 		t.Unwanted = false // not placed: the leader's booking stands again
 		b.Occupy(t.Want, t.Need)
 	}
-	if r.Owner != "" {
-		b.Account.Charge(r.Owner, r.Amount, -1)
+	if r.Key.Team != "" {
+		b.Account.Charge(r.Key, r.Amount, -1)
 	}
 }
 
--- a/internal/book/book_test.go
+++ b/internal/book/book_test.go
@@ -23,6 +23,8 @@
 	os.Exit(m.Run())
 }
 
+var tree = quota.Flat(map[string]quota.Team{"t": {Name: "t"}})
+
 var shapes = []string{jobs.Sweep, jobs.Ensemble, jobs.Standing}
 
 // record is a job's record of three tasks.
@@ -35,9 +37,8 @@
 // that are not known yet or gone already, with reservations between, and counts
 // everything again after each.
 func TestAnyChanges(t *testing.T) {
-	teams := map[string]quota.Team{"t": {Name: "t"}}
 	rapid.Check(t, func(t *rapid.T) {
-		b := New(func(string) {})
+		b := New(tree, func(string) {})
 		uids := []string{"wk-1", "wk-2", "wk-3"}
 		hosts := []string{"i-1", "i-2"}
 		uid := func(t *rapid.T) string { return rapid.SampledFrom(uids).Draw(t, "uid") }
@@ -57,7 +58,7 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"": func(t *rapid.T) {
-				for _, bad := range b.Audit(teams) {
+				for _, bad := range b.Audit() {
 					t.Error(bad)
 				}
 			},
@@ -108,7 +109,7 @@
 
 // What can't be read is told, and nothing is decided from it.
 func TestUnreadable(t *testing.T) {
-	b := New(func(string) {})
+	b := New(tree, func(string) {})
 	if err := b.JobChanged("wk-1", []byte(`{}`)); err == nil || b.Jobs["wk-1"] != nil && b.Jobs["wk-1"].Rec != nil {
 		t.Error("a job without a specification was read")
 	}
@@ -121,7 +122,7 @@
 	if err := b.JobChanged("wk-2", record("wk-2", jobs.Live, 0)); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := b.SliceChanged("task/wk-2/0", []byte(`[]`)); err == nil || !b.Jobs["wk-2"].Unreadable || b.Account.Used("t").Accelerators != 1 {
+	if _, err := b.SliceChanged("task/wk-2/0", []byte(`[]`)); err == nil || !b.Jobs["wk-2"].Unreadable || b.Account.UsedByTeam("t") != quota.Of(1.5, 1, 4) {
 		t.Errorf("%v %+v", err, b.Jobs["wk-2"])
 	}
 }
@@ -130,7 +131,7 @@
 // under way.
 func TestZones(t *testing.T) {
 	var touched []string
-	b := New(func(h string) { touched = append(touched, h) })
+	b := New(tree, func(h string) { touched = append(touched, h) })
 	b.Now = time.Unix(1, 0)
 	_ = b.JobChanged("wk-1", record("wk-1", jobs.Live, 0))
 	_ = b.HostChanged("i-1", "n0", jobs.Encode(fleet.Host{State: fleet.Up, Build: "g", Site: "b"}))
--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -43,7 +43,7 @@
 
 func TestCanEverRun(t *testing.T) {
 	builds := map[string]*Build{"g4": {Name: "g4", Cores: 8, Accel: 4, MemoryGB: 64, Sites: []string{"a"}}}
-	teams := map[string]quota.Team{"t": {Max: quota.Amount{Accelerators: 4}}}
+	tree := quota.Flat(map[string]quota.Team{"t": {Name: "t", Max: quota.Of(0, 4, 0)}})
 	base := Spec{Owner: "t", Shape: Sweep, Pieces: 9, Cores: 1, Accel: 1, MemoryGB: 1}
 	for name, c := range map[string]struct {
 		change func(*Spec)
@@ -59,7 +59,7 @@
 	} {
 		s := base
 		c.change(&s)
-		if why := CanEverRun(&s, teams, builds); (why == "") != c.ok {
+		if why := CanEverRun(&s, tree, builds); (why == "") != c.ok {
 			t.Errorf("%s: %q", name, why)
 		}
 	}
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -68,9 +68,12 @@
 
 // Amount is what one task counts for its team.
 func (s *Spec) Amount() quota.Amount {
-	return quota.Amount{Cores: s.Cores, Accelerators: s.Accel}
+	return quota.Of(s.Cores, s.Accel, s.MemoryGB)
 }
 
+// Key is what its tasks are charged to.
+func (s *Spec) Key() quota.Key { return quota.Key{Team: s.Owner, Class: s.Class} }
+
 // AllowsBuild tells whether a machine type is allowed.
 func (s *Spec) AllowsBuild(build string) bool {
 	return len(s.Builds) == 0 || slices.Contains(s.Builds, build)
@@ -268,9 +271,8 @@
 }
 
 // CanEverRun explains why a job can never run, or returns "".
-func CanEverRun(s *Spec, teams map[string]quota.Team, builds map[string]*Build) string {
-	team, ok := teams[s.Owner]
-	if !ok {
+func CanEverRun(s *Spec, tree *quota.Tree, builds map[string]*Build) string {
+	if !tree.Knows(s.Owner) {
 		return "unknown team"
 	}
 	fits := false
@@ -282,11 +284,11 @@
 	if !fits {
 		return "a task fits no allowed machine type"
 	}
-	n := float64(s.Pieces)
+	n := s.Pieces
 	if s.Shape == Sweep {
 		n = 1
 	}
-	if !team.Allows(quota.Amount{}.Add(s.Amount(), n)) {
+	if !tree.Ever(tree.Leaf(s.Key()), s.Amount(), n) {
 		return "needs more than the team's limit"
 	}
 	return ""
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -42,7 +42,9 @@
 	tasks  []*book.Task // the first few
 	count  int
 	rank   int
-	within bool // inside its team's guarantee
+	within bool // inside a guarantee
+	// entitled is the node of the quotas' tree whose guarantee that is.
+	entitled int
 }
 
 // making is room being made for a task by stopping others.
@@ -203,30 +205,36 @@
 
 // queue orders the live jobs that wait: by rank, then what lies within a
 // guarantee, then by the time by which they must start to meet their aim.
-func (n *Node) queue(a *quota.Account) []*book.Job {
+func (n *Node) queue(account *quota.Account) []*book.Job {
+	a := account
 	type entry struct {
-		j      *book.Job
-		rank   int
-		beyond bool
-		late   bool
-		room   float64
-		start  int64
+		j     *book.Job
+		rank  int
+		turn  int // 0: within its team's guarantee
+		leaf  int
+		late  bool
+		room  float64
+		start int64
 	}
 	late := func(r *jobs.Record, start int64) bool { return start >= r.AtMs+tuning.QueueHorizon.Milliseconds() }
 	q := make([]entry, 0, len(n.Queued))
 	for _, j := range n.Queued {
 		spec := &j.Rec.Spec
-		within := n.teams[spec.Owner].Guarantees(a.Used(spec.Owner).Add(spec.Amount(), 1))
-		start := n.startBy(j.Rec, within)
-		q = append(q, entry{j, spec.RankOrder(), !within, late(j.Rec, start), spec.Accel * float64(spec.Pieces-j.Done), start})
+		leaf := n.Leaf(spec)
+		entitled := a.Entitled(leaf, spec.Amount(), 1)
+		turn := a.Tree().Turn(entitled, leaf)
+		start := n.startBy(j.Rec, turn == 0)
+		q = append(q, entry{j, spec.RankOrder(), turn, leaf, late(j.Rec, start), spec.Accel * float64(spec.Pieces-j.Done), start})
 	}
 	sort.Slice(q, func(x, y int) bool {
 		a, b := &q[x], &q[y]
 		switch {
 		case a.rank != b.rank:
 			return a.rank < b.rank
-		case a.beyond != b.beyond:
-			return !a.beyond
+		case a.turn != b.turn:
+			return a.turn < b.turn
+		case a.turn > 0 && account.Compare(a.leaf, b.leaf) != 0:
+			return account.Compare(a.leaf, b.leaf) < 0
 		case a.late != b.late:
 			return !a.late
 		case !a.late && a.room != b.room:
@@ -310,7 +318,7 @@
 	held     map[string]bool      // machines kept for tasks that fit nowhere
 	holds    []parts.Room         // room kept, to be given back when the pass ends
 	hosts    []string             // where
-	full     map[string]bool      // teams whose next task does not fit their limit
+	full     map[int]bool         // leaves whose next task does not fit their limits
 	nowhere  map[string][]refusal // what found no room, by where it may go
 	searches int                  // looks for tasks to stop
 	stopping map[*book.Task]bool  // to be stopped by this pass
@@ -356,7 +364,7 @@
 }
 
 func (n *Node) newPass() *pass {
-	return &pass{account: n.Account.Clone(), held: map[string]bool{}, full: map[string]bool{}, nowhere: map[string][]refusal{}, stopping: map[*book.Task]bool{}}
+	return &pass{account: n.Account.Clone(), held: map[string]bool{}, full: map[int]bool{}, nowhere: map[string][]refusal{}, stopping: map[*book.Task]bool{}}
 }
 
 // keep takes room on a machine until the pass ends.
@@ -420,7 +428,7 @@
 		}
 		seen[j] = true
 		spec := &j.Rec.Spec
-		if p.full[spec.Owner] {
+		if p.full[n.Leaf(spec)] {
 			continue
 		}
 		if spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
@@ -451,7 +459,7 @@
 // and returns how many tasks it looked at.
 func (n *Node) releaseTasks(j *book.Job, p *pass, most int) int {
 	spec := &j.Rec.Spec
-	team := n.teams[spec.Owner]
+	leaf := n.Leaf(spec)
 	var cands []parts.Candidate
 	room := 0
 	if !p.hopeless(spec, 1) {
@@ -479,13 +487,13 @@
 	looked := 0
 	for i, t := range tasks {
 		looked++
-		if !team.Allows(p.account.Used(spec.Owner).Add(spec.Amount(), 1)) {
+		if !p.account.Allows(leaf, spec.Amount(), 1) {
 			// What the team has left waits for this task to fit; smaller ones
 			// behind it would take it away for ever.
-			p.full[spec.Owner] = true
+			p.full[leaf] = true
 			break
 		}
-		within := team.Guarantees(p.account.Used(spec.Owner).Add(spec.Amount(), 1))
+		within := p.account.Entitled(leaf, spec.Amount(), 1)
 		k := n.pickFor(t, cands, zones)
 		if k < 0 {
 			if !spec.SamePlace && !spec.Scatter && t.Site == "" && len(t.Bad) == 0 {
@@ -498,13 +506,13 @@
 			break
 		}
 		c := &cands[k]
-		if !probing && n.clearCached(&waiting{t: t, rank: spec.RankOrder(), within: within}, c.Host, p) {
+		if !probing && n.clearCached(&waiting{t: t, rank: spec.RankOrder(), entitled: within, within: within >= 0}, c.Host, p) {
 			c.Free = c.Free.Sub(spec.Need())
-			p.account.Charge(spec.Owner, spec.Amount(), 1)
+			p.account.Charge(spec.Key(), spec.Amount(), 1)
 			continue
 		}
 		offers = append(offers, offer{t, c.Host})
-		p.account.Charge(spec.Owner, spec.Amount(), 1)
+		p.account.Charge(spec.Key(), spec.Amount(), 1)
 		c.Free = c.Free.Sub(spec.Need())
 		c.Load = c.Whole.Sub(c.Free).Share(c.Whole)
 		zones[c.Site]++
@@ -636,14 +644,14 @@
 
 // wait notes tasks that found no room: they keep their turn, and a machine is
 // kept for the first of them.
-func (n *Node) wait(j *book.Job, tasks []*book.Task, within bool, zones map[string]int, p *pass) {
+func (n *Node) wait(j *book.Job, tasks []*book.Task, entitled int, zones map[string]int, p *pass) {
 	spec := &j.Rec.Spec
-	count := n.teams[spec.Owner].More(p.account.Used(spec.Owner), spec.Amount(), n.unstarted(j))
+	count := p.account.More(n.Leaf(spec), spec.Amount(), n.unstarted(j))
 	if count == 0 {
 		return
 	}
-	p.account.Charge(spec.Owner, spec.Amount(), float64(count)) // keeps its turn
-	n.lead.waiting = append(n.lead.waiting, &waiting{t: tasks[0], tasks: tasks[:min(count, len(tasks))], count: count, rank: spec.RankOrder(), within: within})
+	p.account.Charge(spec.Key(), spec.Amount(), count) // keeps its turn
+	n.lead.waiting = append(n.lead.waiting, &waiting{t: tasks[0], tasks: tasks[:min(count, len(tasks))], count: count, rank: spec.RankOrder(), entitled: entitled, within: entitled >= 0})
 	n.holdFor(tasks[0], min(count, tuning.HoldEach), zones, p)
 }
 
@@ -848,7 +856,7 @@
 		}
 		for _, t := range w.tasks {
 			if !n.Now.Before(n.lead.preempted[t.Piece].until) {
-				n.stopFor(&waiting{t: t, rank: w.rank, within: w.within}, false, p)
+				n.stopFor(&waiting{t: t, rank: w.rank, within: w.within, entitled: w.entitled}, false, p)
 			}
 		}
 	}
@@ -967,13 +975,7 @@
 	if spec.RankOrder() > w.rank {
 		return true
 	}
-	if !w.within || spec.Owner == w.t.Job.Rec.Spec.Owner || spec.Shape == jobs.Standing {
-		return false
-	}
-	// With this task gone the team must still have all of its guarantee.
-	used := account.Used(spec.Owner)
-	g := n.teams[spec.Owner].Guaranteed
-	return used.Accelerators-spec.Accel >= g.Accelerators && used.Cores-spec.Cores >= g.Cores
+	return w.within && spec.Shape != jobs.Standing && account.Yields(w.entitled, n.Leaf(spec), spec.Amount())
 }
 
 // victims finds the machine where stopping the fewest tasks makes room, one
@@ -1083,18 +1085,18 @@
 			}
 		}
 	}
-	team := n.teams[spec.Owner]
-	if !team.Allows(p.account.Used(spec.Owner).Add(spec.Amount(), float64(spec.Pieces))) {
+	leaf := n.Leaf(spec)
+	if !p.account.Allows(leaf, spec.Amount(), spec.Pieces) {
 		return
 	}
-	within := team.Guarantees(p.account.Used(spec.Owner).Add(spec.Amount(), float64(spec.Pieces)))
-	p.account.Charge(spec.Owner, spec.Amount(), float64(spec.Pieces))
+	entitled := p.account.Entitled(leaf, spec.Amount(), spec.Pieces)
+	p.account.Charge(spec.Key(), spec.Amount(), spec.Pieces)
 	offers, whole := n.fitGang(all, p)
 	if offers == nil && probing {
 		return
 	}
 	if offers == nil {
-		n.lead.waiting = append(n.lead.waiting, &waiting{t: all[0], count: spec.Pieces, rank: spec.RankOrder(), within: within})
+		n.lead.waiting = append(n.lead.waiting, &waiting{t: all[0], count: spec.Pieces, rank: spec.RankOrder(), within: entitled >= 0, entitled: entitled})
 		n.holdFor(all[0].Anywhere(), min(spec.Pieces, tuning.HoldEach), n.Zones(j), p)
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,11 +46,11 @@
 
 // Node is one controller.
 type Node struct {
-	set   *settings.Settings
-	out   Outside
-	log   *slog.Logger
-	rng   *rand.Rand
-	teams map[string]quota.Team
+	set    *settings.Settings
+	out    Outside
+	log    *slog.Logger
+	rng    *rand.Rand
+	quotas quotas
 
 	client *store.Client
 	mirror *store.Mirror
@@ -122,7 +122,7 @@
 // New makes a node.
 func New(set *settings.Settings, out Outside, log *slog.Logger, rng *rand.Rand) *Node {
 	n := &Node{
-		set: set, out: out, log: log, rng: rng, teams: set.TeamMap(),
+		set: set, out: out, log: log, rng: rng,
 		keys: map[string]uint64{}, quiet: map[string]fleet.Quiet{},
 		touched: map[string]bool{}, revisit: map[string]bool{},
 		role: members.Outside, certain: members.Certainty{Standing: members.Sure},
@@ -132,7 +132,8 @@
 		sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{},
 		finals: jobs.NewFinals(set.Operator.FinalCache), readers: map[string]*reader{},
 	}
-	n.Book = book.New(func(host string) {
+	n.quotas.teams = set.TeamMap()
+	n.Book = book.New(quota.Flat(n.quotas.teams), func(host string) {
 		n.touched[host] = true
 		n.dirty = true
 	})
@@ -327,6 +328,8 @@
 		if json.Unmarshal(value, &f) == nil {
 			n.finals.Put(key[len(jobs.FinalPrefix):], f)
 		}
+	case n.quotas.on && key == quota.StoreKey:
+		n.quotaChanged(value)
 	case n.runs != nil && hasPrefix(key, pipelines.RunPrefix):
 		if err := n.runs.Changed(key[len(pipelines.RunPrefix):], value); err != nil {
 			n.log.Error("unreadable run set aside", "key", key, "error", err)
@@ -349,9 +352,6 @@
 	}
 }
 
-// Audit checks what is kept up with each change against a recount.
-func (n *Node) Audit() []string { return n.Book.Audit(n.teams) }
-
 // sorted lists a map's keys in order: what a pass does must not hang on the
 // order that a map happens to have.
 func sorted[V any](m map[string]V) []string {
--- a/internal/node/runs.go
+++ b/internal/node/runs.go
@@ -116,8 +116,8 @@
 	case v.Probing:
 		v.Why = "its tasks failed on several machines; one is tried at a time"
 	case waits <= 0:
-	case n.teams[spec.Owner].More(n.Account.Used(spec.Owner), spec.Amount(), 1) == 0:
-		v.Why = fmt.Sprintf("%d tasks wait: team %s is at its limit", waits, spec.Owner)
+	case n.Account.Full(n.Leaf(spec), spec.Amount()) != "":
+		v.Why = fmt.Sprintf("%d tasks wait: %s", waits, n.Account.Full(n.Leaf(spec), spec.Amount()))
 	default:
 		v.Why = fmt.Sprintf("%d tasks wait for room on a machine", waits)
 	}
@@ -130,7 +130,7 @@
 }
 
 func (w runWorld) Judge(spec *jobs.Spec) string {
-	return jobs.CanEverRun(spec, w.n.teams, w.n.Builds)
+	return jobs.CanEverRun(spec, w.n.Account.Tree(), w.n.Builds)
 }
 
 // pipelinesPath is where users' requests about runs go.
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -12,6 +12,7 @@
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/pipelines"
+	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -28,10 +29,14 @@
 // prefixes are the live prefixes of this node's duties. Runs come last: a run
 // that names a job must not be met before the job.
 func (n *Node) prefixes() []string {
-	if n.runs == nil {
-		return livePrefixes
+	out := slices.Clone(livePrefixes)
+	if n.quotas.on {
+		out = append(out, quota.StoreKey)
 	}
-	return append(slices.Clone(livePrefixes), pipelines.RunPrefix)
+	if n.runs != nil {
+		out = append(out, pipelines.RunPrefix)
+	}
+	return out
 }
 
 // syncState is how far the mirror has got.
@@ -229,7 +234,7 @@
 		return
 	}
 	mostOps := n.set.Cluster.State.TxnOps
-	mostConds := mostOps*tuning.CondsPerOp - 2 // two are the view and the fence
+	mostConds := mostOps*tuning.CondsPerOp - 3 // the view, the fence and the quotas
 	var all []*batch
 	spent := 0
 	in := map[string]*batch{} // record to the batch that writes it
@@ -351,6 +356,9 @@
 		t.Writes = append(t.Writes, n.write(k, b.edits[k]))
 	}
 	b.conds[members.ViewKey], b.conds[n.fence.key] = true, true
+	if n.quotas.on {
+		b.conds[quota.StoreKey] = true // whoever decides by an older tree commits nothing
+	}
 	for _, k := range sorted(b.conds) {
 		t.If = append(t.If, store.Cond{Key: k, Stamp: n.mirror.Stamp(k)})
 	}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -329,7 +329,7 @@
 		respond(refuse("machine types not known yet"))
 		return
 	}
-	if why := jobs.CanEverRun(spec, n.teams, n.Builds); why != "" {
+	if why := jobs.CanEverRun(spec, n.Account.Tree(), n.Builds); why != "" {
 		n.read(spec.UID, func(s jobs.Final, err error) {
 			switch {
 			case err == nil:
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,41 +1,412 @@
 package quota
 
-import "testing"
+import (
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"testing"
 
-func TestLimits(t *testing.T) {
-	team := Team{Guaranteed: Amount{Accelerators: 2}, Max: Amount{Accelerators: 4}}
-	if !team.Allows(Amount{Cores: 1e6, Accelerators: 4}) || team.Allows(Amount{Accelerators: 4.5}) {
-		t.Error("0 means no cap, 4 means 4")
+	"pgregory.net/rapid"
+)
+
+// TestMain seeds the properties' chance: every run has the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261201")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func gpus(n float64) Amount { return Of(0, n, 0) }
+
+func one(v float64) *float64 { return &v }
+
+func no() *bool {
+	v := false
+	return &v
+}
+
+// world has two organisations. Kenya: storefront 8 and pricing 4 of 16 guaranteed,
+// 20 at most, pricing with classes. Italia: stazioni 6 of 10 guaranteed. 40 in all
+// are left to the platform's limits.
+func world(t interface {
+	Helper()
+	Fatal(...any)
+}) *Tree {
+	t.Helper()
+	teams := map[string]Team{
+		"storefront": {Name: "storefront", Guaranteed: gpus(8), Max: gpus(18)},
+		"pricing":    {Name: "pricing", Guaranteed: gpus(4), Max: gpus(12)},
+		"stazioni":   {Name: "stazioni", Guaranteed: gpus(6)},
+		"lone":       {Name: "lone"},
+	}
+	tree, faults := Build(&Document{Organisations: []Org{
+		{Name: "kenya", Guarantee: &Bounds{Accelerators: 16}, Limit: &Bounds{Accelerators: 20}, Weight: one(2), Teams: []OfTeam{
+			{Name: "storefront"},
+			{Name: "pricing", Classes: []OfClass{{Name: "sweep", Guarantee: &Bounds{Accelerators: 2}, Limit: &Bounds{Accelerators: 6}}, {Name: "audit", Borrow: no(), Lend: no(), Guarantee: &Bounds{Accelerators: 1}}}},
+		}},
+		{Name: "italia", Guarantee: &Bounds{Accelerators: 10}, Teams: []OfTeam{{Name: "stazioni"}}},
+	}}, teams, nil)
+	if len(faults) > 0 {
+		t.Fatal(faults)
 	}
-	if !team.Guarantees(Amount{Cores: 50, Accelerators: 2}) || team.Guarantees(Amount{Accelerators: 3}) {
-		t.Error("guarantee")
+	return tree
+}
+
+func TestFlat(t *testing.T) {
+	tree := Flat(map[string]Team{"t": {Name: "t", Guaranteed: gpus(2), Max: gpus(4)}, "free": {Name: "free"}})
+	c := NewAccount(tree)
+	k := Key{"t", "any"}
+	leaf := tree.Leaf(k)
+	c.Charge(k, Of(50, 1, 1), 1)
+	if !c.Within(leaf, Of(50, 1, 1), 1) || c.Within(leaf, gpus(1.5), 1) || c.Within(tree.Leaf(Key{"free", ""}), Amount{}, 1) {
+		t.Error("a guarantee of 0 in one resource says nothing of it; no guarantee guarantees nothing")
 	}
-	if (Team{}).Guarantees(Amount{}) {
-		t.Error("no guarantee at all guarantees nothing")
+	if !c.Allows(leaf, Of(1e6, 3, 0), 1) || c.Allows(leaf, gpus(3.5), 1) || !c.Allows(tree.Leaf(Key{"free", ""}), gpus(1e6), 1) {
+		t.Error("0 means no cap, 4 means 4")
 	}
-	a := NewAccount()
-	a.Charge("x", Amount{Accelerators: 1}, 3)
-	a.Charge("x", Amount{Accelerators: 1}, -1)
-	if a.Used("x").Accelerators != 2 {
-		t.Error(a.Used("x"))
+	if tree.Knows("x") || tree.Leaf(Key{"x", ""}) != 0 || tree.Shaped() || c.Compare(leaf, tree.Leaf(Key{"free", ""})) != 0 {
+		t.Error("unknown team, or a shape that nobody gave")
 	}
 }
 
 // A job of 100,000 tasks must not be counted one by one on every pass; the count
 // is what counting gives.
 func TestMoreIsWhatCountingGives(t *testing.T) {
-	for _, team := range []Team{{}, {Max: Amount{Cores: 10}}, {Max: Amount{Accelerators: 7}}, {Max: Amount{Cores: 9.5, Accelerators: 3}}} {
-		for _, used := range []Amount{{}, {Cores: 2.5, Accelerators: 1}, {Cores: 9.5, Accelerators: 3}, {Cores: 50, Accelerators: 50}} {
-			for _, each := range []Amount{{Cores: 1}, {Accelerators: 1}, {Cores: 0.7, Accelerators: 0.5}} {
-				count, sum := 0, used
-				for count < 20 && team.Allows(sum.Add(each, 1)) {
-					sum = sum.Add(each, 1)
-					count++
-				}
-				if got := team.More(used, each, 20); got != count {
-					t.Errorf("%v with %v used, %v each: %d, counted %d", team.Max, used, each, got, count)
-				}
+	rapid.Check(t, func(t *rapid.T) {
+		tree := world(t)
+		c := NewAccount(tree)
+		keys := []Key{{"storefront", "x"}, {"pricing", "sweep"}, {"pricing", "audit"}, {"pricing", "y"}, {"stazioni", "z"}, {"lone", "w"}}
+		for range rapid.IntRange(0, 12).Draw(t, "charges") {
+			c.Charge(rapid.SampledFrom(keys).Draw(t, "key"), Of(1, rapid.SampledFrom([]float64{0.5, 1, 2, 3}).Draw(t, "gpus"), 1), 1)
+		}
+		k := rapid.SampledFrom(keys).Draw(t, "more of")
+		a := Of(1, rapid.SampledFrom([]float64{0, 0.3, 1, 2.5}).Draw(t, "each"), 1)
+		leaf, count := tree.Leaf(k), 0
+		try := c.Clone()
+		for count < 30 && try.Allows(leaf, a, 1) {
+			try.Charge(k, a, 1)
+			count++
+		}
+		if got := c.More(leaf, a, 30); got != count {
+			t.Fatalf("%d more of %v, counted %d", got, k, count)
+		}
+	})
+}
+
+// Whatever is taken only if it is allowed, and given back in any order: no node is
+// ever above its limit, a child never above its parent, and at the end nothing is
+// left, to the millionth.
+func TestNeverAboveALimit(t *testing.T) {
+	tree := world(t)
+	rng := rand.New(rand.NewPCG(1, 1))
+	c := NewAccount(tree)
+	keys := []Key{{"storefront", "x"}, {"pricing", "sweep"}, {"pricing", "audit"}, {"pricing", "y"}, {"stazioni", "z"}, {"lone", "w"}}
+	type taken struct {
+		k Key
+		a Amount
+	}
+	var all []taken
+	for range 200_000 {
+		if rng.IntN(2) == 0 && len(all) > 0 {
+			i := rng.IntN(len(all))
+			c.Charge(all[i].k, all[i].a, -1)
+			all[i] = all[len(all)-1]
+			all = all[:len(all)-1]
+			continue
+		}
+		x := taken{keys[rng.IntN(len(keys))], Of(rng.Float64(), rng.Float64()/3, rng.Float64())}
+		if c.Allows(tree.Leaf(x.k), x.a, 1) {
+			c.Charge(x.k, x.a, 1)
+			all = append(all, x)
+		}
+		for i := range tree.nodes {
+			if !c.used[i].inside(tree.nodes[i].top()) {
+				t.Fatalf("%s uses %s of %s", tree.Path(i), c.used[i], tree.nodes[i].top())
+			}
+			if p := tree.nodes[i].parent; p >= 0 && !c.used[p].covers(c.used[i]) {
+				t.Fatalf("%s uses more than what is above it", tree.Path(i))
+			}
+		}
+	}
+	again := NewAccount(tree)
+	for _, x := range all {
+		again.Charge(x.k, x.a, 1)
+		c.Charge(x.k, x.a, -1)
+	}
+	for i := range tree.nodes {
+		if c.used[i] != (Amount{}) {
+			t.Errorf("%s keeps %s of nothing", tree.Path(i), c.used[i])
+		}
+	}
+	if len(c.by) != 0 {
+		t.Error("keys are left")
+	}
+	// The use of another tree follows from the charges alone.
+	other := Flat(map[string]Team{"pricing": {Name: "pricing"}})
+	again.Rebase(other)
+	want := Amount{}
+	for _, x := range all {
+		want = want.Add(x.a, 1)
+	}
+	if again.used[0] != want {
+		t.Error("a rebase loses charges")
+	}
+}
+
+func TestEntitled(t *testing.T) {
+	tree := world(t)
+	c := NewAccount(tree)
+	leaf := func(team, class string) int { return tree.Leaf(Key{team, class}) }
+	at := func(team, class string, g float64) string {
+		node := c.Entitled(leaf(team, class), gpus(g), 1)
+		if node == none {
+			return "none"
+		}
+		return fmt.Sprintf("%s turn %d", tree.Path(node), tree.Turn(node, leaf(team, class)))
+	}
+	for _, step := range []struct {
+		team, class string
+		g           float64
+		want        string
+	}{
+		{"pricing", "sweep", 2, "kenya/pricing/sweep turn 0"},
+		{"pricing", "sweep", 2, "kenya/pricing turn 0"},
+		{"pricing", "sweep", 1, "kenya turn 1"},
+		{"storefront", "x", 8, "kenya/storefront turn 0"},
+		{"storefront", "x", 3, "kenya turn 1"},
+		{"storefront", "x", 1, "none"},
+		{"stazioni", "z", 6, "italia/stazioni turn 0"},
+		{"stazioni", "z", 4, "italia turn 1"},
+		{"stazioni", "z", 1, "none"},
+		{"lone", "w", 1, "none"},
+	} {
+		if got := at(step.team, step.class, step.g); got != step.want {
+			t.Errorf("%v: %s", step, got)
+		}
+		c.Charge(Key{step.team, step.class}, gpus(step.g), 1)
+	}
+}
+
+// Who yields to whom. Italia's burst gives way to what Kenya is guaranteed; within
+// an organisation nobody loses what it has of the shared guarantee.
+func TestYields(t *testing.T) {
+	tree := world(t)
+	c := NewAccount(tree)
+	c.Charge(Key{"stazioni", "z"}, gpus(1), 14) // 4 beyond italia's 10
+	c.Charge(Key{"storefront", "x"}, gpus(1), 10)
+	store, price, staz := tree.Leaf(Key{"storefront", "x"}), tree.Leaf(Key{"pricing", "sweep"}), tree.Leaf(Key{"stazioni", "z"})
+	within := c.Entitled(price, gpus(1), 1)
+	if !c.Yields(within, staz, gpus(1)) || !c.Yields(within, staz, gpus(4)) || c.Yields(within, staz, gpus(5)) {
+		t.Error("italia must yield what it borrowed, and no more")
+	}
+	if !c.Yields(within, store, gpus(2)) || c.Yields(within, store, gpus(3)) {
+		t.Error("storefront must yield to pricing's guarantee what it borrowed from it")
+	}
+	org := c.Entitled(store, gpus(1), 1)
+	if tree.Path(org) != "kenya" || c.Yields(org, price, Amount{}) || !c.Yields(org, staz, gpus(1)) {
+		t.Error("what is borrowed within an organisation takes nothing from a sibling")
+	}
+	if c.Yields(none, staz, gpus(1)) {
+		t.Error("beyond all guarantees nobody has to yield")
+	}
+	c = NewAccount(tree)
+	c.Charge(Key{"stazioni", "z"}, gpus(1), 10)
+	if c.Yields(c.Entitled(price, gpus(1), 1), staz, gpus(1)) {
+		t.Error("italia must keep its guarantee")
+	}
+}
+
+// What does not lend keeps its guarantee free for itself; what does not borrow ends
+// at its guarantee.
+func TestBorrowAndLend(t *testing.T) {
+	tree := world(t)
+	c := NewAccount(tree)
+	audit, sweep, other := tree.Leaf(Key{"pricing", "audit"}), tree.Leaf(Key{"pricing", "sweep"}), tree.Leaf(Key{"pricing", "y"})
+	if c.More(audit, gpus(0.5), 10) != 2 {
+		t.Errorf("audit may have %d halves of its 1", c.More(audit, gpus(0.5), 10))
+	}
+	c.Charge(Key{"pricing", "y"}, gpus(1), 11)
+	if c.Allows(other, gpus(1), 1) || c.Allows(sweep, gpus(1), 1) || !c.Allows(audit, gpus(1), 1) {
+		t.Error("the last of pricing's 12 is audit's")
+	}
+	if why := c.Full(sweep, gpus(1)); !strings.HasPrefix(why, "kenya/pricing uses") {
+		t.Error(why)
+	}
+	c.Charge(Key{"pricing", "audit"}, gpus(1), 1)
+	c.Charge(Key{"storefront", "x"}, gpus(1), 8)
+	if why := c.Full(tree.Leaf(Key{"storefront", "x"}), gpus(1)); !strings.HasPrefix(why, "kenya uses") {
+		t.Error(why)
+	}
+}
+
+// fill gives out spare places one by one, each to the side that Compare puts first.
+func fill(c *Account, keys []Key, places int) map[Key]int {
+	got := map[Key]int{}
+	for range places {
+		best := -1
+		for i, k := range keys {
+			leaf := c.tree.Leaf(k)
+			if c.Allows(leaf, gpus(1), 1) && (best < 0 || c.Compare(leaf, c.tree.Leaf(keys[best])) < 0) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		c.Charge(keys[best], gpus(1), 1)
+		got[keys[best]]++
+	}
+	return got
+}
+
+// solve is progressive filling by its definition: all sides that have room rise
+// together in proportion to their weights, at each level by itself.
+func solve(t *Tree, node int, places float64, keys []Key) map[Key]float64 {
+	out := map[Key]float64{}
+	n := &t.nodes[node]
+	if len(n.children) == 0 {
+		for _, k := range keys {
+			if t.Leaf(k) == node {
+				out[k] = places
 			}
 		}
+		return out
+	}
+	top := func(i int) float64 { return sumTop(t, i) } // what a side can take at all
+	got := map[int]float64{}
+	for left, open := places, n.children; left > 1e-9 && len(open) > 0; {
+		sum := 0.0
+		for _, i := range open {
+			sum += t.nodes[i].Weight
+		}
+		step := left / sum
+		for _, i := range open {
+			step = min(step, (top(i)-got[i])/t.nodes[i].Weight)
+		}
+		var still []int
+		for _, i := range open {
+			got[i] += step * t.nodes[i].Weight
+			left -= step * t.nodes[i].Weight
+			if top(i)-got[i] > 1e-9 {
+				still = append(still, i)
+			}
+		}
+		open = still
+	}
+	for _, i := range n.children {
+		for k, v := range solve(t, i, got[i], keys) {
+			out[k] = v
+		}
+	}
+	return out
+}
+
+// TestProgressiveFilling compares what Compare gives out, one place at a time, with
+// the solution by definition, on small trees of three levels without guarantees.
+func TestProgressiveFilling(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		teams := map[string]Team{}
+		d := &Document{}
+		var keys []Key
+		for o := range rapid.IntRange(1, 3).Draw(t, "organisations") {
+			org := Org{Name: fmt.Sprint("o", o), Weight: one(float64(rapid.IntRange(1, 4).Draw(t, "weight")))}
+			if rapid.Bool().Draw(t, "limited") {
+				org.Limit = &Bounds{Accelerators: float64(rapid.IntRange(1, 30).Draw(t, "limit"))}
+			}
+			for k := range rapid.IntRange(1, 3).Draw(t, "teams") {
+				name := fmt.Sprintf("t%d%d", o, k)
+				teams[name] = Team{Name: name, Max: gpus(float64(rapid.IntRange(0, 12).Draw(t, "team limit")))}
+				org.Teams = append(org.Teams, OfTeam{Name: name, Weight: one(float64(rapid.IntRange(1, 4).Draw(t, "team weight")))})
+				keys = append(keys, Key{name, "c"})
+			}
+			d.Organisations = append(d.Organisations, org)
+		}
+		tree, faults := Build(d, teams, nil)
+		if len(faults) > 0 {
+			t.Fatal(faults)
+		}
+		places := rapid.IntRange(0, 60).Draw(t, "places")
+		got, want := fill(NewAccount(tree), keys, places), solve(tree, 0, float64(places), keys)
+		if reachable := sumTop(tree, 0); float64(places) > reachable {
+			want = solve(tree, 0, reachable, keys)
+		}
+		for _, k := range keys {
+			// A place is whole, so that each level may be off by less than one.
+			if d := float64(got[k]) - want[k]; d > 2 || d < -2 {
+				t.Fatalf("%v got %d, by definition %g of %d places: %v, %v", k, got[k], want[k], places, got, want)
+			}
+		}
+	})
+}
+
+// sumTop is what can be given out below a node.
+func sumTop(t *Tree, i int) float64 {
+	n := &t.nodes[i]
+	sum := math.Inf(1)
+	if len(n.children) > 0 {
+		sum = 0
+		for _, k := range n.children {
+			sum += sumTop(t, k)
+		}
+	}
+	if n.top().Accelerators > 0 {
+		sum = min(sum, float64(n.top().Accelerators)*unit)
+	}
+	return sum
+}
+
+func TestEveryFaultOfADocument(t *testing.T) {
+	teams := map[string]Team{"a": {Name: "a", Guaranteed: gpus(5)}, "b": {Name: "b", Guaranteed: gpus(5)}, "c": {Name: "c"}}
+	deep := Org{Name: "d8"}
+	for i := 7; i > 0; i-- {
+		deep = Org{Name: fmt.Sprint("d", i), Organisations: []Org{deep}}
+	}
+	_, faults := Build(&Document{GraceS: one(-1), Organisations: []Org{
+		{Name: "x", Guarantee: &Bounds{Accelerators: 9}, Limit: &Bounds{Accelerators: 8, Cores: -1}, Weight: one(0), Teams: []OfTeam{{Name: "a"}, {Name: "b"}, {Name: "nobody"}}},
+		{Name: "x", Teams: []OfTeam{{Name: "a"}}},
+		{Name: "y/z"},
+		deep,
+	}, Teams: []OfTeam{{Name: "c", Classes: []OfClass{{Name: "sweep"}, {Name: "sweep"}, {Name: "ghost"}}}}}, teams, []string{"sweep", "lens"})
+	text := strings.Join(faults, "\n")
+	for _, want := range []string{"grace_s: -1 is outside", "x.limit.cores: expected", "x.weight: expected", "x: its limit of 8 accelerators is below its guarantee of 9",
+		"x/nobody: no team is called", "x: organisation \"x\" stands elsewhere", "x/a: team \"a\" stands elsewhere", "y/z: expected a name", "expected at most 8 levels",
+		"c/sweep: class \"sweep\" stands here twice", "c/ghost: no class is called \"ghost\"; expected one of sweep, lens", "x: its children are guaranteed 10 accelerators, above its guarantee of 9"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("not told: %s", want)
+		}
+	}
+	if len(faults) != 12 {
+		t.Errorf("%d faults:\n%s", len(faults), text)
+	}
+}
+
+// leaves is a tree of 1,000 leaves on three levels.
+func leaves(b testing.TB) (*Tree, []Key) {
+	teams := map[string]Team{}
+	d := &Document{}
+	var keys []Key
+	for o := range 10 {
+		org := Org{Name: fmt.Sprint("o", o)}
+		for i := range 10 {
+			name := fmt.Sprintf("t%d-%d", o, i)
+			teams[name] = Team{Name: name, Guaranteed: gpus(1), Max: gpus(50)}
+			team := OfTeam{Name: name}
+			for k := range 10 {
+				class := fmt.Sprint("c", k)
+				team.Classes = append(team.Classes, OfClass{Name: class})
+				keys = append(keys, Key{name, class})
+			}
+			org.Teams = append(org.Teams, team)
+		}
+		d.Organisations = append(d.Organisations, org)
+	}
+	tree, faults := Build(d, teams, nil)
+	if len(faults) > 0 {
+		b.Fatal(faults)
 	}
+	return tree, keys
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -167,8 +167,8 @@
 	for _, t := range s.Cluster.Teams {
 		out[t.Name] = quota.Team{
 			Name:       t.Name,
-			Guaranteed: quota.Amount{Cores: t.Cpus, Accelerators: t.Gpus},
-			Max:        quota.Amount{Cores: t.CpusMax, Accelerators: t.GpusMax},
+			Guaranteed: quota.Of(t.Cpus, t.Gpus, 0),
+			Max:        quota.Of(t.CpusMax, t.GpusMax, 0),
 		}
 	}
 	return out
@@ -203,3 +203,15 @@
 	c.that(ip != nil && ip.To4() != nil, field, fmt.Sprintf("%q is not an IPv4 address", host))
 	c.that(perr == nil && n > 0 && n < 65536, field, fmt.Sprintf("%q is not a port", port))
 }
+
+// Classes lists the classes of jobs that the objectives name; none are known
+// where there are no objectives.
+func (s *Settings) Classes() []string {
+	var out []string
+	for _, o := range s.Cluster.Objectives {
+		if o.Class != "" && !slices.Contains(out, o.Class) {
+			out = append(out, o.Class)
+		}
+	}
+	return out
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -48,7 +48,7 @@
 
 func TestGood(t *testing.T) {
 	s, errs := Parse([]byte(good))
-	if len(errs) != 0 || s.TeamMap()["t"].Max.Accelerators != 4 {
+	if len(errs) != 0 || s.TeamMap()["t"].Max.Accelerators != 4_000_000 {
 		t.Fatal(errs)
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -494,3 +494,24 @@
 	// TryPatience: how long the demonstration may take as a whole.
 	TryPatience = time.Minute
 )
+
+// Quotas.
+const (
+	// MostQuotaDepth: levels of organisations, teams and classes.
+	MostQuotaDepth = 8
+	// MostQuotaNodes: of a tree; 1,000 leaves were measured. Its document must fit
+	// into one value of the state service besides.
+	MostQuotaNodes = 2000
+	// MostWeight: of a node; more would say "all" in other words.
+	MostWeight = 1e6
+	// QuotaGrace: for so long after a change of the tree, what is over a limit may
+	// end by itself before it is stopped, unless the file says otherwise.
+	QuotaGrace = 60 * time.Second
+	// MostGrace: a day.
+	MostGrace = 24 * time.Hour
+	// ReclaimEvery: how often what is over a limit is looked at.
+	ReclaimEvery = time.Second
+	// ReclaimMost: tasks stopped at a look, so that a large shrink does not take
+	// all changes.
+	ReclaimMost = 50
+)
