--- a/internal/cli/cli_test.go
+++ b/internal/cli/cli_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -162,6 +163,11 @@
 		{"pipeline explain run-x --server a:1", runStatus(pipelines.RunLive, pipelines.Running, pipelines.Waiting), 0, ""},
 		{"pipeline nonsense", "", 2, "unknown command"},
 		{"status wk-1 --server a:1", `200 {"uid":"wk-1","status":"running","done":1,"running":2}`, 0, ""},
+		{"quota show --server a:1", `200 {"number":2,"nodes":[{"path":"kenya/pricing","kind":"team","depth":2,"used":{"accelerators":4},"waiting":3}]}`, 0, ""},
+		{"quota show --server a:1", `404 {"error":"no such path"}`, 2, "no such path"},
+		{"quota apply " + write(t, "quotas {}\n") + " --server a:1", "", 2, "--dry-run"},
+		{"quota apply " + write(t, "pipelines {}\n") + " --server a:1 --yes", "", 2, "no quotas block"},
+		{"quota apply " + write(t, "quotas {\n  team {}\n  speed = 1\n}\n") + " --server a:1 --yes", "", 2, "Unsupported argument"},
 		{"status x --server a:1", "", 2, "no job's uid"},
 		{"cancel wk-1 --server a:1", `200 {"uid":"wk-1","status":"cancelled"}`, 0, ""},
 		{"wait wk-1 --server a:1", `200 {"uid":"wk-1","status":"cancelled"}`, 3, ""},
@@ -182,6 +188,29 @@
 	}
 }
 
+// A tree is applied on the base that was just looked at; faults and races are told.
+func TestApplyQuota(t *testing.T) {
+	name := write(t, "quotas {\n  organisation \"kenya\" {\n    limit {\n      accelerators = 8\n    }\n  }\n}\n")
+	for answer, want := range map[string]string{
+		`200 {"number":8}`: "0 tree 8 is in force", `409 {"number":8}`: "2 another tree was put in force meanwhile",
+		`400 {"error":"1 faults","faults":["kenya: wrong"]}`: "2 kenya: wrong", `503 {}`: "4 no controller reachable",
+	} {
+		f := &front{answers: []string{`200 {"number":7,"nodes":[]}`, answer}}
+		code, out, note := play(t, f, 0, "quota", "apply", name, "--yes", "--server", "a:1")
+		if got := fmt.Sprint(code, " ", out, note); !strings.Contains(got, strings.TrimPrefix(want, want[:2])) || code != int(want[0]-'0') {
+			t.Errorf("%s: %s", answer, got)
+		}
+		if !strings.HasPrefix(f.asked[1], `POST /quota {"base":7,"quotas":{"organisations":[{"name":"kenya","limit":{"accelerators":8}}]}}`) {
+			t.Error(f.asked[1])
+		}
+	}
+	f := &front{answers: []string{`200 {"number":7}`, `200 {"number":7,"over":[{"path":"kenya","by":{"accelerators":2}}],"stops":[{"task":"wk-1/0","path":"kenya"}]}`}}
+	code, out, _ := play(t, f, 0, "quota", "apply", name, "--dry-run", "--server", "a:1")
+	if code != 0 || !strings.Contains(out, "kenya would be over its limit by 2g\nwk-1/0 would be stopped for kenya") || !strings.Contains(f.asked[1], `"dry_run":true`) {
+		t.Error(code, out, f.asked)
+	}
+}
+
 // What is submitted without a uid gets one of the protocol's form.
 func TestSubmitted(t *testing.T) {
 	f := &front{answers: []string{`201 {"uid":"wk-1","status":"pending"}`}}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -147,12 +147,8 @@
 			rest = append(rest, wt)
 			continue
 		}
-		var evs []storeEvent
-		for _, e := range s.log {
-			if e.Stamp > wt.since {
-				evs = append(evs, e)
-			}
-		}
+		first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Stamp > wt.since })
+		evs := s.log[first:]
 		wt.answer(200, encode(map[string]any{"epoch": s.epoch, "events": evs}))
 	}
 	s.waiters = rest
