--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"maps"
 	"math"
 	"slices"
@@ -159,7 +160,7 @@
 		}
 		c.catalogAt = n.Now
 		c.catalog = map[string]*jobs.Build{}
-		var ds []decision
+		var ds []decide.Decision
 		for _, b := range answer.Builds {
 			if b == nil || b.Name == "" || len(b.Name) > 150 {
 				continue
@@ -171,7 +172,7 @@
 			if old := n.Builds[b.Name]; old == nil || string(jobs.Encode(old)) != string(jobs.Encode(told)) {
 				// A type that could not be told is read again soon: until it is known
 				// no job that needs it is accepted.
-				ds = append(ds, decision{writes: []store.Write{put(buildPrefix+b.Name, told)}, urgent: true, done: func(ok bool) {
+				ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(buildPrefix+b.Name, told)}, Urgent: true, Done: func(ok bool) {
 					if !ok {
 						c.catalogAt = n.Now.Add(tuning.CatalogAgain - tuning.CatalogEvery)
 					}
@@ -282,7 +283,7 @@
 	// Tasks recorded on a machine without a record: its delete was answered
 	// and the record removed, or the record cannot be read. Delete again;
 	// unknown names are ignored by the cloud.
-	var unknown []decision
+	var unknown []decide.Decision
 	for h := range n.OnHost {
 		if n.Machines[h] == nil && n.mirror.Stamp(fleet.HostPrefix+h) == 0 {
 			unknown = append(unknown, n.condemnUnknown(h, "tasks on a machine without a record")...)
@@ -336,20 +337,20 @@
 // removed is the decisions that free the tasks of a machine whose delete was
 // answered 200, and remove its record. A leader that does not know of the
 // answer any more deletes again.
-func (n *Node) removed(m *book.Machine) []decision {
-	var ds []decision
+func (n *Node) removed(m *book.Machine) []decide.Decision {
+	var ds []decide.Decision
 	key := fleet.HostPrefix + m.Name
 	for _, piece := range sorted(n.OnHost[m.Name]) {
 		d := n.gone(n.OnHost[m.Name][piece], jobs.Gone, 0)
-		if len(d.changes) > 0 {
-			d.seen = append(d.seen, key)
+		if len(d.Changes) > 0 {
+			d.Seen = append(d.Seen, key)
 			ds = append(ds, d)
 		}
 	}
 	// The record itself is in no hurry: no task is placed by it any more.
 	if len(n.OnHost[m.Name]) == 0 && !n.busy[key] && (n.client.Spare() || n.Now.Sub(n.lead.cloud.deleted[m.Name]) > tuning.RecordLate) {
 		host := m.Name
-		ds = append(ds, decision{writes: []store.Write{remove(key)}, done: func(ok bool) {
+		ds = append(ds, decide.Decision{Writes: []store.Write{decide.Remove(key)}, Done: func(ok bool) {
 			if ok {
 				delete(n.lead.cloud.freed, host)
 				delete(n.lead.cloud.lost, host)
@@ -361,14 +362,14 @@
 
 // condemnUnknown is the decision that gives a machine without a record one, to
 // delete it.
-func (n *Node) condemnUnknown(host, why string) []decision {
+func (n *Node) condemnUnknown(host, why string) []decide.Decision {
 	key := fleet.HostPrefix + host
 	if n.Machines[host] != nil || n.busy[key] {
 		return nil
 	}
 	l := n.lead.cloud.listed[host]
 	rec := fleet.Host{State: fleet.Deleting, Endpoint: l.Endpoint, Build: l.Build, Site: l.Site, Loaner: l.Loaner, Why: why, SinceMs: n.ms()}
-	return []decision{{writes: []store.Write{put(key, rec)}, done: func(ok bool) {
+	return []decide.Decision{{Writes: []store.Write{decide.Put(key, rec)}, Done: func(ok bool) {
 		if ok {
 			n.log.Info("machine", "machine", host, "to", string(rec.State), "why", why)
 		}
@@ -376,8 +377,8 @@
 }
 
 // condemnListed condemns machines that never came up or have stopped.
-func (n *Node) condemnListed() []decision {
-	var ds []decision
+func (n *Node) condemnListed() []decide.Decision {
+	var ds []decide.Decision
 	age := n.Now.Sub(n.lead.cloud.listAt)
 	for h, l := range n.lead.cloud.listed {
 		m := n.Machines[h]
@@ -399,7 +400,7 @@
 			n.lose(m, why)
 		}
 	}
-	slices.SortFunc(ds, func(a, b decision) int { return strings.Compare(a.keys()[0], b.keys()[0]) })
+	slices.SortFunc(ds, func(a, b decide.Decision) int { return strings.Compare(a.Keys()[0], b.Keys()[0]) })
 	return ds
 }
 
@@ -474,7 +475,7 @@
 
 // condemnCancelled condemns machines that still hold a cancelled task when its
 // time runs out: nobody may be able to reach them.
-func (n *Node) condemnCancelled() []decision {
+func (n *Node) condemnCancelled() []decide.Decision {
 	limit := int64(n.set.Cluster.Workers.CancelS * tuning.CancelDelete * 1000)
 	hosts := map[string]bool{}
 	for _, j := range n.Closed {
@@ -487,10 +488,10 @@
 			}
 		}
 	}
-	var ds []decision
+	var ds []decide.Decision
 	for _, h := range sorted(hosts) {
 		for _, d := range n.moving(h, fleet.Condemn, "holds a cancelled task") {
-			d.urgent = true
+			d.Urgent = true
 			ds = append(ds, d)
 		}
 	}
@@ -629,9 +630,9 @@
 	}
 	sum := 0.0
 	for _, w := range n.stillWaiting() {
-		spec := &w.t.Job.Rec.Spec
+		spec := &w.Task.Job.Rec.Spec
 		if share := spec.Need().Share(b.Whole()); share <= 1+1e-9 && spec.AllowsBuild(g.Build) && (spec.Loaner || !g.Loaner) {
-			sum += share * float64(w.count)
+			sum += share * float64(w.Count)
 		}
 	}
 	return sum
@@ -649,7 +650,7 @@
 
 	waiting := map[string]int{}
 	for _, w := range n.stillWaiting() {
-		waiting[w.t.Job.Rec.Spec.Class] += w.count
+		waiting[w.Task.Job.Rec.Spec.Class] += w.Count
 	}
 	n.log.Debug("queue", "waiting", fmt.Sprint(waiting), "jobs", len(n.Queued), "released", len(n.Released), "under_way", len(n.Reserved), "calls_held", n.client.Waiting(), "spare", n.client.Spare())
 
@@ -734,10 +735,10 @@
 		}
 	}
 	n.rentBatch(rents, &sum)
-	ds := []decision{{writes: []store.Write{n.summaryWrite(sum)}, urgent: true}}
+	ds := []decide.Decision{{Writes: []store.Write{n.summaryWrite(sum)}, Urgent: true}}
 	for _, h := range give {
 		for _, d := range n.moving(h, fleet.Condemn, "drained") {
-			d.urgent = true // it has left the draining ones
+			d.Urgent = true // it has left the draining ones
 			ds = append(ds, d)
 		}
 	}
@@ -748,14 +749,14 @@
 // machines the cloud's list will have by now, are left out first, then
 // draining that has just begun.
 func (n *Node) summaryWrite(sum summary) store.Write {
-	w := put(summaryKey, sum)
+	w := decide.Put(summaryKey, sum)
 	for len(w.Value) > n.sliceLimit() && len(sum.Asked) > 0 {
 		sum.Asked = sum.Asked[(len(sum.Asked)+1)/2:]
-		w = put(summaryKey, sum)
+		w = decide.Put(summaryKey, sum)
 	}
 	for stage := 1; len(w.Value) > n.sliceLimit() && len(sum.Drain) > 0; stage++ {
 		maps.DeleteFunc(sum.Drain, func(_ string, st int) bool { return st <= stage })
-		w = put(summaryKey, sum)
+		w = decide.Put(summaryKey, sum)
 	}
 	return w
 }
@@ -826,13 +827,13 @@
 		wanted[k] = v
 	}
 	for _, w := range n.stillWaiting() {
-		spec := &w.t.Job.Rec.Spec
-		zones := zonesOf[w.t.Job]
+		spec := &w.Task.Job.Rec.Spec
+		zones := zonesOf[w.Task.Job]
 		if zones == nil {
-			zones = n.Zones(w.t.Job)
-			zonesOf[w.t.Job] = zones
+			zones = n.Zones(w.Task.Job)
+			zonesOf[w.Task.Job] = zones
 		}
-		left := w.count
+		left := w.Count
 		for i := 0; i < len(bins) && left > 0; i++ {
 			b := &bins[i]
 			if !spec.Allows(b.k.Build, b.k.site, b.k.Loaner) || !b.free.Fits(spec.Need()) {
@@ -847,7 +848,7 @@
 			}
 		}
 		for left > 0 {
-			k, ok := n.cheapest(w.t.Job.Rec, zones, wanted)
+			k, ok := n.cheapest(w.Task.Job.Rec, zones, wanted)
 			if !ok {
 				break
 			}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"maps"
 	"slices"
 	"sort"
@@ -32,20 +33,20 @@
 	movedAt    time.Time
 	releasedAt time.Time  // last look at the queue
 	turn       int        // which duty has the first go at the budget
-	waiting    []*waiting // tasks that found no room in the last pass
+	waiting    []*Waiting // tasks that found no room in the last pass
 	cloud      cloudState
 }
 
 // waiting is queued tasks of one job that may run by their team's limit but have
 // found no room.
-type waiting struct {
-	t      *book.Task   // the first of them
-	tasks  []*book.Task // the first few
-	count  int
-	rank   int
-	within bool // inside a guarantee
+type Waiting struct {
+	Task   *book.Task   // the first of them
+	Tasks  []*book.Task // the first few
+	Count  int
+	Rank   int
+	Within bool // inside a guarantee
 	// entitled is the node of the quotas' tree whose guarantee that is.
-	entitled int
+	Entitled int
 }
 
 // making is room being made for a task by stopping others.
@@ -108,14 +109,14 @@
 			continue
 		}
 		if d, whole := n.closeWhole(j, next); whole {
-			n.commit([]decision{d})
+			n.commit([]decide.Decision{d})
 			continue
 		}
 		n.lead.closing[uid] = true
 		n.close(j, next, store.Decision, func(bool) { delete(n.lead.closing, uid) })
 	}
 	// Clearing is in no hurry and must not hold up decisions that are.
-	var ds []decision
+	var ds []decide.Decision
 	for _, uid := range sorted(n.Closed) {
 		if len(ds) >= n.set.Cluster.State.TxnOps || !n.client.Spare() {
 			break
@@ -128,13 +129,13 @@
 // closeWhole is the urgent decision that writes a job's final state and removes
 // its live records in one, when none of its tasks may be on a machine any more and
 // one transaction holds it all.
-func (n *Node) closeWhole(j *book.Job, state jobs.JobState) (decision, bool) {
+func (n *Node) closeWhole(j *book.Job, state jobs.JobState) (decide.Decision, bool) {
 	if len(j.Active) > 0 || len(j.Slices)+2 > n.set.Cluster.State.TxnOps {
-		return decision{}, false
+		return decide.Decision{}, false
 	}
 	for _, sl := range j.Slices {
 		if n.busy[sl.Key] {
-			return decision{}, false
+			return decide.Decision{}, false
 		}
 	}
 	return n.finalWrites(j, state), true
@@ -143,25 +144,25 @@
 // finalWrites is the decision that writes a job's final state in place of its
 // live records. Urgent: users wait for it, the records do not change any more,
 // and as a large decision it would never find the budget that small ones leave.
-func (n *Node) finalWrites(j *book.Job, state jobs.JobState) decision {
-	d := decision{urgent: true, writes: []store.Write{
-		put(jobs.FinalPrefix+j.UID, jobs.Final{State: state, Done: j.Rec.Spec.Pieces}),
-		remove(jobs.JobPrefix + j.UID),
+func (n *Node) finalWrites(j *book.Job, state jobs.JobState) decide.Decision {
+	d := decide.Decision{Urgent: true, Writes: []store.Write{
+		decide.Put(jobs.FinalPrefix+j.UID, jobs.Final{State: state, Done: j.Rec.Spec.Pieces}),
+		decide.Remove(jobs.JobPrefix + j.UID),
 	}}
 	for _, from := range slices.Sorted(maps.Keys(j.Slices)) {
-		d.writes = append(d.writes, remove(j.Slices[from].Key))
+		d.Writes = append(d.Writes, decide.Remove(j.Slices[from].Key))
 	}
-	d.ends = true
+	d.Ends = true
 	return d
 }
 
 // clear removes the records of a closed job: those of slices without a task on
 // a machine, and the job's own once no slice is left.
-func (n *Node) clear(j *book.Job) []decision {
+func (n *Node) clear(j *book.Job) []decide.Decision {
 	if len(j.Slices) == 0 {
-		return []decision{{writes: []store.Write{remove(jobs.JobPrefix + j.UID)}}}
+		return []decide.Decision{{Writes: []store.Write{decide.Remove(jobs.JobPrefix + j.UID)}}}
 	}
-	var ds []decision
+	var ds []decide.Decision
 	for _, from := range slices.Sorted(maps.Keys(j.Slices)) {
 		sl := j.Slices[from]
 		rest := true
@@ -169,7 +170,7 @@
 			rest = rest && !t.On() && t.State != book.Unreadable
 		}
 		if rest && !n.busy[sl.Key] && len(ds) < n.set.Cluster.State.TxnOps {
-			ds = append(ds, decision{writes: []store.Write{remove(sl.Key)}})
+			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Remove(sl.Key)}})
 		}
 	}
 	return ds
@@ -177,7 +178,7 @@
 
 // takeBack withdraws tasks that their part did not place.
 func (n *Node) takeBack() {
-	var ds []decision
+	var ds []decide.Decision
 	for _, piece := range sorted(n.Released) {
 		t := n.Released[piece]
 		gone := n.view.Inc(t.Part) == 0
@@ -189,7 +190,7 @@
 		}
 		next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.TakeBack})
 		if ok && !n.busy[t.Slice.Key] {
-			ds = append(ds, decision{changes: []change{{t, next}}})
+			ds = append(ds, decide.Decision{Changes: decide.Become(t, next)})
 		}
 	}
 	n.commit(ds)
@@ -197,12 +198,12 @@
 
 // dropClaims clears claims that an earlier leader left.
 func (n *Node) dropClaims() {
-	var ds []decision
+	var ds []decide.Decision
 	for _, m := range n.ByName() {
 		if m.Claim != "" && !n.lead.claiming[m.Claim] {
 			rec := m.Host
 			rec.Claim = ""
-			ds = append(ds, decision{writes: []store.Write{put(fleet.HostPrefix+m.Name, rec)}})
+			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(fleet.HostPrefix+m.Name, rec)}})
 		}
 	}
 	n.commit(ds)
@@ -328,7 +329,7 @@
 	searches int                  // looks for tasks to stop
 	stopping map[*book.Task]bool  // to be stopped by this pass
 	chosen   int                  // machines newly chosen to be kept
-	ds       []decision
+	ds       []decide.Decision
 	machines []*book.Machine   // those that the leader may have room on in mind
 	cands    []parts.Candidate // room for the board of one job after another
 }
@@ -357,7 +358,7 @@
 func (p *pass) writes() int {
 	sum := 0
 	for i := range p.ds {
-		sum += len(p.ds[i].writes) + len(p.ds[i].changes)
+		sum += len(p.ds[i].Writes) + len(p.ds[i].Changes)
 	}
 	return sum
 }
@@ -446,7 +447,7 @@
 	n.preempt(p)
 	// What was not looked at waits as it did.
 	for _, w := range before {
-		if !seen[w.t.Job] {
+		if !seen[w.Task.Job] {
 			n.lead.waiting = append(n.lead.waiting, w)
 		}
 	}
@@ -456,8 +457,8 @@
 
 // stillWaiting lists what found no room when it was last looked at and whose
 // job still waits.
-func (n *Node) stillWaiting() []*waiting {
-	return slices.DeleteFunc(slices.Clone(n.lead.waiting), func(w *waiting) bool { return n.Queued[w.t.Job.UID] != w.t.Job })
+func (n *Node) stillWaiting() []*Waiting {
+	return slices.DeleteFunc(slices.Clone(n.lead.waiting), func(w *Waiting) bool { return n.Queued[w.Task.Job.UID] != w.Task.Job })
 }
 
 // releaseTasks releases what waits of a job of independent tasks or replicas,
@@ -512,7 +513,7 @@
 			break
 		}
 		c := &cands[k]
-		if !probing && n.clearCached(&waiting{t: t, rank: spec.RankOrder(), entitled: within, within: within >= 0}, c.Host, p) {
+		if !probing && n.clearCached(&Waiting{Task: t, Rank: spec.RankOrder(), Entitled: within, Within: within >= 0}, c.Host, p) {
 			c.Free = c.Free.Sub(spec.Need())
 			p.account.Charge(spec.Key(), spec.Amount(), 1)
 			continue
@@ -554,7 +555,7 @@
 			kind = jobs.TakeBack
 		}
 		if next, ok := jobs.NextTask(s.Task.Task, jobs.TaskEvent{Kind: kind, Why: "gives back of " + s.Path + " what " + j.UID + " is guaranteed"}); ok && !p.stopping[s.Task] && !n.busy[s.Task.Slice.Key] {
-			p.ds = append(p.ds, decision{changes: []change{{s.Task, next}}})
+			p.ds = append(p.ds, decide.Decision{Changes: decide.Become(s.Task, next)})
 			p.stopping[s.Task] = true
 			n.lead.preempted[j.UID] = making{until: n.Now.Add(tuning.ReclaimEvery)}
 		}
@@ -682,7 +683,7 @@
 		return
 	}
 	p.account.Charge(spec.Key(), spec.Amount(), count) // keeps its turn
-	n.lead.waiting = append(n.lead.waiting, &waiting{t: tasks[0], tasks: tasks[:min(count, len(tasks))], count: count, rank: spec.RankOrder(), entitled: entitled, within: entitled >= 0})
+	n.lead.waiting = append(n.lead.waiting, &Waiting{Task: tasks[0], Tasks: tasks[:min(count, len(tasks))], Count: count, Rank: spec.RankOrder(), Entitled: entitled, Within: entitled >= 0})
 	n.holdFor(tasks[0], min(count, tuning.HoldEach), zones, p)
 }
 
@@ -690,8 +691,8 @@
 // mind; those of the leader's own part are placed at once. New tasks of a part
 // make a slice: it does not matter which of a job's tasks goes where, so each
 // part gets consecutive ones.
-func (n *Node) releasing(j *book.Job, offers []offer) []decision {
-	var ds []decision
+func (n *Node) releasing(j *book.Job, offers []offer) []decide.Decision {
+	var ds []decide.Decision
 	byPart := map[string][]string{}
 	var fresh []*book.Task
 	for _, o := range offers {
@@ -718,44 +719,44 @@
 }
 
 // releaseOld gives a task to a part once more.
-func (n *Node) releaseOld(o offer) (decision, bool) {
+func (n *Node) releaseOld(o offer) (decide.Decision, bool) {
 	m := n.Machines[o.host]
 	if n.ours(o.t, m) {
 		return n.placing(o.t, o.host, m.Site, o.t.Try+1)
 	}
 	next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host})
 	if !ok {
-		return decision{}, false
+		return decide.Decision{}, false
 	}
 	n.Reserve(o.t, o.host, m.Site)
 	piece := o.t.Piece
-	return decision{
-		changes: []change{{o.t, next}},
-		seen:    []string{jobs.JobPrefix + o.t.Job.UID},
-		done:    func(bool) { n.Unreserve(piece) },
+	return decide.Decision{
+		Changes: decide.Become(o.t, next),
+		Seen:    []string{jobs.JobPrefix + o.t.Job.UID},
+		Done:    func(bool) { n.Unreserve(piece) },
 	}, true
 }
 
 // beginSlice is the decision that begins a slice of consecutive tasks that
 // have never been released. The key must not exist yet. Tasks that place allows
 // are placed at once, the others are released to the machine's part.
-func (n *Node) beginSlice(j *book.Job, tasks []*book.Task, hosts []string, place func(*book.Task, *book.Machine) bool, try uint64) decision {
-	d := decision{seen: []string{jobs.JobPrefix + j.UID}}
+func (n *Node) beginSlice(j *book.Job, tasks []*book.Task, hosts []string, place func(*book.Task, *book.Machine) bool, try uint64) decide.Decision {
+	d := decide.Decision{Seen: []string{jobs.JobPrefix + j.UID}}
 	records := make([]jobs.Task, len(tasks))
 	for i, t := range tasks {
 		m := n.Machines[hosts[i]]
 		if place(t, m) {
 			records[i], _ = n.placed(t, hosts[i], m.Site, try)
-			if key := fleet.HostPrefix + hosts[i]; !slices.Contains(d.seen, key) {
-				d.seen = append(d.seen, key)
+			if key := fleet.HostPrefix + hosts[i]; !slices.Contains(d.Seen, key) {
+				d.Seen = append(d.Seen, key)
 			}
 			continue
 		}
 		records[i], _ = jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: hosts[i]})
 		n.Reserve(t, hosts[i], m.Site)
 	}
-	d.writes = []store.Write{{Put: jobs.SliceKey(j.UID, tasks[0].N), Value: jobs.EncodeSlice(records, n.sliceLimit())}}
-	d.done = func(bool) {
+	d.Writes = []store.Write{{Put: jobs.SliceKey(j.UID, tasks[0].N), Value: jobs.EncodeSlice(records, n.sliceLimit())}}
+	d.Done = func(bool) {
 		for _, t := range tasks {
 			n.Unreserve(t.Piece)
 		}
@@ -881,13 +882,13 @@
 // a while.
 func (n *Node) preempt(p *pass) {
 	for _, w := range n.lead.waiting {
-		spec := &w.t.Job.Rec.Spec
-		if !w.within && !n.lowerRuns(w.rank) || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+		spec := &w.Task.Job.Rec.Spec
+		if !w.Within && !n.lowerRuns(w.Rank) || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
 			continue
 		}
-		for _, t := range w.tasks {
+		for _, t := range w.Tasks {
 			if !n.Now.Before(n.lead.preempted[t.Piece].until) {
-				n.stopFor(&waiting{t: t, rank: w.rank, within: w.within, entitled: w.entitled}, false, p)
+				n.stopFor(&Waiting{Task: t, Rank: w.Rank, Within: w.Within, Entitled: w.Entitled}, false, p)
 			}
 		}
 	}
@@ -912,7 +913,7 @@
 	}
 	n.lead.movedAt = n.Now
 	most := max(1, int(tuning.MovesShare*float64(len(n.Machines))))
-	var ds []decision
+	var ds []decide.Decision
 	for _, h := range sorted(n.summary.Drain) {
 		for _, piece := range sorted(n.OnHost[h]) {
 			t := n.OnHost[h][piece]
@@ -930,7 +931,7 @@
 			}
 			next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "moved off a draining machine"})
 			if ok {
-				ds = append(ds, decision{changes: []change{{t, next}}})
+				ds = append(ds, decide.Decision{Changes: decide.Become(t, next)})
 			}
 		}
 	}
@@ -938,20 +939,20 @@
 }
 
 // stopFor stops tasks to make room for a waiting one. It tells whether it did.
-func (n *Node) stopFor(w *waiting, onlyCached bool, p *pass) bool {
+func (n *Node) stopFor(w *Waiting, onlyCached bool, p *pass) bool {
 	if p.searches >= tuning.MostSearches {
 		return false
 	}
 	p.searches++
-	var ds []decision
+	var ds []decide.Decision
 	for _, v := range n.victims(w, p, onlyCached) {
-		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.t.Piece}); ok {
-			ds = append(ds, decision{changes: []change{{v, next}}})
+		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.Task.Piece}); ok {
+			ds = append(ds, decide.Decision{Changes: decide.Become(v, next)})
 			p.stopping[v] = true
 		}
 	}
 	if len(ds) > 0 {
-		n.lead.preempted[w.t.Piece] = making{n.Now.Add(tuning.PreemptAgain), onlyCached}
+		n.lead.preempted[w.Task.Piece] = making{n.Now.Add(tuning.PreemptAgain), onlyCached}
 	}
 	p.ds = append(p.ds, ds...)
 	return len(ds) > 0
@@ -960,17 +961,17 @@
 // clearCached tells whether a task should wait a moment for room on a machine
 // that holds its image rather than go to one that would have to fetch it: when
 // the fetch would take it past its aim, and it may stop others there.
-func (n *Node) clearCached(w *waiting, host string, p *pass) bool {
-	rec := w.t.Job.Rec
-	if (w.rank > 1 && !w.within) || n.Cached(host, rec.Spec.Bundle) {
+func (n *Node) clearCached(w *Waiting, host string, p *pass) bool {
+	rec := w.Task.Job.Rec
+	if (w.Rank > 1 && !w.Within) || n.Cached(host, rec.Spec.Bundle) {
 		return false
 	}
 	rate := n.Builds[n.Machines[host].Build].PullRate
-	aim := n.startAim(rec, w.within)
+	aim := n.startAim(rec, w.Within)
 	if rate <= 0 || aim < n.ms() || n.ms()+int64(rec.Spec.PullGB/rate*1000) <= aim {
 		return false
 	}
-	if m := n.lead.preempted[w.t.Piece]; n.Now.Before(m.until) {
+	if m := n.lead.preempted[w.Task.Piece]; n.Now.Before(m.until) {
 		// Room is being made; if it does not come at once, go elsewhere. What
 		// has been found already is kept meanwhile: others would take it.
 		if !m.cached || m.until.Sub(n.Now) < tuning.PreemptAgain-tuning.ClearWait {
@@ -1001,24 +1002,24 @@
 }
 
 // yields tells whether a running task has to make way for a waiting one.
-func (n *Node) yields(w *waiting, t *book.Task, account *quota.Account) bool {
+func (n *Node) yields(w *Waiting, t *book.Task, account *quota.Account) bool {
 	spec := &t.Job.Rec.Spec
-	if spec.RankOrder() > w.rank {
+	if spec.RankOrder() > w.Rank {
 		return true
 	}
-	return w.within && spec.Shape != jobs.Standing && account.Yields(w.entitled, n.Leaf(spec), spec.Amount())
+	return w.Within && spec.Shape != jobs.Standing && account.Yields(w.Entitled, n.Leaf(spec), spec.Amount())
 }
 
 // victims finds the machine where stopping the fewest tasks makes room, one
 // with the image if there is any.
-func (n *Node) victims(w *waiting, p *pass, onlyCached bool) []*book.Task {
-	spec := &w.t.Job.Rec.Spec
-	zones := n.Zones(w.t.Job)
+func (n *Node) victims(w *Waiting, p *pass, onlyCached bool) []*book.Task {
+	spec := &w.Task.Job.Rec.Spec
+	zones := n.Zones(w.Task.Job)
 	var best []*book.Task
 	cached := false
 	for _, m := range n.ByName() {
 		h := m.Name
-		if m.State != fleet.Up || !n.offers(w.t, m) || !book.ZoneAllowed(spec, zones, m.Site) {
+		if m.State != fleet.Up || !n.offers(w.Task, m) || !book.ZoneAllowed(spec, zones, m.Site) {
 			continue
 		}
 		has := n.Cached(h, spec.Bundle)
@@ -1095,7 +1096,7 @@
 				kind = jobs.TakeBack
 			}
 			if next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, Why: "gang is not whole"}); ok {
-				p.ds = append(p.ds, decision{changes: []change{{t, next}}})
+				p.ds = append(p.ds, decide.Decision{Changes: decide.Become(t, next)})
 			}
 		}
 		return
@@ -1127,7 +1128,7 @@
 		return
 	}
 	if offers == nil {
-		n.lead.waiting = append(n.lead.waiting, &waiting{t: all[0], count: spec.Pieces, rank: spec.RankOrder(), within: entitled >= 0, entitled: entitled})
+		n.lead.waiting = append(n.lead.waiting, &Waiting{Task: all[0], Count: spec.Pieces, Rank: spec.RankOrder(), Within: entitled >= 0, Entitled: entitled})
 		n.holdFor(all[0].Anywhere(), min(spec.Pieces, tuning.HoldEach), n.Zones(j), p)
 		return
 	}
@@ -1147,20 +1148,20 @@
 
 // offerGang is the one decision that gives a whole gang to the part that all
 // its machines belong to; the leader's own part places it at once.
-func (n *Node) offerGang(j *book.Job, offers []offer) (decision, bool) {
-	one := decision{seen: []string{jobs.JobPrefix + j.UID}}
+func (n *Node) offerGang(j *book.Job, offers []offer) (decide.Decision, bool) {
+	one := decide.Decision{Seen: []string{jobs.JobPrefix + j.UID}}
 	var dones []func(bool)
-	add := func(d decision) {
-		one.changes = append(one.changes, d.changes...)
-		one.writes = append(one.writes, d.writes...)
-		for _, k := range d.seen {
-			if !slices.Contains(one.seen, k) {
-				one.seen = append(one.seen, k)
+	add := func(d decide.Decision) {
+		one.Changes = append(one.Changes, d.Changes...)
+		one.Writes = append(one.Writes, d.Writes...)
+		for _, k := range d.Seen {
+			if !slices.Contains(one.Seen, k) {
+				one.Seen = append(one.Seen, k)
 			}
 		}
-		dones = append(dones, d.done)
+		dones = append(dones, d.Done)
 	}
-	one.done = func(ok bool) {
+	one.Done = func(ok bool) {
 		for _, f := range dones {
 			f(ok)
 		}
@@ -1184,19 +1185,19 @@
 		case place(o.t, m):
 			d, ok := n.placing(o.t, o.host, m.Site, top+1)
 			if !ok {
-				one.done(false)
+				one.Done(false)
 				return one, false
 			}
 			add(d)
 		default:
 			next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host})
 			if !ok {
-				one.done(false)
+				one.Done(false)
 				return one, false
 			}
 			n.Reserve(o.t, o.host, m.Site)
 			piece := o.t.Piece
-			add(decision{changes: []change{{o.t, next}}, done: func(bool) { n.Unreserve(piece) }})
+			add(decide.Decision{Changes: decide.Become(o.t, next), Done: func(bool) { n.Unreserve(piece) }})
 		}
 	}
 	for len(fresh) > 0 {
@@ -1204,8 +1205,8 @@
 		add(n.beginSlice(j, fresh[:k], hosts[:k], place, top+1))
 		fresh, hosts = fresh[k:], hosts[k:]
 	}
-	if len(one.keys()) > n.set.Cluster.State.TxnOps || len(one.seen) > n.set.Cluster.State.TxnOps {
-		one.done(false)
+	if len(one.Keys()) > n.set.Cluster.State.TxnOps || len(one.Seen) > n.set.Cluster.State.TxnOps {
+		one.Done(false)
 		return one, false
 	}
 	return one, true
@@ -1325,15 +1326,15 @@
 		ds, good := n.placeClaimed(j, all, hosts, try, ok)
 		if !good {
 			for _, d := range ds {
-				d.done(false)
+				d.Done(false)
 			}
 			release()
 			return
 		}
 		left := len(ds)
 		for i := range ds {
-			inner := ds[i].done
-			ds[i].done = func(ok bool) {
+			inner := ds[i].Done
+			ds[i].Done = func(ok bool) {
 				inner(ok)
 				if left--; left == 0 {
 					release()
@@ -1346,7 +1347,7 @@
 
 // placeClaimed is the decisions that place a gang on the machines claimed for
 // it; false if the claims or the room are not there.
-func (n *Node) placeClaimed(j *book.Job, all []*book.Task, hosts []string, try uint64, claimed bool) ([]decision, bool) {
+func (n *Node) placeClaimed(j *book.Job, all []*book.Task, hosts []string, try uint64, claimed bool) ([]decide.Decision, bool) {
 	if !claimed || j.Rec == nil {
 		return nil, false
 	}
@@ -1362,7 +1363,7 @@
 			return nil, false
 		}
 	}
-	var ds []decision
+	var ds []decide.Decision
 	var fresh []*book.Task
 	var where []string
 	for i, t := range all {
@@ -1389,7 +1390,7 @@
 
 // claim sets or clears the claim on machines.
 func (n *Node) claim(hosts map[string]bool, uid string, done func(bool)) {
-	var ds []decision
+	var ds []decide.Decision
 	left, good := 0, true
 	for _, h := range sorted(hosts) {
 		m := n.Machines[h]
@@ -1399,7 +1400,7 @@
 		rec := m.Host
 		rec.Claim = uid
 		left++
-		ds = append(ds, decision{writes: []store.Write{put(fleet.HostPrefix+h, rec)}, done: func(ok bool) {
+		ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(fleet.HostPrefix+h, rec)}, Done: func(ok bool) {
 			good = good && ok
 			if left--; left == 0 {
 				done(good)
@@ -1414,7 +1415,7 @@
 }
 
 // placeGang places a gang that was offered to this part, whole or not at all.
-func (n *Node) placeGang(j *book.Job, all []*book.Task) []decision {
+func (n *Node) placeGang(j *book.Job, all []*book.Task) []decide.Decision {
 	if len(all) != j.Rec.Spec.Pieces {
 		return nil
 	}
@@ -1423,9 +1424,9 @@
 		records = append(records, &t.Task)
 	}
 	try := gangs.NextTry(records)
-	one := decision{}
+	one := decide.Decision{}
 	var pieces []string
-	one.done = func(bool) {
+	one.Done = func(bool) {
 		for _, p := range pieces {
 			n.Unreserve(p)
 		}
@@ -1433,15 +1434,15 @@
 	for _, t := range all {
 		d, ok := n.placeOne(t, try)
 		if !ok {
-			one.done(false)
+			one.Done(false)
 			for _, t := range all {
 				t.Tried = n.Now
 			}
 			return nil // the leader takes it back
 		}
 		pieces = append(pieces, t.Piece)
-		one.changes = append(one.changes, d.changes...)
-		one.seen = append(one.seen, d.seen...)
+		one.Changes = append(one.Changes, d.Changes...)
+		one.Seen = append(one.Seen, d.Seen...)
 	}
-	return []decision{one}
+	return []decide.Decision{one}
 }
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/fleet"
@@ -164,14 +165,14 @@
 	own := members.MemberPrefix + n.set.NodeName
 	t := store.Txn{
 		If:     []store.Cond{{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)}, {Key: own, Stamp: n.mirror.Stamp(own)}},
-		Writes: []store.Write{put(members.ViewKey, next)},
+		Writes: []store.Write{decide.Put(members.ViewKey, next)},
 	}
 	// What a member did not hear ends with its place in the view. When it comes
 	// back its machines have been heard by others meanwhile: by the old list
 	// hundreds of them were deleted at once (docs/incidents/ushanga-ops-ops-1.md).
 	for _, name := range n.view.Left(next) {
 		if key := fleet.QuietPrefix + name; n.mirror.Stamp(key) != 0 {
-			t.Writes = append(t.Writes, remove(key))
+			t.Writes = append(t.Writes, decide.Remove(key))
 		}
 	}
 	if n.view != nil && n.view.Leader != n.set.NodeName {
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"sort"
 	"time"
 
@@ -107,7 +108,7 @@
 // reviewed is what a look at a machine calls for.
 type reviewed struct {
 	orders    []workers.Order
-	decisions []decision
+	decisions []decide.Decision
 }
 
 // review compares a machine's records with its reports.
@@ -204,19 +205,19 @@
 }
 
 // gone commits that a task is no longer on its machine.
-func (n *Node) gone(t *book.Task, kind jobs.TaskEventKind, pause time.Duration) decision {
+func (n *Node) gone(t *book.Task, kind jobs.TaskEventKind, pause time.Duration) decide.Decision {
 	if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live {
 		kind = jobs.Gone
 	}
 	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, AfterMs: n.ms() + pause.Milliseconds()})
 	if !ok {
-		return decision{}
+		return decide.Decision{}
 	}
-	return decision{changes: []change{{t, next}}, seen: []string{jobs.JobPrefix + t.Job.UID}}
+	return decide.Decision{Changes: decide.Become(t, next), Seen: []string{jobs.JobPrefix + t.Job.UID}}
 }
 
 // ended commits a reported end.
-func (n *Node) ended(s *workers.Session, t *book.Task, p workers.Piece) decision {
+func (n *Node) ended(s *workers.Session, t *book.Task, p workers.Piece) decide.Decision {
 	h := n.healthOf(s.Host)
 	if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live {
 		return n.gone(t, jobs.Gone, 0)
@@ -247,17 +248,17 @@
 // endWhole is the decision that ends a sweep with its last task, when one slice
 // holds all of the job. For a job of one task that is four changes instead of
 // five, and the leader's turn is not waited for.
-func (n *Node) endWhole(t *book.Task) (decision, bool) {
+func (n *Node) endWhole(t *book.Task) (decide.Decision, bool) {
 	j, sl := t.Job, t.Slice
 	if j.Rec.Spec.Shape != jobs.Sweep || len(j.Slices) != 1 || len(sl.Tasks) != j.Rec.Spec.Pieces || j.Done != len(sl.Tasks)-1 {
-		return decision{}, false
+		return decide.Decision{}, false
 	}
 	if _, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Complete}); !ok {
-		return decision{}, false
+		return decide.Decision{}, false
 	}
 	state, ok := jobs.NextJob(j.Rec.State, jobs.TasksAllDone)
 	if !ok {
-		return decision{}, false
+		return decide.Decision{}, false
 	}
 	return n.finalWrites(j, state), true
 }
@@ -290,7 +291,7 @@
 
 // moving is the decision that a machine's record changes by an event, if it
 // does.
-func (n *Node) moving(host string, e fleet.Event, why string) []decision {
+func (n *Node) moving(host string, e fleet.Event, why string) []decide.Decision {
 	m := n.Machines[host]
 	if m == nil || n.busy[fleet.HostPrefix+host] {
 		return nil
@@ -302,7 +303,7 @@
 	}
 	from := rec.State
 	rec.State, rec.Why, rec.SinceMs = state, why, n.ms()
-	return []decision{{writes: []store.Write{put(fleet.HostPrefix+host, rec)}, done: func(ok bool) {
+	return []decide.Decision{{Writes: []store.Write{decide.Put(fleet.HostPrefix+host, rec)}, Done: func(ok bool) {
 		if ok {
 			n.log.Info("machine", "machine", host, "from", string(from), "to", string(state), "why", why)
 		}
@@ -362,18 +363,18 @@
 	clear(n.touched)
 	// Where the budget does not allow all, a guest's thousands of ends must not
 	// stand before those that others wait for.
-	sort.SliceStable(ds, func(a, b int) bool { return ds[a].rank() < ds[b].rank() })
+	sort.SliceStable(ds, func(a, b int) bool { return ds[a].Rank() < ds[b].Rank() })
 	n.commit(ds)
 }
 
 // watchHealth keeps a machine's record in step with what its owner hears, and
 // notes in unheard whether it does not.
-func (n *Node) watchHealth(s *workers.Session, unheard map[string]bool) []decision {
+func (n *Node) watchHealth(s *workers.Session, unheard map[string]bool) []decide.Decision {
 	m := n.Machines[s.Host]
 	if m == nil {
 		if s.State == workers.Known {
 			rec := fleet.Host{State: fleet.Up, Endpoint: s.Endpoint, Build: s.Build, Site: s.Site, Loaner: s.Loaner, SinceMs: n.ms()}
-			return []decision{{writes: []store.Write{put(fleet.HostPrefix+s.Host, rec)}}}
+			return []decide.Decision{{Writes: []store.Write{decide.Put(fleet.HostPrefix+s.Host, rec)}}}
 		}
 		if n.Now.Sub(s.LastReport) > tuning.ForgetSession {
 			delete(n.sessions, s.Host)
@@ -396,7 +397,7 @@
 
 // tellQuiet is the decision that writes which of this part's machines are not
 // heard, when that has changed.
-func (n *Node) tellQuiet(unheard map[string]bool) []decision {
+func (n *Node) tellQuiet(unheard map[string]bool) []decide.Decision {
 	key := fleet.QuietPrefix + n.set.NodeName
 	told := n.quiet[n.set.NodeName]
 	same := len(told) == len(unheard)
@@ -408,12 +409,12 @@
 		return nil
 	}
 	hosts := sorted(unheard)
-	w := put(key, hosts)
+	w := decide.Put(key, hosts)
 	for len(w.Value) > n.sliceLimit() {
 		hosts = hosts[:len(hosts)*9/10] // those that fit; the rest follow as these end
-		w = put(key, hosts)
+		w = decide.Put(key, hosts)
 	}
-	return []decision{{writes: []store.Write{w}, done: func(ok bool) {
+	return []decide.Decision{{Writes: []store.Write{w}, Done: func(ok bool) {
 		if ok {
 			n.log.Info("machines not heard", "machines", len(hosts))
 		}
@@ -513,7 +514,7 @@
 }
 
 // place puts released tasks of this part on machines.
-func (n *Node) place() []decision {
+func (n *Node) place() []decide.Decision {
 	var mine []*book.Task
 	for _, t := range n.Released {
 		if t.Part == n.set.NodeName && t.Job.Rec != nil && t.Job.Rec.State == jobs.Live && !n.busy[t.Slice.Key] && n.Now.Sub(t.Tried) >= tuning.PlaceAgain {
@@ -526,7 +527,7 @@
 		}
 		return mine[a].N < mine[b].N
 	})
-	var out []decision
+	var out []decide.Decision
 	for len(mine) > 0 {
 		j := mine[0].Job
 		k := 1
@@ -550,7 +551,7 @@
 }
 
 // placeOne picks a machine of this part and makes the decision.
-func (n *Node) placeOne(t *book.Task, try uint64) (decision, bool) {
+func (n *Node) placeOne(t *book.Task, try uint64) (decide.Decision, bool) {
 	spec := &t.Job.Rec.Spec
 	host := ""
 	if m := n.Machines[t.Want]; m != nil && n.canPlace(t, m) {
@@ -569,23 +570,23 @@
 		}
 	}
 	if host == "" {
-		return decision{}, false
+		return decide.Decision{}, false
 	}
 	return n.placing(t, host, t.Site, try)
 }
 
 // placing is the decision that puts a task on a machine. The machine's record
 // is among its conditions: a machine condemned meanwhile takes no task.
-func (n *Node) placing(t *book.Task, host, site string, try uint64) (decision, bool) {
+func (n *Node) placing(t *book.Task, host, site string, try uint64) (decide.Decision, bool) {
 	next, ok := n.placed(t, host, site, try)
 	if !ok {
-		return decision{}, false
+		return decide.Decision{}, false
 	}
 	piece := t.Piece
-	return decision{
-		changes: []change{{t, next}},
-		seen:    []string{jobs.JobPrefix + t.Job.UID, fleet.HostPrefix + host},
-		done:    func(bool) { n.Unreserve(piece) },
+	return decide.Decision{
+		Changes: decide.Become(t, next),
+		Seen:    []string{jobs.JobPrefix + t.Job.UID, fleet.HostPrefix + host},
+		Done:    func(bool) { n.Unreserve(piece) },
 	}, true
 }
 
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -55,7 +56,7 @@
 	}
 	if n.mirror.Stamp(quota.StoreKey) == 0 {
 		if !n.busy[quota.StoreKey] {
-			n.commit([]decision{{urgent: true, writes: []store.Write{put(quota.StoreKey, quota.NewStored(1, n.ms(), *n.set.Operator.Quotas))}}})
+			n.commit([]decide.Decision{{Urgent: true, Writes: []store.Write{decide.Put(quota.StoreKey, quota.NewStored(1, n.ms(), *n.set.Operator.Quotas))}}})
 		}
 		return
 	}
@@ -63,7 +64,7 @@
 		return
 	}
 	q.lookAt = n.Now
-	var ds []decision
+	var ds []decide.Decision
 	for _, s := range reclaim.Plan(n.Book, n.Account, tuning.ReclaimMost) {
 		kind := jobs.Stop
 		if s.Task.State == jobs.Released {
@@ -75,7 +76,7 @@
 			continue
 		}
 		piece := s.Task.Piece
-		ds = append(ds, decision{changes: []change{{s.Task, next}}, done: func(ok bool) {
+		ds = append(ds, decide.Decision{Changes: decide.Become(s.Task, next), Done: func(ok bool) {
 			if ok {
 				n.log.Info("stops", "task", piece, "why", why)
 			}
@@ -153,7 +154,7 @@
 			respond(wire.Reply{Status: status, Body: jobs.Encode(quota.Preview{Number: stored.Number})})
 			return
 		}
-		w := put(quota.StoreKey, quota.NewStored(stored.Number+1, n.ms(), a.Quotas))
+		w := decide.Put(quota.StoreKey, quota.NewStored(stored.Number+1, n.ms(), a.Quotas))
 		if len(w.Value) > n.sliceLimit() {
 			respond(wire.Reply{Status: 413, Body: errorBody("the tree does not fit into one value of the state service")})
 			return
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"log/slog"
 	"math/rand/v2"
 	"testing"
@@ -55,12 +56,12 @@
 // make; what it does not get to keeps its place among what waits.
 func TestReleaseLooksNoFurtherThanTheBudget(t *testing.T) {
 	n := leading(500, 1000, 40)
-	n.lead.waiting = []*waiting{{t: &book.Task{Job: n.Jobs["wk-000999"]}, count: 1}, {t: &book.Task{Job: &book.Job{UID: "wk-000998"}}, count: 1}}
+	n.lead.waiting = []*Waiting{{Task: &book.Task{Job: n.Jobs["wk-000999"]}, Count: 1}, {Task: &book.Task{Job: &book.Job{UID: "wk-000998"}}, Count: 1}}
 	n.release()
 	if got := len(n.Reserved); got < 10 || got > 40 {
 		t.Errorf("released %d tasks with 40 changes a second", got)
 	}
-	if len(n.lead.waiting) != 1 || n.lead.waiting[0].t.Job.UID != "wk-000999" {
+	if len(n.lead.waiting) != 1 || n.lead.waiting[0].Task.Job.UID != "wk-000999" {
 		t.Errorf("what waits: %v", n.lead.waiting)
 	}
 	for _, bad := range n.Audit() {
@@ -74,7 +75,7 @@
 	spec := jobs.Spec{UID: "wk-000007", Class: "c", Owner: "team", Shape: jobs.Sweep, Rank: "idle", Pieces: 100000, Cores: 1, MemoryGB: 1, Bundle: "b"}
 	n.mirror.Put(jobs.JobPrefix+spec.UID, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: spec}), 9000)
 	n.release()
-	if len(n.lead.waiting) != 1 || n.lead.waiting[0].count != tuning.MostActive {
+	if len(n.lead.waiting) != 1 || n.lead.waiting[0].Count != tuning.MostActive {
 		t.Errorf("what waits: %+v", n.lead.waiting)
 	}
 }
@@ -83,13 +84,13 @@
 // in place of its records at once, but not all such ends at the same time.
 func TestEndsOfASwarm(t *testing.T) {
 	n := leading(10, 50, 200)
-	var ds []decision
+	var ds []decide.Decision
 	for i := range 50 {
 		uid := fmt.Sprintf("wk-%06d", i)
 		n.mirror.Put(jobs.SliceKey(uid, 0), jobs.EncodeSlice([]jobs.Task{{State: jobs.Placed, Host: "i-000001", Try: 1}}, 8192), 5000)
 		d, ok := n.endWhole(n.Jobs[uid].Tasks[0])
-		if !ok || len(d.writes) != 3 {
-			t.Fatalf("end of %s: %v %v", uid, ok, d.writes)
+		if !ok || len(d.Writes) != 3 {
+			t.Fatalf("end of %s: %v %v", uid, ok, d.Writes)
 		}
 		ds = append(ds, d)
 	}
--- a/internal/node/runs.go
+++ b/internal/node/runs.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"strings"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -65,7 +66,7 @@
 			n.dirty = true
 		})
 	}
-	var ds []decision
+	var ds []decide.Decision
 	for i := range changes {
 		ds = append(ds, n.runDecision(&changes[i], nil))
 	}
@@ -74,29 +75,29 @@
 
 // runDecision is a run's change as a decision: the run's record, its jobs'
 // acceptances and their ends are one transaction.
-func (n *Node) runDecision(c *pipelines.Change, done func(bool)) decision {
-	d := decision{urgent: c.Urgent, done: func(ok bool) {
+func (n *Node) runDecision(c *pipelines.Change, done func(bool)) decide.Decision {
+	d := decide.Decision{Urgent: c.Urgent, Done: func(ok bool) {
 		n.runs.Touch(c.ID)
 		if done != nil {
 			done(ok)
 		}
 	}}
 	if c.Over {
-		d.writes = append(d.writes, put(pipelines.RanPrefix+c.ID, c.Record), remove(pipelines.RunPrefix+c.ID))
+		d.Writes = append(d.Writes, decide.Put(pipelines.RanPrefix+c.ID, c.Record), decide.Remove(pipelines.RunPrefix+c.ID))
 	} else {
-		d.writes = append(d.writes, put(pipelines.RunPrefix+c.ID, c.Record))
+		d.Writes = append(d.Writes, decide.Put(pipelines.RunPrefix+c.ID, c.Record))
 	}
 	for i := range c.Submit {
 		w, seen := n.acceptance(&c.Submit[i])
-		d.writes, d.seen = append(d.writes, w), append(d.seen, seen)
+		d.Writes, d.Seen = append(d.Writes, w), append(d.Seen, seen)
 	}
 	for _, uid := range c.Cancel {
 		if j := n.Jobs[uid]; j != nil && j.Rec != nil {
-			d.writes = append(d.writes, n.endingWrites(j, jobs.Cancelled)...)
+			d.Writes = append(d.Writes, n.endingWrites(j, jobs.Cancelled)...)
 		}
 	}
 	for _, uid := range c.Absent {
-		d.seen = append(d.seen, jobs.JobPrefix+uid, jobs.FinalPrefix+uid)
+		d.Seen = append(d.Seen, jobs.JobPrefix+uid, jobs.FinalPrefix+uid)
 	}
 	return d
 }
@@ -255,8 +256,8 @@
 		return
 	}
 	d := n.runDecision(c, nil)
-	t := store.Txn{Writes: d.writes}
-	for _, k := range append(d.keys(), d.seen...) {
+	t := store.Txn{Writes: d.Writes}
+	for _, k := range append(d.Keys(), d.Seen...) {
 		t.If = append(t.If, store.Cond{Key: k})
 	}
 	t.If = append(t.If, store.Cond{Key: pipelines.RanPrefix + q.ID}, store.Cond{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)})
@@ -287,7 +288,7 @@
 		n.showRun(id, 200, false, "", respond)
 		return
 	}
-	n.commit([]decision{n.runDecision(c, func(ok bool) {
+	n.commit([]decide.Decision{n.runDecision(c, func(ok bool) {
 		switch {
 		case ok:
 			n.showRun(id, 200, false, "", respond)
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"strings"
 	"time"
 
@@ -350,7 +351,7 @@
 // acceptance is the record of a job as accepted, a user's or a step's of a run.
 // It is conditional on its own key and on the one that it returns being absent.
 func (n *Node) acceptance(spec *jobs.Spec) (w store.Write, absent string) {
-	return put(jobs.JobPrefix+spec.UID, jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: *spec}), jobs.FinalPrefix + spec.UID
+	return decide.Put(jobs.JobPrefix+spec.UID, jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: *spec}), jobs.FinalPrefix + spec.UID
 }
 
 func (n *Node) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
@@ -443,7 +444,7 @@
 	if state == jobs.Done {
 		rec.Done = rec.Spec.Pieces // of a gang, one done means all are
 	}
-	return []store.Write{put(jobs.JobPrefix+j.UID, rec), put(jobs.FinalPrefix+j.UID, jobs.Final{State: state, Done: rec.Done})}
+	return []store.Write{decide.Put(jobs.JobPrefix+j.UID, rec), decide.Put(jobs.FinalPrefix+j.UID, jobs.Final{State: state, Done: rec.Done})}
 }
 
 // close commits a job's final state, for its tasks to act on and for users to
