The look at the queue leaves node for a slice of its own: queue

Need: what decides by quotas was 900 lines of methods on Node. Change: order, room kept and chosen, preemption, gangs and an owner's placing are package queue; node tells it what it needs to know and takes its decisions.

--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -322,3 +323,9 @@
 	return t.State == o.State && t.Part == o.Part && t.Site == o.Site && t.Want == o.Want && t.Host == o.Host &&
 		t.Try == o.Try && t.Fails == o.Fails && t.After == o.After && t.Why == o.Why && slices.Equal(t.Bad, o.Bad)
 }
+
+// Backoff is the pause before a task that has failed so often is tried anew.
+func Backoff(fails int) time.Duration {
+	d := tuning.Backoff << min(fails, 10)
+	return min(d, tuning.BackoffMax)
+}
--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -556,7 +556,7 @@
 	}
 	if found && cost > least*tuning.PatientPrice {
 		margin := seconds(n.lead.cloud.catalog[best.Build].ReadyS+spec.ExpectS/2) + 2*seconds(n.set.Operator.StepS)
-		if n.startBy(r, false)-n.ms() > margin.Milliseconds() {
+		if n.queue.StartBy(r, false)-n.ms() > margin.Milliseconds() {
 			return kind{}, false
 		}
 	}
@@ -629,7 +629,7 @@
 		return 0
 	}
 	sum := 0.0
-	for _, w := range n.stillWaiting() {
+	for _, w := range n.queue.StillWaiting() {
 		spec := &w.Task.Job.Rec.Spec
 		if share := spec.Need().Share(b.Whole()); share <= 1+1e-9 && spec.AllowsBuild(g.Build) && (spec.Loaner || !g.Loaner) {
 			sum += share * float64(w.Count)
@@ -649,7 +649,7 @@
 	counts, booting := n.supplyOf()
 
 	waiting := map[string]int{}
-	for _, w := range n.stillWaiting() {
+	for _, w := range n.queue.StillWaiting() {
 		waiting[w.Task.Job.Rec.Spec.Class] += w.Count
 	}
 	n.log.Debug("queue", "waiting", fmt.Sprint(waiting), "jobs", len(n.Queued), "released", len(n.Released), "under_way", len(n.Reserved), "calls_held", n.client.Waiting(), "spare", n.client.Spare())
@@ -826,7 +826,7 @@
 	for k, v := range counts {
 		wanted[k] = v
 	}
-	for _, w := range n.stillWaiting() {
+	for _, w := range n.queue.StillWaiting() {
 		spec := &w.Task.Job.Rec.Spec
 		zones := zonesOf[w.Task.Job]
 		if zones == nil {
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -207,6 +207,7 @@
 		// What a leader keeps must not outlive its view, here either: a machine
 		// that it gave up may be in use under the next one.
 		n.lead.reset()
+		n.queue.Reset()
 		n.lead.since = n.Now
 	}
 	n.role, n.roleEpoch = role, epoch
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/harrierreel/harrierreel/internal/parts"
 	"github.com/harrierreel/harrierreel/internal/peer"
 	"github.com/harrierreel/harrierreel/internal/pipelines"
+	"github.com/harrierreel/harrierreel/internal/queue"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/store"
@@ -96,8 +97,9 @@
 	readers map[string]*reader
 	polls   polls
 
-	lead leader
-	runs *pipelines.Keeper // nil unless pipelines are turned on
+	lead  leader
+	queue *queue.Queue
+	runs  *pipelines.Keeper // nil unless pipelines are turned on
 
 	dirty       bool
 	lastPass    time.Time
@@ -145,6 +147,11 @@
 	n.quotas.on = set.Operator.Quotas != nil
 	n.newRuns()
 	n.fence.key = fencePrefix + set.NodeName
+	n.queue = queue.New(n.Book, queue.Env{
+		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
+		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: func(key string) bool { return n.busy[key] },
+		Allows: n.client.Allows, Spare: n.client.Spare, Ready: n.ready, CanPlace: n.canPlace, Commit: n.commit,
+	})
 	n.lead.reset()
 	n.budget()
 	return n
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -10,7 +10,6 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
-	"github.com/harrierreel/harrierreel/internal/parts"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/wire"
@@ -233,11 +232,11 @@
 		}
 		return n.gone(t, jobs.Complete, 0)
 	case workers.CauseError:
-		d := n.gone(t, jobs.Fail, backoff(t.Fails))
+		d := n.gone(t, jobs.Fail, jobs.Backoff(t.Fails))
 		n.blame(s.Host, h, t)
 		return d
 	case workers.CauseNoSuch:
-		return n.gone(t, jobs.Fail, backoff(t.Fails))
+		return n.gone(t, jobs.Fail, jobs.Backoff(t.Fails))
 	case workers.CauseNoRoom, workers.CauseInUse:
 		h.Rest(n.Now.Add(tuning.RefusedRest))
 		return n.gone(t, jobs.Gone, tuning.Backoff)
@@ -263,11 +262,6 @@
 	return n.finalWrites(j, state), true
 }
 
-func backoff(fails int) time.Duration {
-	d := tuning.Backoff << min(fails, 10)
-	return min(d, tuning.BackoffMax)
-}
-
 // blame tells a faulty machine from a faulty job. A job that has failed on
 // several machines is itself to blame and costs no machine; a machine on which
 // several blameless jobs fail, or one that others finish elsewhere, is faulty.
@@ -318,7 +312,7 @@
 		clear(n.touched)
 		return
 	}
-	ds := n.place()
+	ds := n.queue.Place()
 	sweep := n.Now.Sub(n.lastSweep) >= tuning.SweepEvery
 	if sweep {
 		n.lastSweep = n.Now
@@ -513,95 +507,6 @@
 	})
 }
 
-// place puts released tasks of this part on machines.
-func (n *Node) place() []decide.Decision {
-	var mine []*book.Task
-	for _, t := range n.Released {
-		if t.Part == n.set.NodeName && t.Job.Rec != nil && t.Job.Rec.State == jobs.Live && !n.busy[t.Slice.Key] && n.Now.Sub(t.Tried) >= tuning.PlaceAgain {
-			mine = append(mine, t)
-		}
-	}
-	sort.Slice(mine, func(a, b int) bool {
-		if mine[a].Job != mine[b].Job {
-			return mine[a].Job.UID < mine[b].Job.UID
-		}
-		return mine[a].N < mine[b].N
-	})
-	var out []decide.Decision
-	for len(mine) > 0 {
-		j := mine[0].Job
-		k := 1
-		for k < len(mine) && mine[k].Job == j {
-			k++
-		}
-		if j.Rec.Spec.Shape == jobs.Ensemble && j.Rec.Spec.Pieces > 1 {
-			out = append(out, n.placeGang(j, mine[:k])...)
-		} else {
-			for _, t := range mine[:k] {
-				if d, ok := n.placeOne(t, t.Try+1); ok {
-					out = append(out, d)
-				} else {
-					t.Tried = n.Now
-				}
-			}
-		}
-		mine = mine[k:]
-	}
-	return out
-}
-
-// placeOne picks a machine of this part and makes the decision.
-func (n *Node) placeOne(t *book.Task, try uint64) (decide.Decision, bool) {
-	spec := &t.Job.Rec.Spec
-	host := ""
-	if m := n.Machines[t.Want]; m != nil && n.canPlace(t, m) {
-		free := n.Builds[m.Build].Whole().Sub(n.Used(t.Want))
-		if !t.Unwanted {
-			free = free.Add(t.Need) // its own booking is there for it
-		}
-		if free.Fits(spec.Need()) {
-			host = t.Want
-		}
-	}
-	if host == "" {
-		b := n.board(nil, n.ByName(), func(m *book.Machine) bool { return m.Owner == n.set.NodeName && n.canPlace(t, m) }, spec)
-		if i := parts.Pick(spec.Need(), spec.Loaner, b); i >= 0 {
-			host = b[i].Host
-		}
-	}
-	if host == "" {
-		return decide.Decision{}, false
-	}
-	return n.placing(t, host, t.Site, try)
-}
-
-// placing is the decision that puts a task on a machine. The machine's record
-// is among its conditions: a machine condemned meanwhile takes no task.
-func (n *Node) placing(t *book.Task, host, site string, try uint64) (decide.Decision, bool) {
-	next, ok := n.placed(t, host, site, try)
-	if !ok {
-		return decide.Decision{}, false
-	}
-	piece := t.Piece
-	return decide.Decision{
-		Changes: decide.Become(t, next),
-		Seen:    []string{jobs.JobPrefix + t.Job.UID, fleet.HostPrefix + host},
-		Done:    func(bool) { n.Unreserve(piece) },
-	}, true
-}
-
-// placed is a task's record on a machine; it books the place.
-func (n *Node) placed(t *book.Task, host, site string, try uint64) (jobs.Task, bool) {
-	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Place, Host: host, Site: site, Try: try})
-	if !ok {
-		return next, false
-	}
-	n.log.Debug("places", "task", t.Piece, "class", t.Job.Rec.Spec.Class, "machine", host, "kind", n.Machines[host].Build, "cheap", n.Machines[host].Loaner,
-		"try", try, "cached", n.Cached(host, t.Job.Rec.Spec.Bundle), "since_accepted_ms", n.ms()-t.Job.Rec.AtMs)
-	n.Reserve(t, host, n.Machines[host].Site)
-	return next, true
-}
-
 // canPlace tells whether a task may go on a machine of this part now.
 func (n *Node) canPlace(t *book.Task, m *book.Machine) bool {
 	s := n.sessions[m.Name]
@@ -627,36 +532,3 @@
 	}
 	return !n.health[m.Name].Rests(n.Now)
 }
-
-// board lists those of some machines that have room for a task of a job and
-// that takes allows, in the room of out.
-func (n *Node) board(out []parts.Candidate, among []*book.Machine, takes func(*book.Machine) bool, spec *jobs.Spec) []parts.Candidate {
-	out = out[:0]
-	var b *jobs.Build
-	var whole parts.Room
-	need := spec.Need()
-	for _, m := range among {
-		if m.State != fleet.Up {
-			continue
-		}
-		if b == nil || b.Name != m.Build { // machines of a type mostly follow one another
-			if b = n.Builds[m.Build]; b == nil {
-				continue
-			}
-			whole = b.Whole()
-		}
-		used := m.Use.Room
-		if !whole.Sub(used).Fits(need) || !takes(m) {
-			continue
-		}
-		c := parts.Candidate{
-			Host: m.Name, Whole: whole, Free: whole.Sub(used), Loaner: m.Loaner, Site: m.Site, Part: m.Owner,
-			Load: used.Share(whole), Cached: n.Cached(m.Name, spec.Bundle),
-		}
-		if !c.Cached && b.PullRate > 0 {
-			c.PullS = spec.PullGB / b.PullRate
-		}
-		out = append(out, c)
-	}
-	return out
-}
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -12,6 +12,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/queue"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -56,13 +57,13 @@
 // make; what it does not get to keeps its place among what waits.
 func TestReleaseLooksNoFurtherThanTheBudget(t *testing.T) {
 	n := leading(500, 1000, 40)
-	n.lead.waiting = []*Waiting{{Task: &book.Task{Job: n.Jobs["wk-000999"]}, Count: 1}, {Task: &book.Task{Job: &book.Job{UID: "wk-000998"}}, Count: 1}}
-	n.release()
+	n.queue.Waiting = []*queue.Waiting{{Task: &book.Task{Job: n.Jobs["wk-000999"]}, Count: 1}, {Task: &book.Task{Job: &book.Job{UID: "wk-000998"}}, Count: 1}}
+	n.queue.Release()
 	if got := len(n.Reserved); got < 10 || got > 40 {
 		t.Errorf("released %d tasks with 40 changes a second", got)
 	}
-	if len(n.lead.waiting) != 1 || n.lead.waiting[0].Task.Job.UID != "wk-000999" {
-		t.Errorf("what waits: %v", n.lead.waiting)
+	if len(n.queue.Waiting) != 1 || n.queue.Waiting[0].Task.Job.UID != "wk-000999" {
+		t.Errorf("what waits: %v", n.queue.Waiting)
 	}
 	for _, bad := range n.Audit() {
 		t.Error(bad)
@@ -74,9 +75,9 @@
 	n := leading(0, 0, 60)
 	spec := jobs.Spec{UID: "wk-000007", Class: "c", Owner: "team", Shape: jobs.Sweep, Rank: "idle", Pieces: 100000, Cores: 1, MemoryGB: 1, Bundle: "b"}
 	n.mirror.Put(jobs.JobPrefix+spec.UID, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: spec}), 9000)
-	n.release()
-	if len(n.lead.waiting) != 1 || n.lead.waiting[0].Count != tuning.MostActive {
-		t.Errorf("what waits: %+v", n.lead.waiting)
+	n.queue.Release()
+	if len(n.queue.Waiting) != 1 || n.queue.Waiting[0].Count != tuning.MostActive {
+		t.Errorf("what waits: %+v", n.queue.Waiting)
 	}
 }
 
@@ -130,7 +131,7 @@
 			classes(n, 3000, 1000, tree)
 			b.ReportAllocs()
 			for b.Loop() {
-				n.release()
+				n.queue.Release()
 			}
 		})
 	}
@@ -140,6 +141,6 @@
 	n := leading(1900, 1000, 60)
 	b.ReportAllocs()
 	for b.Loop() {
-		n.release()
+		n.queue.Release()
 	}
 }
--- /dev/null
+++ b/internal/queue/gangs.go
@@ -0,0 +1,387 @@
+package queue
+
+import (
+	"maps"
+	"slices"
+	"sort"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/gangs"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/parts"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// releaseGang offers a resting gang to a part that can hold it whole, or lets
+// the leader place it across parts; a broken one is stopped.
+func (q *Queue) releaseGang(j *book.Job, p *pass) {
+	spec := &j.Rec.Spec
+	if q.claiming[j.UID] {
+		return
+	}
+	records := make([]*jobs.Task, 0, len(j.Tasks))
+	for _, t := range j.Tasks {
+		records = append(records, &t.Task)
+	}
+	switch gangs.PhaseOf(spec.Pieces, records) {
+	case gangs.Broken:
+		for _, num := range slices.Sorted(maps.Keys(j.Tasks)) {
+			t := j.Tasks[num]
+			kind := jobs.Stop
+			if t.State == jobs.Released {
+				kind = jobs.TakeBack
+			}
+			if next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, Why: "gang is not whole"}); ok {
+				p.ds = append(p.ds, decide.Decision{Changes: decide.Become(t, next)})
+			}
+		}
+		return
+	case gangs.Resting:
+	default:
+		return
+	}
+	all := q.pending(j, spec.Pieces)
+	if len(all) < spec.Pieces {
+		return // some rest, or are under a transaction
+	}
+	try := gangs.NextTry(records)
+	probing := q.Trust(j, "") == jobs.Probing
+	if probing {
+		for _, t := range all {
+			if q.Now.Sub(t.Since) < jobs.Backoff(int(min(try, 10))) {
+				return
+			}
+		}
+	}
+	leaf := q.Leaf(spec)
+	if !p.account.Allows(leaf, spec.Amount(), spec.Pieces) {
+		return
+	}
+	entitled := p.account.Entitled(leaf, spec.Amount(), spec.Pieces)
+	p.account.Charge(spec.Key(), spec.Amount(), spec.Pieces)
+	offers, whole := q.fitGang(all, p)
+	if offers == nil && probing {
+		return
+	}
+	if offers == nil {
+		q.Waiting = append(q.Waiting, &Waiting{Task: all[0], Count: spec.Pieces, Rank: spec.RankOrder(), Within: entitled >= 0, Entitled: entitled})
+		q.holdFor(all[0].Anywhere(), min(spec.Pieces, tuning.HoldEach), q.Zones(j), p)
+		return
+	}
+	if whole {
+		if d, ok := q.offerGang(j, offers); ok {
+			p.ds = append(p.ds, d)
+			return
+		}
+	}
+	hosts := make([]string, len(offers))
+	for i, o := range offers {
+		hosts[i] = o.host
+		p.keep(q, o.host, spec.Need())
+	}
+	q.claimGang(j, all, hosts, try)
+}
+
+// offerGang is the one decision that gives a whole gang to the part that all
+// its machines belong to; the leader's own part places it at once.
+func (q *Queue) offerGang(j *book.Job, offers []offer) (decide.Decision, bool) {
+	one := decide.Decision{Seen: []string{jobs.JobPrefix + j.UID}}
+	var dones []func(bool)
+	add := func(d decide.Decision) {
+		one.Changes = append(one.Changes, d.Changes...)
+		one.Writes = append(one.Writes, d.Writes...)
+		for _, k := range d.Seen {
+			if !slices.Contains(one.Seen, k) {
+				one.Seen = append(one.Seen, k)
+			}
+		}
+		dones = append(dones, d.Done)
+	}
+	one.Done = func(ok bool) {
+		for _, f := range dones {
+			f(ok)
+		}
+	}
+	place := always
+	var top uint64
+	for _, o := range offers {
+		if !q.ours(o.t, q.Machines[o.host]) {
+			place = never
+		}
+		top = max(top, o.t.Try)
+	}
+	var fresh []*book.Task
+	var hosts []string
+	for _, o := range offers {
+		m := q.Machines[o.host]
+		switch {
+		case o.t.Slice == nil:
+			fresh, hosts = append(fresh, o.t), append(hosts, o.host)
+			continue
+		case place(o.t, m):
+			d, ok := q.placing(o.t, o.host, m.Site, top+1)
+			if !ok {
+				one.Done(false)
+				return one, false
+			}
+			add(d)
+		default:
+			next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host})
+			if !ok {
+				one.Done(false)
+				return one, false
+			}
+			q.Reserve(o.t, o.host, m.Site)
+			piece := o.t.Piece
+			add(decide.Decision{Changes: decide.Become(o.t, next), Done: func(bool) { q.Unreserve(piece) }})
+		}
+	}
+	for len(fresh) > 0 {
+		k := q.run(fresh, len(fresh))
+		add(q.beginSlice(j, fresh[:k], hosts[:k], place, top+1))
+		fresh, hosts = fresh[k:], hosts[k:]
+	}
+	if len(one.Keys()) > q.TxnOps || len(one.Seen) > q.TxnOps {
+		one.Done(false)
+		return one, false
+	}
+	return one, true
+}
+
+// fitGang finds a machine for every task of a gang, in one part if one holds
+// it, else across parts; nil when it does not fit. whole tells that all the
+// machines are of one part.
+func (q *Queue) fitGang(all []*book.Task, p *pass) (offers []offer, whole bool) {
+	t := all[0]
+	spec := &t.Job.Rec.Spec
+	if p.hopeless(spec, spec.Pieces) {
+		return nil, false
+	}
+	cands := p.board(q, t.Anywhere())
+	if len(cands) == 0 {
+		p.refuse(spec, 1)
+		p.refuse(spec, spec.Pieces)
+		return nil, false
+	}
+	zones := q.Zones(t.Job)
+	type group struct{ site, part string }
+	type holding struct{ places, cached int }
+	groups := map[group]*holding{}
+	add := func(g group, c *parts.Candidate) {
+		h := groups[g]
+		if h == nil {
+			h = &holding{}
+			groups[g] = h
+		}
+		k := c.Free.Times(spec.Need())
+		h.places += k
+		if c.Cached {
+			h.cached += k
+		}
+	}
+	for i := range cands {
+		c := &cands[i]
+		if !book.ZoneAllowed(spec, zones, c.Site) {
+			continue
+		}
+		site := ""
+		if spec.SamePlace {
+			site = c.Site
+		}
+		add(group{site, c.Part}, c)
+		add(group{site, ""}, c)
+	}
+	var order []group
+	for g, h := range groups {
+		if h.places >= spec.Pieces {
+			order = append(order, g)
+		}
+	}
+	if len(order) == 0 && len(zones) == 0 {
+		p.refuse(spec, spec.Pieces)
+	}
+	sort.Slice(order, func(a, b int) bool {
+		x, y := order[a], order[b]
+		switch cx, cy := min(groups[x].cached, spec.Pieces), min(groups[y].cached, spec.Pieces); {
+		case (x.part != "") != (y.part != ""):
+			return x.part != "" // inside a part first
+		case cx != cy:
+			return cx > cy
+		case groups[x].places != groups[y].places:
+			return groups[x].places < groups[y].places
+		case x.site != y.site:
+			return x.site < y.site
+		}
+		return x.part < y.part
+	})
+	for _, g := range order {
+		var some []parts.Candidate
+		for _, c := range cands {
+			if (g.site == "" || c.Site == g.site) && (g.part == "" || c.Part == g.part) {
+				some = append(some, c)
+			}
+		}
+		if offers := q.tryFit(all, some, maps.Clone(zones)); offers != nil {
+			return offers, g.part != ""
+		}
+	}
+	return nil, false
+}
+
+// tryFit finds a machine for every task of a gang among the candidates.
+func (q *Queue) tryFit(all []*book.Task, cands []parts.Candidate, zones map[string]int) []offer {
+	spec := &all[0].Job.Rec.Spec
+	out := make([]offer, len(all))
+	for i, t := range all {
+		k := q.pickFor(t, cands, zones)
+		if k < 0 {
+			return nil
+		}
+		c := &cands[k]
+		out[i] = offer{t, c.Host}
+		c.Free = c.Free.Sub(spec.Need())
+		c.Load = c.Whole.Sub(c.Free).Share(c.Whole)
+		zones[c.Site]++
+	}
+	return out
+}
+
+// claimGang places a gang larger than a part: its machines are claimed in the
+// state service first, so that no part places anything else on them, then the
+// tasks are placed, then the claims are dropped.
+func (q *Queue) claimGang(j *book.Job, all []*book.Task, hosts []string, try uint64) {
+	q.claiming[j.UID] = true
+	unique := map[string]bool{}
+	for _, h := range hosts {
+		unique[h] = true
+	}
+	q.claim(unique, j.UID, func(ok bool) {
+		release := func() {
+			q.claim(unique, "", func(bool) { delete(q.claiming, j.UID) })
+		}
+		ds, good := q.placeClaimed(j, all, hosts, try, ok)
+		if !good {
+			for _, d := range ds {
+				d.Done(false)
+			}
+			release()
+			return
+		}
+		left := len(ds)
+		for i := range ds {
+			inner := ds[i].Done
+			ds[i].Done = func(ok bool) {
+				inner(ok)
+				if left--; left == 0 {
+					release()
+				}
+			}
+		}
+		q.Commit(ds)
+	})
+}
+
+// placeClaimed is the decisions that place a gang on the machines claimed for
+// it; false if the claims or the room are not there.
+func (q *Queue) placeClaimed(j *book.Job, all []*book.Task, hosts []string, try uint64, claimed bool) ([]decide.Decision, bool) {
+	if !claimed || j.Rec == nil {
+		return nil, false
+	}
+	need := j.Rec.Spec.Need()
+	extra := map[string]parts.Room{}
+	for _, h := range hosts {
+		m := q.Machines[h]
+		if m == nil || m.Claim != j.UID || q.Builds[m.Build] == nil {
+			return nil, false
+		}
+		extra[h] = extra[h].Add(need)
+		if !q.Builds[m.Build].Whole().Sub(q.Used(h)).Fits(extra[h]) {
+			return nil, false
+		}
+	}
+	var ds []decide.Decision
+	var fresh []*book.Task
+	var where []string
+	for i, t := range all {
+		if now := j.Tasks[t.N]; now != nil {
+			t = now
+		}
+		if t.Slice == nil {
+			fresh, where = append(fresh, t), append(where, hosts[i])
+			continue
+		}
+		d, ok := q.placing(t, hosts[i], q.Machines[hosts[i]].Site, try)
+		if !ok {
+			return ds, false
+		}
+		ds = append(ds, d)
+	}
+	for len(fresh) > 0 {
+		k := q.run(fresh, len(fresh))
+		ds = append(ds, q.beginSlice(j, fresh[:k], where[:k], always, try))
+		fresh, where = fresh[k:], where[k:]
+	}
+	return ds, true
+}
+
+// claim sets or clears the claim on machines.
+func (q *Queue) claim(hosts map[string]bool, uid string, done func(bool)) {
+	var ds []decide.Decision
+	left, good := 0, true
+	for _, h := range sorted(hosts) {
+		m := q.Machines[h]
+		if m == nil || m.Claim == uid {
+			continue
+		}
+		rec := m.Host
+		rec.Claim = uid
+		left++
+		ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(fleet.HostPrefix+h, rec)}, Done: func(ok bool) {
+			good = good && ok
+			if left--; left == 0 {
+				done(good)
+			}
+		}})
+	}
+	if left == 0 {
+		done(true)
+		return
+	}
+	q.Commit(ds)
+}
+
+// placeGang places a gang that was offered to this part, whole or not at all.
+func (q *Queue) placeGang(j *book.Job, all []*book.Task) []decide.Decision {
+	if len(all) != j.Rec.Spec.Pieces {
+		return nil
+	}
+	var records []*jobs.Task
+	for _, t := range j.Tasks {
+		records = append(records, &t.Task)
+	}
+	try := gangs.NextTry(records)
+	one := decide.Decision{}
+	var pieces []string
+	one.Done = func(bool) {
+		for _, p := range pieces {
+			q.Unreserve(p)
+		}
+	}
+	for _, t := range all {
+		d, ok := q.placeOne(t, try)
+		if !ok {
+			one.Done(false)
+			for _, t := range all {
+				t.Tried = q.Now
+			}
+			return nil // the leader takes it back
+		}
+		pieces = append(pieces, t.Piece)
+		one.Changes = append(one.Changes, d.Changes...)
+		one.Seen = append(one.Seen, d.Seen...)
+	}
+	return []decide.Decision{one}
+}
--- /dev/null
+++ b/internal/queue/preempt.go
@@ -0,0 +1,207 @@
+package queue
+
+import (
+	"sort"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/reclaim"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// making is room being made for a task by stopping others.
+type making struct {
+	until  time.Time // not again before
+	cached bool      // on a machine that holds its image
+}
+
+// lowerRuns tells whether any task of a lower rank is on a machine.
+func (q *Queue) lowerRuns(rank int) bool {
+	for _, count := range q.OnRank[rank+1:] {
+		if count > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// preempt makes room for waiting tasks by stopping tasks of lower rank, and for
+// those inside their team's guarantee also by stopping what other teams run
+// beyond theirs. One machine at a time is cleared for a task, and not again for
+// a while.
+func (q *Queue) preempt(p *pass) {
+	for _, w := range q.Waiting {
+		spec := &w.Task.Job.Rec.Spec
+		if !w.Within && !q.lowerRuns(w.Rank) || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+			continue
+		}
+		for _, t := range w.Tasks {
+			if !q.Now.Before(q.preempted[t.Piece].until) {
+				q.stopFor(&Waiting{Task: t, Rank: w.Rank, Within: w.Within, Entitled: w.Entitled}, false, p)
+			}
+		}
+	}
+	for piece, m := range q.preempted {
+		if q.Now.After(m.until) {
+			delete(q.preempted, piece)
+		}
+	}
+	for uid, h := range q.holds {
+		if q.Now.Sub(h.at) > tuning.HoldAgain {
+			delete(q.holds, uid)
+		}
+	}
+}
+
+// stopFor stops tasks to make room for a waiting one. It tells whether it did.
+func (q *Queue) stopFor(w *Waiting, onlyCached bool, p *pass) bool {
+	if p.searches >= tuning.MostSearches {
+		return false
+	}
+	p.searches++
+	var ds []decide.Decision
+	for _, v := range q.victims(w, p, onlyCached) {
+		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.Task.Piece}); ok {
+			ds = append(ds, decide.Decision{Changes: decide.Become(v, next)})
+			p.stopping[v] = true
+		}
+	}
+	if len(ds) > 0 {
+		q.preempted[w.Task.Piece] = making{q.Now.Add(tuning.PreemptAgain), onlyCached}
+	}
+	p.ds = append(p.ds, ds...)
+	return len(ds) > 0
+}
+
+// clearCached tells whether a task should wait a moment for room on a machine
+// that holds its image rather than go to one that would have to fetch it: when
+// the fetch would take it past its aim, and it may stop others there.
+func (q *Queue) clearCached(w *Waiting, host string, p *pass) bool {
+	rec := w.Task.Job.Rec
+	if (w.Rank > 1 && !w.Within) || q.Cached(host, rec.Spec.Bundle) {
+		return false
+	}
+	rate := q.Builds[q.Machines[host].Build].PullRate
+	aim := q.startAim(rec, w.Within)
+	if rate <= 0 || aim < q.ms() || q.ms()+int64(rec.Spec.PullGB/rate*1000) <= aim {
+		return false
+	}
+	if m := q.preempted[w.Task.Piece]; q.Now.Before(m.until) {
+		// Room is being made; if it does not come at once, go elsewhere. What
+		// has been found already is kept meanwhile: others would take it.
+		if !m.cached || m.until.Sub(q.Now) < tuning.PreemptAgain-tuning.ClearWait {
+			return false
+		}
+		p.keep(q, host, rec.Spec.Need())
+		return true
+	}
+	if !q.stopFor(w, true, p) {
+		return false
+	}
+	p.keep(q, host, rec.Spec.Need())
+	return true
+}
+
+// yields tells whether a running task has to make way for a waiting one.
+func (q *Queue) yields(w *Waiting, t *book.Task, account *quota.Account) bool {
+	spec := &t.Job.Rec.Spec
+	if spec.RankOrder() > w.Rank {
+		return true
+	}
+	return w.Within && spec.Shape != jobs.Standing && account.Yields(w.Entitled, q.Leaf(spec), spec.Amount())
+}
+
+// victims finds the machine where stopping the fewest tasks makes room, one
+// with the image if there is any.
+func (q *Queue) victims(w *Waiting, p *pass, onlyCached bool) []*book.Task {
+	spec := &w.Task.Job.Rec.Spec
+	zones := q.Zones(w.Task.Job)
+	var best []*book.Task
+	cached := false
+	for _, m := range q.ByName() {
+		h := m.Name
+		if m.State != fleet.Up || !q.offers(w.Task, m) || !book.ZoneAllowed(spec, zones, m.Site) {
+			continue
+		}
+		has := q.Cached(h, spec.Bundle)
+		if onlyCached && !has || cached && !has {
+			continue
+		}
+		whole := q.Builds[m.Build].Whole()
+		if !whole.Fits(spec.Need()) {
+			continue
+		}
+		free := whole.Sub(m.Use.Room)
+		var lower []*book.Task
+		for _, t := range q.OnHost[h] {
+			if t.Job.Rec == nil || q.Busy(t.Slice.Key) || p.stopping[t] {
+				continue
+			}
+			if t.State == jobs.Stopping {
+				free = free.Add(t.Job.Rec.Spec.Need()) // already on its way out
+				continue
+			}
+			if !q.yields(w, t, p.account) {
+				continue
+			}
+			if gang := &t.Job.Rec.Spec; gang.Shape == jobs.Ensemble && gang.Pieces > 1 {
+				continue
+			}
+			lower = append(lower, t)
+		}
+		if free.Fits(spec.Need()) {
+			return nil // room is coming already
+		}
+		if len(lower) == 0 {
+			continue
+		}
+		// The youngest have the least to lose.
+		sort.Slice(lower, func(a, b int) bool {
+			if !lower[a].Since.Equal(lower[b].Since) {
+				return lower[a].Since.After(lower[b].Since)
+			}
+			return lower[a].Piece < lower[b].Piece
+		})
+		var chosen []*book.Task
+		for _, t := range lower {
+			if free.Fits(spec.Need()) {
+				break
+			}
+			free = free.Add(t.Job.Rec.Spec.Need())
+			chosen = append(chosen, t)
+		}
+		if free.Fits(spec.Need()) && len(chosen) > 0 && (best == nil || (has && !cached) || (has == cached && len(chosen) < len(best))) {
+			best, cached = chosen, has
+		}
+	}
+	return best
+}
+
+// giveBack stops what others borrowed, where that alone keeps a job out of what it is
+// guaranteed: in a tree the limit that it meets may be one that it shares.
+func (q *Queue) giveBack(j *book.Job, p *pass) {
+	spec := &j.Rec.Spec
+	entitled := p.account.Entitled(q.Leaf(spec), spec.Amount(), 1)
+	if entitled < 0 || !p.account.Tree().Shaped() || q.Now.Before(q.preempted[j.UID].until) {
+		return
+	}
+	count := 0
+	for try := p.account.Clone(); count < min(q.unstarted(j), tuning.GiveBackEach) && try.Entitled(q.Leaf(spec), spec.Amount(), 1) >= 0; count++ {
+		try.Charge(spec.Key(), spec.Amount(), 1)
+	}
+	for _, s := range reclaim.For(q.Book, p.account, entitled, spec, count) {
+		kind := jobs.Stop
+		if s.Task.State == jobs.Released {
+			kind = jobs.TakeBack
+		}
+		if next, ok := jobs.NextTask(s.Task.Task, jobs.TaskEvent{Kind: kind, Why: "gives back of " + s.Path + " what " + j.UID + " is guaranteed"}); ok && !p.stopping[s.Task] && !q.Busy(s.Task.Slice.Key) {
+			p.ds = append(p.ds, decide.Decision{Changes: decide.Become(s.Task, next)})
+			p.stopping[s.Task] = true
+			q.preempted[j.UID] = making{until: q.Now.Add(tuning.ReclaimEvery)}
+		}
+	}
+}
--- /dev/null
+++ b/internal/queue/queue.go
@@ -0,0 +1,91 @@
+// Package queue is the slice that gives room to what waits: the order of the queue,
+// the leader's look at it (pass.go), room kept and chosen (room.go), who makes way
+// for whom (preempt.go), gangs (gangs.go), and what an owner places in its part
+// (place.go). Decisions come out; it has no IO and no clock.
+package queue
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/settings"
+)
+
+// Env is what the queue is told from outside: settings, and what others know.
+type Env struct {
+	Me         string // this controller
+	Objectives []settings.Objective
+	TxnOps     int     // puts and deletes of a transaction
+	SliceLimit int     // bytes of a slice's record
+	SliceMost  int     // tasks of a slice
+	WriteRPS   float64 // changes a second of all controllers
+	Log        *slog.Logger
+
+	// Busy tells whether a record is under a transaction.
+	Busy func(key string) bool
+	// Allows tells whether the budget allows so many changes now, after those spent.
+	Allows func(spent, writes int) bool
+	// Spare tells whether there is budget to spare.
+	Spare func() bool
+	// Ready tells whether a machine takes new tasks at all, by its record.
+	Ready func(m *book.Machine) bool
+	// CanPlace tells whether a task may go on a machine of this part now.
+	CanPlace func(t *book.Task, m *book.Machine) bool
+	// Commit takes decisions.
+	Commit func([]decide.Decision)
+}
+
+// Queue is what waits, and what is done about it.
+type Queue struct {
+	*book.Book
+	Env
+
+	// Waiting is what found no room in the last look.
+	Waiting []*Waiting
+
+	avoid     map[string]time.Time // machines not offered for a while
+	preempted map[string]making    // tasks that room is made for
+	holds     map[string]hold      // machines kept, by job
+	claiming  map[string]bool      // gangs whose machines are being claimed
+}
+
+// New makes an empty queue over a book.
+func New(b *book.Book, env Env) *Queue {
+	q := &Queue{Book: b, Env: env}
+	q.Reset()
+	return q
+}
+
+// Reset forgets what only a leader keeps: a new one starts from the records.
+func (q *Queue) Reset() {
+	q.Waiting = nil
+	q.avoid, q.preempted, q.holds, q.claiming = map[string]time.Time{}, map[string]making{}, map[string]hold{}, map[string]bool{}
+}
+
+// Waiting is queued tasks of one job that may run by their limits but have found
+// no room.
+type Waiting struct {
+	Task   *book.Task   // the first of them
+	Tasks  []*book.Task // the first few
+	Count  int
+	Rank   int
+	Within bool // inside a guarantee
+	// Entitled is the node of the quotas' tree whose guarantee that is.
+	Entitled int
+}
+
+// Avoid keeps tasks off a machine until then.
+func (q *Queue) Avoid(host string, until time.Time) { q.avoid[host] = until }
+
+// Claiming tells whether a gang's machines are being claimed by this leader.
+func (q *Queue) Claiming(uid string) bool { return q.claiming[uid] }
+
+func (q *Queue) ms() int64 { return q.Now.UnixMilli() }
+
+// sorted lists a map's keys in order: what a look does must not hang on the order
+// that a map happens to have.
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
