--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -18,17 +18,13 @@
 // mirror and the cloud's list.
 type leader struct {
 	closing    map[string]bool
-	since      time.Time // when this node came to lead
-	condemnAt  time.Time
 	movedAt    time.Time
 	releasedAt time.Time // last look at the queue
 	turn       int       // which duty has the first go at the budget
-	cloud      cloudState
 }
 
 func (l *leader) reset() {
 	*l = leader{closing: map[string]bool{}}
-	l.cloud.reset()
 }
 
 // leaderPass does what only the leader does.
@@ -36,14 +32,14 @@
 	if n.role != members.Leader {
 		return
 	}
-	n.cloudPass()
+	n.rental.Pass()
 	if n.client.Down() {
 		return
 	}
 	n.quotaPass()
 	n.dropClaims()
 	// Where the budget does not allow all, each gets its turn.
-	duties := []func(){n.closeJobs, n.condemnPass, n.takeBack, n.releasePass}
+	duties := []func(){n.closeJobs, n.rental.Condemn, n.takeBack, n.releasePass}
 	for i := range duties {
 		duties[(n.lead.turn+i)%len(duties)]()
 	}
@@ -190,7 +186,7 @@
 	n.lead.movedAt = n.Now
 	most := max(1, int(tuning.MovesShare*float64(len(n.Machines))))
 	var ds []decide.Decision
-	for _, h := range sorted(n.summary.Drain) {
+	for _, h := range sorted(n.rental.Summary.Drain) {
 		for _, piece := range sorted(n.OnHost[h]) {
 			t := n.OnHost[h][piece]
 			if t.Job.Rec == nil || t.State != jobs.Placed || !t.Ran && n.owner(h) == n.set.NodeName || t.Job.Rec.Spec.Shape != jobs.Standing ||
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -50,7 +50,7 @@
 		s.StoodStill(gap)
 	}
 	n.complaints = members.Complaints{}
-	n.lead.since = n.Now
+	n.rental.Since = n.Now
 	if gap < n.memberTTL()-tuning.MemberRenew-tuning.Standstill/2 {
 		return
 	}
@@ -208,7 +208,7 @@
 		// that it gave up may be in use under the next one.
 		n.lead.reset()
 		n.queue.Reset()
-		n.lead.since = n.Now
+		n.rental.Reset()
 	}
 	n.role, n.roleEpoch = role, epoch
 	n.budget()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,6 +28,7 @@
 	"github.com/harrierreel/harrierreel/internal/pipelines"
 	"github.com/harrierreel/harrierreel/internal/queue"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -62,7 +63,6 @@
 	keys       map[string]uint64      // member keys: name to incarnation
 	quiet      map[string]fleet.Quiet // owner to machines that it does not hear
 	view       *members.View
-	summary    summary
 
 	// What changed since a pass last looked at it.
 	touched map[string]bool // machines to review
@@ -97,9 +97,10 @@
 	readers map[string]*reader
 	polls   polls
 
-	lead  leader
-	queue *queue.Queue
-	runs  *pipelines.Keeper // nil unless pipelines are turned on
+	lead   leader
+	queue  *queue.Queue
+	rental *rental.Rental
+	runs   *pipelines.Keeper // nil unless pipelines are turned on
 
 	dirty       bool
 	lastPass    time.Time
@@ -152,6 +153,15 @@
 		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: func(key string) bool { return n.busy[key] },
 		Allows: n.client.Allows, Spare: n.client.Spare, Ready: n.ready, CanPlace: n.canPlace, Commit: n.commit,
 	})
+	n.rental = rental.New(n.Book, rental.Env{
+		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
+		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch },
+		Wake:  func() { n.dirty = true },
+		Busy:  func(key string) bool { return n.busy[key] }, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
+		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commit, Gone: n.gone, Moving: n.moving,
+		InUse: n.inUse, QuietSince: n.quietSince, Heard: func(host string) time.Time { return n.heard[host] },
+		HasSession: func(host string) bool { return n.sessions[host] != nil },
+	})
 	n.lead.reset()
 	n.budget()
 	return n
@@ -317,19 +327,19 @@
 		n.runSees(uid)
 	case hasPrefix(key, fleet.HostPrefix):
 		n.hostChanged(key[len(fleet.HostPrefix):], value)
-	case hasPrefix(key, buildPrefix):
+	case hasPrefix(key, rental.BuildPrefix):
 		var b jobs.Build
 		if value == nil {
-			delete(n.Builds, key[len(buildPrefix):])
+			delete(n.Builds, key[len(rental.BuildPrefix):])
 		} else if json.Unmarshal(value, &b) == nil && b.Name != "" {
 			n.Builds[b.Name] = &b
 		} else {
 			n.log.Error("unreadable machine type", "key", key)
 		}
-	case key == summaryKey:
-		var s summary
+	case key == rental.SummaryKey:
+		var s rental.Summary
 		if value != nil && json.Unmarshal(value, &s) == nil {
-			n.summary = s
+			n.rental.Summary = s
 		}
 	case hasPrefix(key, jobs.FinalPrefix):
 		var f jobs.Final
--- a/internal/node/owner.go
+++ b/internal/node/owner.go
@@ -430,7 +430,7 @@
 		return false
 	}
 	_, quiet := n.quiet[m.Owner][m.Name]
-	return !quiet && n.lead.cloud.lost[m.Name] == "" && !n.lead.cloud.freed[m.Name]
+	return !quiet && !n.rental.GivenUp(m.Name)
 }
 
 // overdue tells whether a machine should have reported by now. It is then
@@ -527,7 +527,7 @@
 	if !n.inUse(m) || n.Builds[m.Build] == nil {
 		return false
 	}
-	if _, draining := n.summary.Drain[m.Name]; draining {
+	if _, draining := n.rental.Summary.Drain[m.Name]; draining {
 		return false
 	}
 	return !n.health[m.Name].Rests(n.Now)
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -14,6 +14,7 @@
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/queue"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -36,7 +37,7 @@
 		n.mirror.Put(key, jobs.Encode(v), stamp)
 	}
 	enter(members.ViewKey, members.View{Leader: "n0", Members: []members.Member{{Name: "n0", Inc: 1}}, Epoch: 1})
-	enter(buildPrefix+"g8", jobs.Build{Name: "g8", Cores: 16, MemoryGB: 64, Sites: []string{"a"}, Hourly: 1})
+	enter(rental.BuildPrefix+"g8", jobs.Build{Name: "g8", Cores: 16, MemoryGB: 64, Sites: []string{"a"}, Hourly: 1})
 	for i := range machines {
 		enter(fmt.Sprintf("%si-%06d", fleet.HostPrefix, i), fleet.Host{State: fleet.Up, Build: "g8", Site: "a"})
 	}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -13,18 +13,17 @@
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/pipelines"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
 const (
-	buildPrefix = "build/"
 	fencePrefix = "fence/"
-	summaryKey  = "scaler"
 )
 
 // livePrefixes are read whole at a start. Jobs come before their tasks.
-var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, fleet.HostPrefix, fleet.QuietPrefix, buildPrefix, fencePrefix, members.MemberPrefix, members.ViewKey, summaryKey}
+var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, fleet.HostPrefix, fleet.QuietPrefix, rental.BuildPrefix, fencePrefix, members.MemberPrefix, members.ViewKey, rental.SummaryKey}
 
 // prefixes are the live prefixes of this node's duties. Runs come last: a run
 // that names a job must not be met before the job.
--- /dev/null
+++ b/internal/rental/cloud.go
@@ -0,0 +1,240 @@
+package rental
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Summary is what the scaler writes once a step: enough for owners to know
+// what drains and for a fresh leader to go on.
+type Summary struct {
+	Step    uint64               `json:"step"`
+	History map[string][]float64 `json:"history,omitempty"`
+	Drain   fleet.Draining       `json:"drain,omitempty"`
+	Asked   []asked              `json:"asked,omitempty"`
+}
+
+// asked is a rent whose machines may not be in the cloud's list yet.
+type asked struct {
+	Hire   string   `json:"hire"`
+	Build  string   `json:"build"`
+	Site   string   `json:"site"`
+	Loaner bool     `json:"loaner,omitempty"`
+	Count  int      `json:"count"`
+	AtMs   int64    `json:"at"`
+	Hosts  []string `json:"hosts,omitempty"`
+}
+
+// cloudState is the leader's knowledge of the cloud.
+type cloudState struct {
+	catalog    map[string]*jobs.Build
+	catalogAt  time.Time
+	catalogRun bool
+
+	listed  map[string]fleet.Listed
+	listAt  time.Time // start of the newest complete listing
+	listRun bool
+	gone    map[string]time.Time // machines that a listing no longer has, since when
+	deleted map[string]time.Time // machines deleted, which lists may still show
+
+	tokens float64
+	filled time.Time
+	calls  []func()
+
+	stepAt   time.Time
+	steps    int // steps since this leader began
+	hires    int
+	refused  map[string]time.Time // kinds without capacity, until when
+	deleting map[string]time.Time // delete requests under way
+	deleteAt time.Time            // last delete request
+	freed    map[string]bool      // machines whose delete was answered 200
+	lost     map[string]string    // machines that are given up, and why
+	freedAt  time.Time            // when what was on them was last freed
+	asked    []asked
+	planned  map[kind]int // machines by kind that the queue asks for
+	round    int          // of this step's batch
+	open     int          // rents of this step under way
+	again    bool         // one of them was refused or filled in part
+}
+
+func (c *cloudState) reset() {
+	*c = cloudState{
+		listed: map[string]fleet.Listed{}, gone: map[string]time.Time{}, deleted: map[string]time.Time{}, refused: map[string]time.Time{},
+		deleting: map[string]time.Time{}, freed: map[string]bool{}, lost: map[string]string{},
+	}
+}
+
+// cloudCall sends a request within the cloud's rate, or later.
+func (re *Rental) cloudCall(method, target string, body []byte, done func(int, []byte, error)) {
+	c := &re.cloud
+	if len(c.calls) >= tuning.CloudQueue {
+		done(429, nil, nil)
+		return
+	}
+	c.calls = append(c.calls, re.cloudRequest(method, target, body, done))
+}
+
+// cloudFirst sends a request before all that wait.
+func (re *Rental) cloudFirst(method, target string, body []byte, done func(int, []byte, error)) {
+	c := &re.cloud
+	c.calls = slices.Insert(c.calls, 0, re.cloudRequest(method, target, body, done))
+}
+
+func (re *Rental) cloudRequest(method, target string, body []byte, done func(int, []byte, error)) func() {
+	_, epoch := re.Leads()
+	return func() {
+		re.Send(method, target, body, tuning.CloudTimeout, func(status int, answer []byte, err error) {
+			re.Wake()
+			// A leader that has lost the view does nothing with the answer.
+			if leads, now := re.Leads(); leads && (now == epoch || method == "GET") {
+				done(status, answer, err)
+				return
+			}
+			done(0, nil, errOldView)
+		})
+	}
+}
+
+var errOldView = fmt.Errorf("the view has changed")
+
+// Pass sends waiting calls and does what is due.
+func (re *Rental) Pass() {
+	c := &re.cloud
+	rate := re.Cluster.Cloud.RPS * tuning.CloudBudget
+	if c.filled.IsZero() {
+		c.tokens = rate
+	} else {
+		c.tokens = math.Min(c.tokens+re.Now.Sub(c.filled).Seconds()*rate, math.Max(rate, 1))
+	}
+	c.filled = re.Now
+	if !c.catalogRun && (c.catalog == nil || re.Now.Sub(c.catalogAt) > tuning.CatalogEvery) {
+		re.readCatalog()
+	}
+	if !c.listRun && (c.listAt.IsZero() || re.Now.Sub(c.listAt) > re.listEvery()) {
+		re.readList()
+	}
+	step := seconds(re.Operator.StepS)
+	if c.catalog != nil && !c.listAt.IsZero() && re.Now.Sub(c.stepAt) >= step && !re.Down() {
+		c.stepAt = re.Now
+		c.open = 0
+		re.scalerStep()
+	}
+	for len(c.calls) > 0 && c.tokens >= 1 {
+		call := c.calls[0]
+		c.calls = c.calls[1:]
+		c.tokens--
+		call()
+	}
+}
+
+func (re *Rental) readCatalog() {
+	c := &re.cloud
+	c.catalogRun = true
+	re.cloudCall("GET", "/catalog", nil, func(status int, body []byte, err error) {
+		c.catalogRun = false
+		var answer struct {
+			Builds []*jobs.Build `json:"builds"`
+		}
+		if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil || len(answer.Builds) == 0 {
+			c.catalogAt = re.Now.Add(tuning.CatalogAgain - tuning.CatalogEvery)
+			if c.catalog == nil {
+				c.catalogAt = re.Now
+			}
+			return
+		}
+		c.catalogAt = re.Now
+		c.catalog = map[string]*jobs.Build{}
+		var ds []decide.Decision
+		for _, b := range answer.Builds {
+			if b == nil || b.Name == "" || len(b.Name) > 150 {
+				continue
+			}
+			c.catalog[b.Name] = b
+			// Prices move and are the leader's business; the rest is told to all.
+			told := *b
+			told.Hourly, told.LowPrice = 0, 0
+			if old := re.Builds[b.Name]; old == nil || string(jobs.Encode(old)) != string(jobs.Encode(told)) {
+				// A type that could not be told is read again soon: until it is known
+				// no job that needs it is accepted.
+				ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(BuildPrefix+b.Name, told)}, Urgent: true, Done: func(ok bool) {
+					if !ok {
+						c.catalogAt = re.Now.Add(tuning.CatalogAgain - tuning.CatalogEvery)
+					}
+				}})
+			}
+		}
+		re.Commit(ds)
+	})
+}
+
+// listEvery is the pause between two readings of the cloud's list: its pages
+// may take only a share of the cloud's rate.
+func (re *Rental) listEvery() time.Duration {
+	pages := float64(1 + len(re.cloud.listed)/tuning.CloudPage)
+	return max(tuning.ListEvery, seconds(pages/(re.Cluster.Cloud.RPS*tuning.ListShare)))
+}
+
+// readList reads the whole list, page by page.
+func (re *Rental) readList() {
+	c := &re.cloud
+	c.listRun = true
+	started := re.Now
+	all := map[string]fleet.Listed{}
+	var page func(since string)
+	page = func(since string) {
+		target := fmt.Sprintf("/hosts?limit=%d", tuning.CloudPage)
+		if since != "" {
+			target += "&since=" + since
+		}
+		re.cloudCall("GET", target, nil, func(status int, body []byte, err error) {
+			var answer struct {
+				Hosts   []fleet.Listed `json:"hosts"`
+				HasNext bool           `json:"has_next"`
+			}
+			if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil {
+				c.listRun = false
+				return
+			}
+			for _, h := range answer.Hosts {
+				all[h.UID] = h
+			}
+			if answer.HasNext && len(answer.Hosts) > 0 {
+				page(answer.Hosts[len(answer.Hosts)-1].UID)
+				return
+			}
+			c.listRun = false
+			for h := range c.listed {
+				if _, ok := all[h]; !ok && c.gone[h].IsZero() {
+					c.gone[h] = re.Now
+				}
+			}
+			for h := range all {
+				delete(c.gone, h)
+				if _, was := c.deleted[h]; was {
+					delete(all, h) // the list is older than the delete
+				}
+			}
+			for h, at := range c.deleted {
+				if re.Now.Sub(at) > tuning.ForgetGone {
+					delete(c.deleted, h)
+				}
+			}
+			c.listed, c.listAt = all, started
+			for h, at := range c.gone {
+				if re.Now.Sub(at) > tuning.ForgetGone {
+					delete(c.gone, h)
+				}
+			}
+		})
+	}
+	page("")
+}
--- /dev/null
+++ b/internal/rental/plan.go
@@ -0,0 +1,389 @@
+package rental
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/parts"
+	"github.com/harrierreel/harrierreel/internal/scaler"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// kind is one thing the cloud rents.
+type kind struct {
+	fleet.Group
+	site string
+}
+
+func (k kind) String() string { return k.Group.String() + "@" + k.site }
+
+// price is what a machine of a group costs an hour.
+func (re *Rental) price(g fleet.Group) float64 {
+	b := re.cloud.catalog[g.Build]
+	if b == nil {
+		return math.Inf(1)
+	}
+	if g.Loaner {
+		return b.LowPrice
+	}
+	return b.Hourly
+}
+
+// cheapest is the group and zone where a waiting task costs least, of those
+// that the cloud has not just refused.
+//
+// A task that can wait does not make it buy much dearer than what it would
+// take if the cloud had it.
+func (re *Rental) cheapest(r *jobs.Record, zones map[string]int, counts map[kind]int) (kind, bool) {
+	spec := &r.Spec
+	best, found, cost := kind{}, false, math.Inf(1)
+	least := math.Inf(1)
+	for name, b := range re.cloud.catalog {
+		share := spec.Need().Share(b.Whole())
+		if share > 1+1e-9 || !spec.AllowsBuild(name) {
+			continue
+		}
+		for _, loaner := range []bool{false, true} {
+			if loaner && (!spec.Loaner || b.LowPrice <= 0) {
+				continue
+			}
+			for _, site := range b.Sites {
+				k := kind{fleet.Group{Build: name, Loaner: loaner}, site}
+				if !spec.Allows(name, site, loaner) || !book.ZoneAllowed(spec, zones, site) {
+					continue
+				}
+				// Whole tasks per machine: what a task really costs there.
+				fit := math.Floor(1/share + 1e-9)
+				c := re.price(k.Group) / fit
+				least = min(least, c)
+				if re.Now.Before(re.cloud.refused[k.String()]) {
+					continue
+				}
+				if c < cost-1e-9 || (c < cost+1e-9 && found && (counts[k] < counts[best] || counts[k] == counts[best] && k.String() < best.String())) {
+					best, found, cost = k, true, c
+				}
+			}
+		}
+	}
+	if found && cost > least*tuning.PatientPrice {
+		margin := seconds(re.cloud.catalog[best.Build].ReadyS+spec.ExpectS/2) + 2*seconds(re.Operator.StepS)
+		if re.Queue.StartBy(r, false)-re.ms() > margin.Milliseconds() {
+			return kind{}, false
+		}
+	}
+	return best, found
+}
+
+// bootLate is the age from which a machine that has not come up is overdue.
+func (re *Rental) bootLate(build string) time.Duration {
+	late := tuning.BootSlackMin
+	if b := re.Builds[build]; b != nil {
+		late = max(late, seconds(b.ReadyS*tuning.BootLate))
+	}
+	return late
+}
+
+// supplyOf lists the machines that count as supply: with a record in use, or
+// listed and booting in time, or asked for and not yet listed until the boot time has
+// passed.
+func (re *Rental) supplyOf() (counts map[kind]int, booting map[kind]int) {
+	counts, booting = map[kind]int{}, map[kind]int{}
+	c := &re.cloud
+	for h, m := range re.Machines {
+		if re.InUse(m) {
+			if _, draining := re.Summary.Drain[h]; !draining {
+				counts[kind{fleet.Group{Build: m.Build, Loaner: m.Loaner}, m.Site}]++
+			}
+		}
+	}
+	age := re.Now.Sub(c.listAt)
+	for h, l := range c.listed {
+		// An overdue one may never come; a replacement is rented before the
+		// queue suffers, and the late one is used or returned if it comes.
+		if re.Machines[h] == nil && (l.Status == "booting" || l.Status == "running") && seconds(l.AgeS)+age <= re.bootLate(l.Build) {
+			k := kind{fleet.Group{Build: l.Build, Loaner: l.Loaner}, l.Site}
+			counts[k]++
+			booting[k]++
+		}
+	}
+	for _, a := range c.asked {
+		// A list read long enough after the request has what there is: a
+		// machine that it lacks was returned or lost meanwhile, perhaps by an
+		// earlier leader, and must not count.
+		if c.listAt.UnixMilli()-a.AtMs > re.listSure().Milliseconds() || re.ms()-a.AtMs > re.bootLimit(a.Build).Milliseconds() {
+			continue
+		}
+		k := kind{fleet.Group{Build: a.Build, Loaner: a.Loaner}, a.Site}
+		for _, h := range a.Hosts {
+			if _, listed := c.listed[h]; !listed && re.Machines[h] == nil && c.gone[h].IsZero() && c.deleted[h].IsZero() {
+				counts[k]++
+				booting[k]++
+			}
+		}
+		if len(a.Hosts) == 0 {
+			counts[k] += a.Count // unanswered
+		}
+	}
+	return counts, booting
+}
+
+// listSure is the time after which a machine must be in the cloud's list.
+func (re *Rental) listSure() time.Duration {
+	return seconds(2*re.Cluster.Cloud.ListLagS) + tuning.ListSlack
+}
+
+// queuedFor is how many machines of a group the waiting tasks would fill that
+// may go there, by share.
+func (re *Rental) queuedFor(g fleet.Group) float64 {
+	b := re.Builds[g.Build]
+	if b == nil {
+		return 0
+	}
+	sum := 0.0
+	for _, w := range re.Queue.StillWaiting() {
+		spec := &w.Task.Job.Rec.Spec
+		if share := spec.Need().Share(b.Whole()); share <= 1+1e-9 && spec.AllowsBuild(g.Build) && (spec.Loaner || !g.Loaner) {
+			sum += share * float64(w.Count)
+		}
+	}
+	return sum
+}
+
+// scalerStep plans each group and acts on the plan's first step.
+func (re *Rental) scalerStep() {
+	c := &re.cloud
+	op := re.Operator
+	if c.steps == 0 {
+		c.asked = append([]asked(nil), re.Summary.Asked...)
+	}
+	c.steps++
+	counts, booting := re.supplyOf()
+
+	waiting := map[string]int{}
+	for _, w := range re.Queue.StillWaiting() {
+		waiting[w.Task.Job.Rec.Spec.Class] += w.Count
+	}
+	re.Log.Debug("queue", "waiting", fmt.Sprint(waiting), "jobs", len(re.Queued), "released", len(re.Released), "under_way", len(re.Reserved), "calls_held", re.Held(), "spare", re.Spare())
+
+	// Booked room by group, and what is on each machine.
+	demand := map[fleet.Group]float64{}
+	var idle = map[fleet.Group][]fleet.Idle{}
+	for _, h := range sorted(re.Machines) {
+		m := re.Machines[h]
+		b := re.Builds[m.Build]
+		if b == nil || !re.InUse(m) {
+			continue
+		}
+		g := fleet.Group{Build: m.Build, Loaner: m.Loaner}
+		share := re.Used(h).Share(b.Whole())
+		if _, draining := re.Summary.Drain[h]; !draining {
+			demand[g] += share
+		}
+		idle[g] = append(idle[g], fleet.Idle{Host: h, Load: share, Cost: re.price(g)})
+	}
+
+	// Queued room goes to the booting machines that will take it, then to the
+	// cheapest group. What finds no booting machine is unmet: shares alone
+	// would not see that free room can be too scattered for a task.
+	fit := re.packQueue(counts, booting, demand)
+
+	sum := Summary{Step: re.Summary.Step + 1, History: map[string][]float64{}, Drain: fleet.Draining{}}
+	groups := map[fleet.Group]bool{}
+	for name := range c.catalog {
+		groups[fleet.Group{Build: name}] = true
+		groups[fleet.Group{Build: name, Loaner: true}] = true
+	}
+	var order []fleet.Group
+	for g := range groups {
+		order = append(order, g)
+	}
+	sort.Slice(order, func(a, b int) bool { return order[a].String() < order[b].String() })
+	var rents []rent
+	var give []string
+	for _, g := range order {
+		key := g.String()
+		history := append(append([]float64(nil), re.Summary.History[key]...), demand[g])
+		if len(history) > tuning.SummaryHistory {
+			history = history[len(history)-tuning.SummaryHistory:]
+		}
+		supply := 0
+		for k, v := range counts {
+			if k.Group == g {
+				supply += v
+			}
+		}
+		if demand[g] > 0 || supply > 0 || len(re.Summary.History[key]) > 0 {
+			sum.History[key] = round(history)
+		}
+		plan := scaler.Plan(history, 0, 0, scaler.Params{Steps: op.PlanSteps, Samples: op.Samples, Tolerance: op.Tolerance, Trend: op.TrendSteps, Damping: tuning.TrendDamping, Grain: tuning.GrainShare * re.grain(g)}, re.Chance)
+		boot := 0
+		if b := c.catalog[g.Build]; b != nil {
+			boot = int(math.Ceil(b.ReadyS / op.StepS))
+		}
+		act := scaler.Act(plan, demand[g], supply, boot, c.steps <= op.FreshSteps)
+		now := fleet.Draining{}
+		for _, i := range idle[g] {
+			if st, ok := re.Summary.Drain[i.Host]; ok {
+				now[i.Host] = st
+			}
+		}
+		surplus := act.Surplus
+		if queued := re.queuedFor(g); queued > 0 {
+			// Draining while tasks wait that could go there gains nothing.
+			surplus = min(surplus, -int(math.Ceil(queued)))
+		}
+		next, gone, revived := fleet.DrainStep(now, idle[g], surplus, op.DrainSteps, op.ReviveSteps)
+		for h, st := range next {
+			sum.Drain[h] = st
+		}
+		give = append(give, gone...)
+		want := max(act.Rent, fit[g]) - len(revived)
+		if want > 0 {
+			rents = append(rents, re.rentsFor(g, want, counts)...)
+		}
+		if supply > 0 || demand[g] > 0 || want > 0 {
+			re.Log.Debug("plan", "group", key, "demand", demand[g], "supply", supply, "rent", want, "surplus", surplus, "drain", len(next), "give", len(gone))
+		}
+	}
+	re.rentBatch(rents, &sum)
+	ds := []decide.Decision{{Writes: []store.Write{re.summaryWrite(sum)}, Urgent: true}}
+	for _, h := range give {
+		for _, d := range re.Moving(h, fleet.Condemn, "drained") {
+			d.Urgent = true // it has left the draining ones
+			ds = append(ds, d)
+		}
+	}
+	re.Commit(ds)
+}
+
+// summaryWrite fits the summary into one value: the oldest rents, whose
+// machines the cloud's list will have by now, are left out first, then
+// draining that has just begun.
+func (re *Rental) summaryWrite(sum Summary) store.Write {
+	w := decide.Put(SummaryKey, sum)
+	for len(w.Value) > re.SliceLimit && len(sum.Asked) > 0 {
+		sum.Asked = sum.Asked[(len(sum.Asked)+1)/2:]
+		w = decide.Put(SummaryKey, sum)
+	}
+	for stage := 1; len(w.Value) > re.SliceLimit && len(sum.Drain) > 0; stage++ {
+		maps.DeleteFunc(sum.Drain, func(_ string, st int) bool { return st <= stage })
+		w = decide.Put(SummaryKey, sum)
+	}
+	return w
+}
+
+// grain is the machines of a group that one job there takes on average, by
+// demand: a job's tasks come together.
+func (re *Rental) grain(g fleet.Group) float64 {
+	b := re.Builds[g.Build]
+	if b == nil {
+		return 0
+	}
+	each := map[*book.Job]float64{}
+	for h, ts := range re.OnHost {
+		m := re.Machines[h]
+		if m == nil || m.Build != g.Build || m.Loaner != g.Loaner {
+			continue
+		}
+		for _, t := range ts {
+			if t.Job.Rec != nil {
+				each[t.Job] += t.Need.Share(b.Whole())
+			}
+		}
+	}
+	sum, squares := 0.0, 0.0
+	for _, s := range each {
+		sum += s
+		squares += s * s
+	}
+	if sum == 0 {
+		return 0
+	}
+	return squares / sum
+}
+
+func round(h []float64) []float64 {
+	out := make([]float64, len(h))
+	for i, v := range h {
+		out[i] = math.Round(v*1000) / 1000
+	}
+	return out
+}
+
+// packQueue adds queued room to demand and returns how many machines of each
+// group the queue needs beyond those that boot.
+func (re *Rental) packQueue(counts, booting map[kind]int, demand map[fleet.Group]float64) map[fleet.Group]int {
+	c := &re.cloud
+	type bin struct {
+		k    kind
+		free parts.Room
+	}
+	var bins []bin
+	var kinds []kind
+	for k := range booting {
+		kinds = append(kinds, k)
+	}
+	sort.Slice(kinds, func(a, b int) bool { return kinds[a].String() < kinds[b].String() })
+	for _, k := range kinds {
+		if b := c.catalog[k.Build]; b != nil {
+			for range booting[k] {
+				bins = append(bins, bin{k, b.Whole()})
+			}
+		}
+	}
+	fit := map[fleet.Group]int{}
+	zonesOf := map[*book.Job]map[string]int{}
+	wanted := map[kind]int{}
+	for k, v := range counts {
+		wanted[k] = v
+	}
+	for _, w := range re.Queue.StillWaiting() {
+		spec := &w.Task.Job.Rec.Spec
+		zones := zonesOf[w.Task.Job]
+		if zones == nil {
+			zones = re.Zones(w.Task.Job)
+			zonesOf[w.Task.Job] = zones
+		}
+		left := w.Count
+		for i := 0; i < len(bins) && left > 0; i++ {
+			b := &bins[i]
+			if !spec.Allows(b.k.Build, b.k.site, b.k.Loaner) || !b.free.Fits(spec.Need()) {
+				continue
+			}
+			share := spec.Need().Share(c.catalog[b.k.Build].Whole())
+			for left > 0 && b.free.Fits(spec.Need()) && book.ZoneAllowed(spec, zones, b.k.site) {
+				b.free = b.free.Sub(spec.Need())
+				demand[b.k.Group] += share
+				zones[b.k.site]++
+				left--
+			}
+		}
+		for left > 0 {
+			k, ok := re.cheapest(w.Task.Job.Rec, zones, wanted)
+			if !ok {
+				break
+			}
+			b := c.catalog[k.Build]
+			wanted[k]++
+			fit[k.Group]++
+			free := b.Whole()
+			for left > 0 && free.Fits(spec.Need()) && book.ZoneAllowed(spec, zones, k.site) {
+				free = free.Sub(spec.Need())
+				demand[k.Group] += spec.Need().Share(b.Whole())
+				zones[k.site]++
+				left--
+			}
+			bins = append(bins, bin{k, free})
+		}
+	}
+	c.planned = wanted
+	return fit
+}
--- /dev/null
+++ b/internal/rental/rental.go
@@ -0,0 +1,103 @@
+// Package rental is the slice that keeps the machines: the cloud's list and
+// catalogue, what is rented by the scaler's plan and the queue, what is given up,
+// deleted and freed. Only the leader uses it. Requests to the cloud and decisions
+// come out; it has no IO and no clock.
+package rental
+
+import (
+	"log/slog"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/queue"
+	"github.com/harrierreel/harrierreel/internal/settings"
+)
+
+// Keys in the state service.
+const (
+	BuildPrefix = "build/"
+	SummaryKey  = "scaler"
+)
+
+// Env is what it is told from outside: settings, and what others know.
+type Env struct {
+	Operator   settings.Operator
+	Cluster    settings.Cluster
+	SliceLimit int // bytes of a record
+	Log        *slog.Logger
+	Chance     *rand.Rand
+	Queue      *queue.Queue
+
+	// Send sends a request to the cloud; its answer comes back on the loop.
+	Send func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error))
+	// Leads tells whether this node leads, and under which epoch.
+	Leads func() (bool, uint64)
+	// Wake has the loop look again.
+	Wake func()
+	// Busy tells whether a record is under a transaction, Recorded whether it is there.
+	Busy, Recorded func(key string) bool
+	// Allows, Spare, Down and Held are the state of the budget.
+	Allows func(spent, writes int) bool
+	Spare  func() bool
+	Down   func() bool
+	Held   func() int
+	// Commit takes decisions; Gone and Moving make them for tasks and machines.
+	Commit func([]decide.Decision)
+	Gone   func(t *book.Task, kind jobs.TaskEventKind, pause time.Duration) decide.Decision
+	Moving func(host string, e fleet.Event, why string) []decide.Decision
+	// InUse tells whether a machine is up and heard, QuietSince since when it is not.
+	InUse      func(m *book.Machine) bool
+	QuietSince func(m *book.Machine) (time.Time, bool)
+	// Heard is when this node last heard a machine of another's; HasSession tells
+	// whether it hears one of its own.
+	Heard      func(host string) time.Time
+	HasSession func(host string) bool
+}
+
+// Rental is what a leader knows of the cloud.
+type Rental struct {
+	*book.Book
+	Env
+
+	// Summary is the newest that was written.
+	Summary Summary
+	// Since is when this node came to lead, or last stood still.
+	Since time.Time
+
+	cloud     cloudState
+	condemnAt time.Time
+}
+
+// New makes a rental over a book.
+func New(b *book.Book, env Env) *Rental {
+	re := &Rental{Book: b, Env: env}
+	re.cloud.reset()
+	return re
+}
+
+// Reset forgets what only a leader keeps: a new one starts from the records, the
+// summary and the cloud's list.
+func (re *Rental) Reset() {
+	re.cloud.reset()
+	re.condemnAt = time.Time{}
+	re.Since = re.Now
+}
+
+// GivenUp tells whether a machine is given up, or deleted already.
+func (re *Rental) GivenUp(host string) bool {
+	return re.cloud.lost[host] != "" || re.cloud.freed[host]
+}
+
+func (re *Rental) ms() int64 { return re.Now.UnixMilli() }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// sorted lists a map's keys in order: what a pass does must not hang on the order
+// that a map happens to have.
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
