Who reaches whom leaves node for a slice of its own: sight

Need: complaints, members left out and a node's own blindness were methods on Node. Change: package sight.

--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"time"
 
@@ -46,7 +45,7 @@
 func (n *Node) stoodStill(gap time.Duration) {
 	n.log.Info("stood still", "for_ms", gap.Milliseconds())
 	n.part.StoodStill(gap)
-	n.complaints = members.Complaints{}
+	n.sight.Forget()
 	n.rental.Since = n.Now
 	if gap < n.memberTTL()-tuning.MemberRenew-tuning.Standstill/2 {
 		return
@@ -155,7 +154,7 @@
 	if n.viewBusy {
 		return
 	}
-	next := members.Next(members.Situation{Me: n.set.NodeName, Inc: n.hold, View: n.view, Keys: n.keys, Out: n.unreachable()})
+	next := members.Next(members.Situation{Me: n.set.NodeName, Inc: n.hold, View: n.view, Keys: n.keys, Out: n.sight.Unreachable()})
 	if next == nil {
 		return
 	}
@@ -213,82 +212,5 @@
 		return
 	}
 	n.part.NewView()
-	n.complaints = members.Complaints{}
-}
-
-// complain notes a report by a worker that was sent to its owner.
-func (n *Node) complain(owner, host string, here bool) {
-	n.complaints.Note(owner, host, here, n.Now)
-	n.heard[host] = n.Now
-}
-
-// unreachable lists the members that workers cannot reach: the workers were
-// told the owner's name and keep coming here instead.
-func (n *Node) unreachable() map[string]bool {
-	out := map[string]bool{}
-	for name, o := range n.outUntil {
-		// Only the incarnation that was out of reach: a process that ended and
-		// came back starts with a clean slate.
-		if n.memberInc(name) != o.inc {
-			continue
-		}
-		// One that says that it still reaches no worker stays out for longer.
-		if p := n.peersState[name]; n.Now.Before(o.until) || p.blind && n.Now.Sub(p.at) < tuning.PeerFresh {
-			out[name] = true
-		}
-	}
-	if n.role == members.Outside {
-		return out
-	}
-	lasting := n.complaints.Lasting(n.Now, n.owner)
-	if len(lasting) == 0 {
-		return out
-	}
-	owned := map[string]int{}
-	for _, m := range n.Machines {
-		owned[m.Owner]++
-	}
-	for owner, machines := range lasting {
-		if float64(machines) >= tuning.SilentShare*float64(owned[owner]) && !out[owner] {
-			n.log.Info("workers cannot reach a member", "member", owner, "machines", machines)
-			n.outUntil[owner] = votedOut{n.memberInc(owner), n.Now.Add(tuning.OutFor)}
-			out[owner] = true
-		}
-	}
-	return out
-}
-
-// keepSight looks from outside the view whether this node reaches workers: one
-// that was voted out because they could not reach it must not be given machines
-// again before that is mended.
-func (n *Node) keepSight() {
-	if n.role != members.Outside {
-		n.blind = false
-		return
-	}
-	if !n.sync.live || n.looking > 0 || n.Now.Sub(n.lookedAt) < tuning.LookEvery {
-		return
-	}
-	var up []*book.Machine
-	for _, m := range n.ByName() {
-		if m.State == fleet.Up && m.Endpoint != "" {
-			up = append(up, m)
-		}
-	}
-	if len(up) < tuning.CutLeast {
-		n.blind = false
-		return
-	}
-	n.lookedAt = n.Now
-	seen := false
-	for range tuning.CutLeast {
-		m := up[n.rng.IntN(len(up))]
-		n.looking++
-		n.out.Worker(m.Endpoint, "GET", "/show", nil, tuning.CommandTimeout, func(_ int, _ []byte, err error) {
-			seen = seen || err == nil
-			if n.looking--; n.looking == 0 {
-				n.blind = !seen
-			}
-		})
-	}
+	n.sight.Forget()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/sight"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/wire"
@@ -68,18 +69,11 @@
 	renewedAt   time.Time
 	certain     members.Certainty // of its place in the view
 	wokeAt      time.Time         // after it last stood still
-	blind       bool              // outside the view, and no worker answers
-	looking     int               // questions to workers that find out
-	lookedAt    time.Time
-	asking      bool // for the epoch that makes it certain
+	asking      bool              // for the epoch that makes it certain
 	granting    bool
 	viewBusy    bool
 	role        members.Role
 	roleEpoch   uint64
-	outUntil    map[string]votedOut
-	complaints  members.Complaints
-	heard       map[string]time.Time // machine to last report that its owner did not get
-	peersState  map[string]peerState
 	lastHint    time.Time
 	hintedEpoch uint64
 
@@ -91,6 +85,7 @@
 	queue  *queue.Queue
 	rental *rental.Rental
 	part   *part.Part
+	sight  *sight.Sight
 
 	dirty       bool
 	lastPass    time.Time
@@ -98,26 +93,12 @@
 	lastLead    time.Time
 }
 
-type peerState struct {
-	stateOK bool
-	blind   bool
-	at      time.Time
-}
-
-// votedOut is a member that workers could not reach.
-type votedOut struct {
-	inc   uint64
-	until time.Time
-}
-
 // New makes a node.
 func New(set *settings.Settings, out Outside, log *slog.Logger, rng *rand.Rand) *Node {
 	n := &Node{
 		set: set, out: out, log: log, rng: rng,
 		keys: map[string]uint64{},
 		role: members.Outside, certain: members.Certainty{Standing: members.Sure},
-		outUntil: map[string]votedOut{}, complaints: members.Complaints{},
-		heard: map[string]time.Time{}, peersState: map[string]peerState{},
 		busy: map[string]bool{},
 	}
 	n.Book = book.New(quota.Flat(set.TeamMap()), func(host string) {
@@ -130,6 +111,8 @@
 		return hasPrefix(key, jobs.FinalPrefix) || hasPrefix(key, pipelines.RanPrefix)
 	}
 	n.fence.key = fencePrefix + set.NodeName
+	n.sight = sight.New(n.Book, sight.Env{Log: log, Chance: rng, Call: out.Worker, OwnerOf: n.owner, Incarnation: n.memberInc,
+		Outside: func() bool { return n.role == members.Outside }, Live: func() bool { return n.sync.live }})
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
 		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.isBusy,
@@ -149,13 +132,13 @@
 		Moving:     func(host string, e fleet.Event, why string) []decide.Decision { return n.part.Moving(host, e, why) },
 		InUse:      func(m *book.Machine) bool { return n.part.InUse(m) },
 		QuietSince: func(m *book.Machine) (time.Time, bool) { return n.part.QuietSince(m) },
-		Heard:      func(host string) time.Time { return n.heard[host] },
+		Heard:      n.sight.Heard,
 		HasSession: func(host string) bool { return n.part.HasSession(host) },
 	})
 	n.part = part.New(n.Book, part.Env{
 		Me: set.NodeName, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Queue: n.queue, Rental: n.rental, Call: out.Worker,
 		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.sync.live && !n.unsure() },
-		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, OwnerOf: n.owner, Complain: n.complain,
+		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, OwnerOf: n.owner, Complain: n.sight.Complain,
 		Busy: n.isBusy, Spare: n.client.Spare, Commit: n.commit,
 	})
 	n.front = front.New(n.Book, front.Env{
@@ -184,7 +167,7 @@
 func (n *Node) Pulse(now time.Time) {
 	n.Run(now, func() {
 		n.keepMembership()
-		n.keepSight()
+		n.sight.Keep()
 		n.keepSync()
 		n.sayHints()
 		n.front.KeepPolls()
@@ -245,7 +228,7 @@
 	}
 	for _, p := range n.set.Peers {
 		if p.NodeName == h.From {
-			n.peersState[h.From] = peerState{h.StateOK, h.Blind, n.Now}
+			n.sight.Hint(h.From, h.StateOK, h.Blind)
 		}
 	}
 	if h.Epoch > n.mirror.Epoch {
@@ -255,7 +238,7 @@
 	// which need not be the leader.
 	for _, host := range h.Unreached[:min(len(h.Unreached), tuning.MaxUnreached)] {
 		if owner := n.owner(host); owner != h.From && n.Machines[host] != nil {
-			n.complain(owner, host, false)
+			n.sight.Complain(owner, host, false)
 		}
 	}
 }
@@ -269,7 +252,7 @@
 		return
 	}
 	n.lastHint, n.hintedEpoch = n.Now, n.mirror.Epoch
-	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.blind, Unreached: n.complaints.Here(n.Now)})
+	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.sight.Blind(), Unreached: n.sight.Here()})
 	for _, p := range n.set.Peers {
 		n.out.Hint(p.NodeName, line)
 	}
@@ -353,7 +336,7 @@
 		n.log.Error("unreadable machine record set aside", "machine", name, "error", err)
 	}
 	if value == nil {
-		delete(n.heard, name)
+		n.sight.HostGone(name)
 		n.part.HostGone(name)
 	}
 }
@@ -375,15 +358,7 @@
 // service every node stays up and refuses at once; a node that alone is refused, as
 // its peers' hints show, steps aside.
 func (n *Node) up() bool {
-	ok := n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure
-	if n.client.Down() {
-		for _, p := range n.peersState {
-			if p.stateOK && n.Now.Sub(p.at) < tuning.PeerFresh {
-				ok = false
-			}
-		}
-	}
-	return ok
+	return n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure && !(n.client.Down() && n.sight.StateElsewhere())
 }
 
 // Request takes a request from the front door. respond is called exactly once.
