--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -1,9 +1,9 @@
 package node
 
 import (
-	"github.com/harrierreel/harrierreel/internal/decide"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -2,9 +2,9 @@
 
 import (
 	"errors"
-	"github.com/harrierreel/harrierreel/internal/decide"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -13,14 +13,14 @@
 import (
 	"encoding/json"
 	"fmt"
-	"github.com/harrierreel/harrierreel/internal/book"
-	"github.com/harrierreel/harrierreel/internal/decide"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/front"
 	"github.com/harrierreel/harrierreel/internal/jobs"
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"github.com/harrierreel/harrierreel/internal/book"
-	"github.com/harrierreel/harrierreel/internal/decide"
 	"log/slog"
 	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -22,7 +22,15 @@
 	events := make(chan func(), tuning.EventQueue)
 	stop := make(chan struct{})
 	defer close(stop)
+	n := New(set, outside(set, events, stop), log, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
+	n.Now = time.Now()
+	go listener(set, n, events).Run(stop)
+	return loop(ctx, n, events)
+}
 
+// outside is the other services and controllers on sockets. Answers come back as
+// events.
+func outside(set *settings.Settings, events chan func(), stop chan struct{}) Outside {
 	caller := func(addr string, idle int) store.Call {
 		c := &wire.Client{Addr: addr, MaxIdle: idle, MaxBody: tuning.MaxAnswerBody}
 		return func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
@@ -42,7 +50,7 @@
 	for _, p := range set.Peers {
 		links[p.NodeName] = peer.NewLink(p.Address, stop)
 	}
-	out := Outside{
+	return Outside{
 		State: caller(set.Outside.State, tuning.StateConns),
 		Watch: caller(set.Outside.State, 1),
 		Cloud: caller(set.Outside.Cloud, tuning.CloudConns),
@@ -55,10 +63,13 @@
 			}
 		},
 	}
-	n := New(set, out, log, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
-	n.Now = time.Now()
+}
+
+// listener takes requests and peers' lines, and refuses what the loop is too far
+// behind for.
+func listener(set *settings.Settings, n *Node, events chan func()) *wire.Server {
 	conns := max(set.Cluster.Limits.FdLimit-tuning.ReservedSockets, set.Cluster.Limits.FdLimit/2)
-	srv := &wire.Server{
+	return &wire.Server{
 		Front: set.Front, Peer: set.PeerListen, MaxConns: conns,
 		IsGuest: front.IsUsers, MaxGuests: int(float64(conns) * tuning.UserConns),
 		Handle: func(m *wire.Message, respond func(wire.Reply)) {
@@ -75,8 +86,10 @@
 			}
 		},
 	}
-	go srv.Run(stop)
+}
 
+// loop hands events and pulses to the node.
+func loop(ctx context.Context, n *Node, events chan func()) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	lastPulse := time.Time{}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"github.com/harrierreel/harrierreel/internal/decide"
 	"slices"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
