--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -103,7 +103,8 @@
 // Pick returns the index of the best machine for need, or -1. For tasks that
 // may, cheap machines first: on others they stand in the way of tasks that may
 // not. Then cached images (a fetch takes longer than any queue), then those that
-// fetch faster, then the fullest that still fits, which keeps others empty
+// fetch faster, then, for work without accelerators, where it leaves the fewest of
+// them idle, then the fullest that still fits, which keeps others empty
 // enough to be returned.
 func Pick(need Room, loaner bool, cands []Candidate) int {
 	return PickIf(need, loaner, cands, func(*Candidate) bool { return true })
@@ -117,14 +118,31 @@
 		if !c.Free.Fits(need) {
 			continue
 		}
-		if (best < 0 || better(c, &cands[best], loaner)) && ok(c) {
+		if (best < 0 || better(need, c, &cands[best], loaner)) && ok(c) {
 			best = i
 		}
 	}
 	return best
 }
 
-func better(a, b *Candidate, loaner bool) bool {
+// strands is how many accelerators of a machine need would leave without the cores
+// and memory that they go with. Work that takes none itself and fills a machine up
+// would have its accelerators stand idle until it ends.
+func strands(need Room, c *Candidate) float64 {
+	usable := func(free Room) float64 {
+		return min(free.Accelerators, free.Cores/c.Whole.Cores*c.Whole.Accelerators, free.MemoryGB/c.Whole.MemoryGB*c.Whole.Accelerators)
+	}
+	if c.Whole.Cores <= 0 || c.Whole.MemoryGB <= 0 {
+		return 0
+	}
+	return usable(c.Free) - usable(c.Free.Sub(need))
+}
+
+// strandTells is the difference in accelerators left idle that decides between
+// machines.
+const strandTells = 0.01
+
+func better(need Room, a, b *Candidate, loaner bool) bool {
 	if loaner && a.Loaner != b.Loaner {
 		return a.Loaner
 	}
@@ -134,6 +152,11 @@
 	if !a.Cached && math.Abs(a.PullS-b.PullS) >= pullTells {
 		return a.PullS < b.PullS
 	}
+	if need.Accelerators == 0 {
+		if x, y := strands(need, a), strands(need, b); math.Abs(x-y) >= strandTells {
+			return x < y
+		}
+	}
 	if a.Load != b.Load {
 		return a.Load > b.Load
 	}
--- a/internal/parts/parts_test.go
+++ b/internal/parts/parts_test.go
@@ -83,3 +83,46 @@
 		t.Error(i)
 	}
 }
+
+// Work without accelerators goes where they are in use already, not where it would
+// leave free ones without cores; work with accelerators is placed as ever.
+func TestScarceResource(t *testing.T) {
+	whole := Room{Cores: 32, Accelerators: 4, MemoryGB: 256}
+	cands := []Candidate{
+		{Host: "i-1", Whole: whole, Free: Room{Cores: 16, Accelerators: 4, MemoryGB: 128}, Load: 0.5},
+		{Host: "i-2", Whole: whole, Free: Room{Cores: 16, Accelerators: 0, MemoryGB: 128}, Load: 0.5},
+		{Host: "i-3", Whole: whole, Free: Room{Cores: 30, Accelerators: 3, MemoryGB: 250}, Load: 0.1},
+	}
+	if got := Pick(Room{Cores: 12, MemoryGB: 20}, false, cands); cands[got].Host != "i-2" {
+		t.Errorf("cores alone went to %s", cands[got].Host)
+	}
+	if got := Pick(Room{Cores: 18, MemoryGB: 20}, false, cands); cands[got].Host != "i-3" {
+		t.Errorf("many cores went to %s", cands[got].Host)
+	}
+	if got := Pick(Room{Cores: 4, Accelerators: 1, MemoryGB: 20}, false, cands); cands[got].Host != "i-1" {
+		t.Errorf("an accelerator went to %s", cands[got].Host)
+	}
+	// An image that is there still goes first.
+	cands[0].Cached = true
+	if got := Pick(Room{Cores: 12, MemoryGB: 20}, false, cands); cands[got].Host != "i-1" {
+		t.Errorf("with its image elsewhere it went to %s", cands[got].Host)
+	}
+}
+
+// BenchmarkPick is the choice among 2,000 machines for work with and without
+// accelerators.
+func BenchmarkPick(b *testing.B) {
+	whole := Room{Cores: 64, Accelerators: 8, MemoryGB: 512}
+	var cands []Candidate
+	for i := range 2000 {
+		free := Room{Cores: float64(i % 64), Accelerators: float64(i % 9), MemoryGB: float64(i % 512)}
+		cands = append(cands, Candidate{Host: fmt.Sprint("i-", i), Whole: whole, Free: free, Load: whole.Sub(free).Share(whole)})
+	}
+	for name, need := range map[string]Room{"accelerators": {Cores: 4, Accelerators: 1, MemoryGB: 8}, "cores alone": {Cores: 4, MemoryGB: 8}} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				Pick(need, false, cands)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/queue/queue_test.go
@@ -0,0 +1,185 @@
+package queue
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// desk is a queue over a book, which commits what it decides at once.
+type desk struct {
+	*Queue
+	t      *testing.T
+	budget int
+	taken  []decide.Decision
+}
+
+func newDesk(t *testing.T, teams map[string]quota.Team) *desk {
+	d := &desk{t: t, budget: 1000}
+	b := book.New(quota.Flat(teams), func(string) {})
+	b.Now = time.UnixMilli(1e12)
+	b.Builds["g4"] = &jobs.Build{Name: "g4", Cores: 32, Accel: 4, MemoryGB: 256, CacheGB: 100, PullRate: 1, Sites: []string{"a", "b"}}
+	d.Queue = New(b, Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, WriteRPS: 1000, Log: slog.New(slog.DiscardHandler),
+		Busy: func(string) bool { return false }, Allows: func(spent, writes int) bool { return spent+writes <= d.budget }, Spare: func() bool { return true },
+		Ready: func(m *book.Machine) bool { return m.State == fleet.Up }, CanPlace: func(t *book.Task, m *book.Machine) bool { return book.Suits(t, m) }, Commit: d.commit})
+	return d
+}
+
+func (d *desk) commit(ds []decide.Decision) {
+	d.taken = append(d.taken, ds...)
+	p := decide.Packer{MostOps: 16, Busy: d.Busy, Allows: func(int, int) bool { return true }, Size: func(string) int { return 0 }}
+	for _, b := range p.Pack(ds) {
+		for _, w := range b.Writes(8192) {
+			if strings.HasPrefix(decide.Key(w), jobs.TaskPrefix) {
+				if _, err := d.SliceChanged(decide.Key(w), w.Value); err != nil {
+					d.t.Error(err)
+				}
+			}
+		}
+		for _, x := range b.Decisions {
+			if x.Done != nil {
+				x.Done(true)
+			}
+		}
+	}
+	for _, bad := range d.Audit() {
+		d.t.Error(bad)
+	}
+}
+
+func (d *desk) machine(name, owner, site string) {
+	if err := d.HostChanged(name, owner, jobs.Encode(fleet.Host{State: fleet.Up, Build: "g4", Site: site})); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+func (d *desk) job(uid, owner, rank string, pieces int, change func(*jobs.Spec)) {
+	spec := jobs.Spec{UID: uid, Class: "c", Owner: owner, Shape: jobs.Sweep, Rank: rank, Pieces: pieces, Cores: 2, Accel: 1, MemoryGB: 8, Bundle: "b"}
+	if change != nil {
+		change(&spec)
+	}
+	if err := d.JobChanged(uid, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: d.ms(), Spec: spec})); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// where lists on which machines a job's tasks are, or are to be.
+func (d *desk) where(uid string) string {
+	var out []string
+	for _, t := range d.Jobs[uid].Tasks {
+		out = append(out, t.Host+t.Want)
+	}
+	slices.Sort(out)
+	return strings.Join(out, " ")
+}
+
+var teams = map[string]quota.Team{"a": {Name: "a", Guaranteed: quota.Of(0, 2, 0), Max: quota.Of(0, 6, 0)}, "b": {Name: "b"}}
+
+func TestRelease(t *testing.T) {
+	d := newDesk(t, teams)
+	d.machine("i-1", "n0", "a")
+	d.machine("i-2", "n1", "b")
+	d.job("wk-1", "b", "standard", 2, nil)
+	d.job("wk-2", "a", "standard", 9, nil)
+	d.job("wk-3", "b", "urgent", 1, func(s *jobs.Spec) { s.Site = "b" })
+	d.job("wk-4", "b", "idle", 5, nil)
+	d.Release()
+	// Urgent first; then a's guarantee of 2, a's next up to its limit of 6, then b.
+	if got := d.where("wk-3"); got != "i-2" {
+		t.Errorf("urgent: %s", got)
+	}
+	if got := len(d.Jobs["wk-2"].Tasks); got != 6 {
+		t.Errorf("a has %d of its 6", got)
+	}
+	if got := len(d.Jobs["wk-4"].Tasks); got != 0 {
+		t.Errorf("idle work took %d places before others", got)
+	}
+	if placed := d.Jobs["wk-2"].On; placed == 0 || placed == 6 {
+		t.Errorf("%d placed at once; those of the other part are only released", placed)
+	}
+	// What the owner of the other part does with what it was given.
+	d.Me = "n1"
+	d.commit(d.Place())
+	if got := d.Jobs["wk-2"].On; got != 6 {
+		t.Errorf("%d on machines", got)
+	}
+	if len(d.Waiting) == 0 || d.Waiting[0].Task.Job.UID == "wk-2" {
+		t.Errorf("what waits: %+v", d.Waiting)
+	}
+}
+
+func TestZonesAndGangs(t *testing.T) {
+	d := newDesk(t, teams)
+	d.machine("i-1", "n0", "a")
+	d.machine("i-2", "n0", "b")
+	d.job("wk-1", "b", "standard", 3, func(s *jobs.Spec) { s.Scatter = true })
+	d.job("wk-2", "b", "standard", 2, func(s *jobs.Spec) { s.Shape, s.SamePlace = jobs.Ensemble, true })
+	d.job("wk-3", "b", "standard", 4, func(s *jobs.Spec) { s.Shape = jobs.Ensemble })
+	d.Release()
+	zones := d.Zones(d.Jobs["wk-1"])
+	if zones["a"] > 2 || zones["b"] > 2 || zones["a"]+zones["b"] != 3 {
+		t.Errorf("scattered over %v", zones)
+	}
+	if got := d.where("wk-2"); got != "i-1 i-1" && got != "i-2 i-2" {
+		t.Errorf("same place: %s", got)
+	}
+	if got := d.where("wk-3"); got != "" {
+		t.Errorf("a gang of four with three places: %s", got)
+	}
+}
+
+// Urgent work stops what is idle, the youngest first, and no more than it needs.
+func TestPreempt(t *testing.T) {
+	d := newDesk(t, teams)
+	d.machine("i-1", "n0", "a")
+	d.job("wk-1", "b", "idle", 2, nil)
+	d.Release()
+	d.Now = d.Now.Add(time.Minute)
+	d.job("wk-2", "b", "idle", 2, nil)
+	d.Release()
+	d.Now = d.Now.Add(time.Minute)
+	d.job("wk-3", "b", "urgent", 1, nil)
+	d.Release()
+	stopping := func() (out []string) {
+		for uid, j := range d.Jobs {
+			for _, x := range j.Tasks {
+				if x.State == jobs.Stopping {
+					out = append(out, uid)
+				}
+			}
+		}
+		return out
+	}
+	if got := fmt.Sprint(stopping()); got != "[wk-2]" {
+		t.Errorf("stopped: %s", got)
+	}
+	d.Release()
+	if got := len(stopping()); got != 1 {
+		t.Errorf("%d stopped for one", got)
+	}
+}
+
+// Without a budget only the first few are looked at: what would be decided could not
+// be committed.
+func TestNoBudgetNoLook(t *testing.T) {
+	d := newDesk(t, teams)
+	d.machine("i-1", "n0", "a")
+	d.budget = 0
+	for i := range 2 * tuning.MostLooks {
+		d.job(fmt.Sprintf("wk-%d", i), "b", "standard", 1, nil)
+	}
+	d.Release()
+	if len(d.taken) == 0 || len(d.taken)+len(d.Waiting) > tuning.MostLooks {
+		t.Errorf("%d decisions, %d that wait, of %d looks", len(d.taken), len(d.Waiting), tuning.MostLooks)
+	}
+}
--- /dev/null
+++ b/internal/sight/sight_test.go
@@ -0,0 +1,102 @@
+package sight
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+type world struct {
+	*Sight
+	outside bool
+	answers bool
+	inc     uint64
+}
+
+func newWorld(t *testing.T, machines int) *world {
+	t.Helper()
+	w := &world{inc: 7}
+	b := book.New(quota.Flat(nil), func(string) {})
+	b.Now = time.Unix(1000, 0)
+	for i := range machines {
+		if err := b.HostChanged(fmt.Sprint("i-", i), "n1", jobs.Encode(fleet.Host{State: fleet.Up, Build: "g", Site: "a", Endpoint: "w"})); err != nil {
+			t.Fatal(err)
+		}
+	}
+	w.Sight = New(b, Env{Log: slog.New(slog.DiscardHandler), Chance: rand.New(rand.NewPCG(1, 1)), OwnerOf: func(string) string { return "n1" },
+		Incarnation: func(string) uint64 { return w.inc }, Outside: func() bool { return w.outside }, Live: func() bool { return true },
+		Call: func(_, _, _ string, _ []byte, _ time.Duration, done func(int, []byte, error)) {
+			if w.answers {
+				done(200, nil, nil)
+				return
+			}
+			done(0, nil, errors.New("no answer"))
+		}})
+	return w
+}
+
+// A member that workers keep away from, though sent there, is left out for a while;
+// its next incarnation starts with a clean slate, and one that is blind stays out.
+func TestUnreachable(t *testing.T) {
+	w := newWorld(t, 4)
+	for range 20 {
+		w.Now = w.Now.Add(time.Second)
+		for i := range 4 {
+			w.Complain("n1", fmt.Sprint("i-", i), true)
+		}
+	}
+	if !w.Unreachable()["n1"] || w.Heard("i-2") != w.Now || len(w.Here()) != 4 {
+		t.Fatalf("%v, here %v", w.Unreachable(), w.Here())
+	}
+	w.Forget()
+	w.inc = 8
+	if w.Unreachable()["n1"] {
+		t.Error("another process is left out for the last one's sake")
+	}
+	w.inc = 7
+	w.Now = w.Now.Add(tuning.OutFor + time.Second)
+	if w.Unreachable()["n1"] {
+		t.Error("left out for too long")
+	}
+	w.Hint("n1", true, true)
+	if !w.Unreachable()["n1"] || !w.StateElsewhere() {
+		t.Error("one that says it is blind is let in")
+	}
+	w.Now = w.Now.Add(tuning.PeerFresh + time.Second)
+	if w.Unreachable()["n1"] || w.StateElsewhere() {
+		t.Error("an old hint counts")
+	}
+}
+
+// From outside the view a node looks whether it reaches workers.
+func TestBlind(t *testing.T) {
+	w := newWorld(t, 10)
+	w.outside = true
+	w.Keep()
+	if !w.Blind() {
+		t.Error("no worker answers, and it is not blind")
+	}
+	w.answers = true
+	w.Keep()
+	if !w.Blind() {
+		t.Error("it looked again at once")
+	}
+	w.Now = w.Now.Add(tuning.LookEvery + time.Second)
+	if w.Keep(); w.Blind() {
+		t.Error("workers answer, and it is blind")
+	}
+	w.answers, w.outside = false, false
+	w.Now = w.Now.Add(tuning.LookEvery + time.Second)
+	if w.Keep(); w.Blind() {
+		t.Error("inside the view nobody is blind")
+	}
+}
