--- /dev/null
+++ b/internal/rental/rental_test.go
@@ -0,0 +1,248 @@
+package rental
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/queue"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/settings"
+)
+
+// office is a leader's rental with a cloud that answers as the test says.
+type office struct {
+	*Rental
+	t      *testing.T
+	leads  bool
+	epoch  uint64
+	listed []fleet.Listed
+	hires  []string
+	gone   []string // deleted
+	full   bool     // the cloud has no more machines
+	taken  []decide.Decision
+	quiet  map[string]time.Time
+}
+
+func newOffice(t *testing.T) *office {
+	o := &office{t: t, leads: true, epoch: 3, quiet: map[string]time.Time{}}
+	b := book.New(quota.Flat(map[string]quota.Team{"t": {Name: "t"}}), func(string) {})
+	b.Now = time.UnixMilli(1e12)
+	log := slog.New(slog.DiscardHandler)
+	cluster := settings.Cluster{Cloud: settings.Cloud{RPS: 20, ListLagS: 4}, Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}, State: settings.State{TxnOps: 16, WriteRPS: 100}}
+	not := func(string) bool { return false }
+	yes := func(int, int) bool { return true }
+	q := queue.New(b, queue.Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, WriteRPS: 100, Log: log, Busy: not, Allows: yes, Spare: func() bool { return true },
+		Ready: func(m *book.Machine) bool { return m.State == fleet.Up }, CanPlace: func(*book.Task, *book.Machine) bool { return true }, Commit: func([]decide.Decision) {}})
+	o.Rental = New(b, Env{Operator: settings.DefaultOperator(), Cluster: cluster, SliceLimit: 8192, Log: log, Chance: rand.New(rand.NewPCG(1, 1)), Queue: q,
+		Send: o.cloud, Leads: func() (bool, uint64) { return o.leads, o.epoch }, Wake: func() {}, Busy: not, Recorded: not, Allows: yes,
+		Spare: func() bool { return true }, Down: func() bool { return false }, Held: func() int { return 0 }, Commit: o.commit,
+		Gone: func(x *book.Task, _ jobs.TaskEventKind, _ time.Duration) decide.Decision {
+			return decide.Decision{Changes: decide.Become(x, jobs.Task{State: jobs.Pending, Try: x.Try})}
+		},
+		Moving: func(host string, e fleet.Event, _ string) []decide.Decision {
+			rec := o.Machines[host].Host
+			rec.State, _ = fleet.Next(rec.State, e)
+			return []decide.Decision{{Writes: nil, Done: func(bool) { o.machine(host, rec) }}}
+		},
+		InUse: func(m *book.Machine) bool { return m.State == fleet.Up && !o.GivenUp(m.Name) }, Heard: func(string) time.Time { return time.Time{} },
+		QuietSince: func(m *book.Machine) (time.Time, bool) { at, is := o.quiet[m.Name]; return at, is }, HasSession: not})
+	o.Since = b.Now.Add(-time.Hour)
+	return o
+}
+
+func (o *office) machine(host string, rec fleet.Host) {
+	if err := o.HostChanged(host, "n0", jobs.Encode(rec)); err != nil {
+		o.t.Error(err)
+	}
+}
+
+func (o *office) commit(ds []decide.Decision) {
+	o.taken = append(o.taken, ds...)
+	for _, d := range ds {
+		for _, w := range d.Writes {
+			if name, ok := strings.CutPrefix(w.Put, fleet.HostPrefix); ok {
+				_ = o.HostChanged(name, "n0", w.Value)
+			}
+			if strings.HasPrefix(w.Put, BuildPrefix) {
+				var b jobs.Build
+				_ = json.Unmarshal(w.Value, &b)
+				o.Builds[b.Name] = &b
+			}
+			if w.Put == SummaryKey {
+				_ = json.Unmarshal(w.Value, &o.Summary)
+			}
+		}
+		if d.Done != nil {
+			d.Done(true)
+		}
+	}
+}
+
+// cloud answers at once.
+func (o *office) cloud(method, target string, body []byte, _ time.Duration, done func(int, []byte, error)) {
+	switch {
+	case target == "/catalog":
+		done(200, []byte(`{"builds":[{"name":"g4","cores":32,"accelerators":4,"memory_gb":256,"cache_gb":100,"pull_gb_per_s":1,"hourly":10,"low_price":3,"ready_s":20,"sites":["a","b"]}]}`), nil)
+	case method == "GET":
+		done(200, jobs.Encode(map[string]any{"hosts": o.listed}), nil)
+	case target == "/hosts/delete":
+		var d struct{ Hosts []string }
+		_ = json.Unmarshal(body, &d)
+		o.gone = append(o.gone, d.Hosts...)
+		done(200, []byte("{}"), nil)
+	default:
+		var a struct {
+			Hire  string
+			Count int
+		}
+		_ = json.Unmarshal(body, &a)
+		o.hires = append(o.hires, a.Hire)
+		if o.full {
+			done(503, []byte(`{"error":"no capacity"}`), nil)
+			return
+		}
+		var hosts []string
+		for i := range a.Count {
+			hosts = append(hosts, fmt.Sprintf("i-%s-%d", a.Hire, i))
+		}
+		done(200, jobs.Encode(map[string]any{"hosts": hosts}), nil)
+	}
+}
+
+func (o *office) run(seconds int) {
+	for range seconds * 5 {
+		o.Now = o.Now.Add(200 * time.Millisecond)
+		o.Queue.Release()
+		o.Pass()
+		o.Condemn()
+	}
+}
+
+func (o *office) job(uid string, pieces int) {
+	spec := jobs.Spec{UID: uid, Class: "c", Owner: "t", Shape: jobs.Sweep, Rank: "standard", Pieces: pieces, Cores: 2, Accel: 1, MemoryGB: 8, Bundle: "b", ExpectS: 60}
+	if err := o.JobChanged(uid, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: o.ms(), Spec: spec})); err != nil {
+		o.t.Fatal(err)
+	}
+}
+
+// What waits is rented for, under names that are never used twice; a new leader's
+// names differ, and what a leader asked that has lost the view is nobody's.
+func TestRents(t *testing.T) {
+	o := newOffice(t)
+	o.job("wk-1", 40)
+	o.run(15)
+	if len(o.hires) == 0 || len(o.Builds) != 1 {
+		t.Fatalf("rented %v", o.hires)
+	}
+	first := len(o.hires)
+	o.epoch = 4
+	o.Reset()
+	o.run(40)
+	seen := map[string]bool{}
+	for _, h := range o.hires {
+		if seen[h] {
+			t.Errorf("%s was used twice", h)
+		}
+		seen[h] = true
+	}
+	if len(o.hires) > first && !strings.HasPrefix(o.hires[first], "r-4-") {
+		t.Errorf("names after a change of leader: %v", o.hires[first:])
+	}
+}
+
+// What the cloud refuses is not asked for again at once, and not for ever.
+func TestRefused(t *testing.T) {
+	o := newOffice(t)
+	o.full = true
+	o.job("wk-1", 8)
+	o.run(12)
+	asked := len(o.hires)
+	if asked == 0 || asked > 4 {
+		t.Errorf("asked a full cloud %d times in a step", asked)
+	}
+	o.full = false
+	o.run(60)
+	if len(o.hires) == asked {
+		t.Error("never asked again")
+	}
+}
+
+// A machine that never comes up, one that stopped, one that is silent for long and
+// one without a record that holds tasks are deleted; healthy ones are not.
+func TestCondemns(t *testing.T) {
+	o := newOffice(t)
+	up := fleet.Host{State: fleet.Up, Build: "g4", Site: "a"}
+	for _, h := range []string{"i-1", "i-2", "i-3", "i-4", "i-5", "i-6"} {
+		o.machine(h, up)
+		o.listed = append(o.listed, fleet.Listed{UID: h, Build: "g4", Site: "a", Status: "running", AgeS: 500})
+	}
+	o.listed[1].Status = "failed"
+	o.listed = append(o.listed, fleet.Listed{UID: "i-7", Build: "g4", Site: "a", Status: "booting", AgeS: 5000})
+	o.quiet["i-3"] = o.Now.Add(-time.Hour)
+	spec := jobs.Spec{UID: "wk-9", Class: "c", Owner: "t", Shape: jobs.Sweep, Rank: "standard", Pieces: 1, Cores: 1, MemoryGB: 1, Bundle: "b"}
+	_ = o.JobChanged("wk-9", jobs.Encode(jobs.Record{State: jobs.Live, Spec: spec}))
+	_, _ = o.SliceChanged("task/wk-9/0", jobs.EncodeSlice([]jobs.Task{{State: jobs.Placed, Host: "i-99", Try: 1}}, 8192))
+	o.run(9)
+	got := map[string]bool{}
+	for _, h := range o.gone {
+		got[h] = true
+	}
+	for _, h := range []string{"i-2", "i-3", "i-7", "i-99"} {
+		if !got[h] {
+			t.Errorf("%s was not deleted: %v", h, o.gone)
+		}
+	}
+	for _, h := range []string{"i-1", "i-4", "i-5", "i-6"} {
+		if got[h] {
+			t.Errorf("%s was deleted", h)
+		}
+	}
+	freed := false
+	for _, d := range o.taken {
+		for _, c := range d.Changes {
+			freed = freed || c.Task.Piece == "wk-9/0"
+		}
+	}
+	if !freed {
+		t.Error("what was on a deleted machine was not freed")
+	}
+}
+
+// A controller that has lost the workers must not have all its machines deleted.
+func TestManySilent(t *testing.T) {
+	o := newOffice(t)
+	for i := range 20 {
+		h := fmt.Sprint("i-", i)
+		o.machine(h, fleet.Host{State: fleet.Up, Build: "g4", Site: []string{"a", "b"}[i%2]})
+		o.listed = append(o.listed, fleet.Listed{UID: h, Build: "g4", Site: []string{"a", "b"}[i%2], Status: "running", AgeS: 500})
+		if i < 18 {
+			o.quiet[h] = o.Now.Add(-20 * time.Second)
+		}
+	}
+	o.run(9)
+	if len(o.gone) > 0 {
+		t.Errorf("deleted %v", o.gone)
+	}
+}
+
+// The summary fits into a value whatever it holds.
+func TestSummaryFits(t *testing.T) {
+	o := newOffice(t)
+	sum := Summary{Drain: fleet.Draining{}}
+	for i := range 2000 {
+		sum.Asked = append(sum.Asked, asked{Hire: fmt.Sprint("r-", i), Build: "g4", Hosts: []string{"i-000001", "i-000002"}})
+		sum.Drain[fmt.Sprintf("i-%06d", i)] = i % 4
+	}
+	if w := o.summaryWrite(sum); len(w.Value) > o.SliceLimit {
+		t.Errorf("%d bytes", len(w.Value))
+	}
+}
