--- a/internal/gangs/gangs.go
+++ b/internal/gangs/gangs.go
@@ -3,7 +3,12 @@
 package gangs
 
 import (
+	"maps"
+	"sort"
+
+	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/parts"
 )
 
 // Phase is where a gang stands as a whole.
@@ -58,3 +63,97 @@
 	}
 	return top + 1
 }
+
+// Fit finds a machine for each of a gang's tasks, in one part if one holds it, else
+// across parts. pick chooses a candidate for a task, by its index, or gives -1; it
+// is handed copies that it may not keep. hosts is nil where the gang does not fit;
+// whole tells that all machines are of one part, room that by count alone it would
+// fit somewhere.
+func Fit(spec *jobs.Spec, cands []parts.Candidate, zones map[string]int, pick func(task int, cands []parts.Candidate, zones map[string]int) int) (hosts []string, whole, room bool) {
+	order := groupsOf(spec, cands, zones)
+	for _, g := range order {
+		var some []parts.Candidate
+		for _, c := range cands {
+			if (g.site == "" || c.Site == g.site) && (g.part == "" || c.Part == g.part) {
+				some = append(some, c)
+			}
+		}
+		if hosts := fitInto(spec, some, maps.Clone(zones), pick); hosts != nil {
+			return hosts, g.part != "", true
+		}
+	}
+	return nil, false, len(order) > 0
+}
+
+// group is where a gang may go together: a part or all of them (""), in one zone or
+// in any ("").
+type group struct{ site, part string }
+
+// groupsOf lists the groups that hold a gang, in the order in which they are tried:
+// inside a part first, then by images, then the tightest.
+func groupsOf(spec *jobs.Spec, cands []parts.Candidate, zones map[string]int) []group {
+	type holding struct{ places, cached int }
+	groups := map[group]*holding{}
+	add := func(g group, c *parts.Candidate) {
+		h := groups[g]
+		if h == nil {
+			h = &holding{}
+			groups[g] = h
+		}
+		k := c.Free.Times(spec.Need())
+		h.places += k
+		if c.Cached {
+			h.cached += k
+		}
+	}
+	for i := range cands {
+		c := &cands[i]
+		if !book.ZoneAllowed(spec, zones, c.Site) {
+			continue
+		}
+		site := ""
+		if spec.SamePlace {
+			site = c.Site
+		}
+		add(group{site, c.Part}, c)
+		add(group{site, ""}, c)
+	}
+	var order []group
+	for g, h := range groups {
+		if h.places >= spec.Pieces {
+			order = append(order, g)
+		}
+	}
+	sort.Slice(order, func(a, b int) bool {
+		x, y := order[a], order[b]
+		switch cx, cy := min(groups[x].cached, spec.Pieces), min(groups[y].cached, spec.Pieces); {
+		case (x.part != "") != (y.part != ""):
+			return x.part != ""
+		case cx != cy:
+			return cx > cy
+		case groups[x].places != groups[y].places:
+			return groups[x].places < groups[y].places
+		case x.site != y.site:
+			return x.site < y.site
+		}
+		return x.part < y.part
+	})
+	return order
+}
+
+// fitInto finds a machine for every task of a gang among the candidates.
+func fitInto(spec *jobs.Spec, cands []parts.Candidate, zones map[string]int, pick func(task int, cands []parts.Candidate, zones map[string]int) int) []string {
+	out := make([]string, spec.Pieces)
+	for i := range out {
+		k := pick(i, cands, zones)
+		if k < 0 {
+			return nil
+		}
+		c := &cands[k]
+		out[i] = c.Host
+		c.Free = c.Free.Sub(spec.Need())
+		c.Load = c.Whole.Sub(c.Free).Share(c.Whole)
+		zones[c.Site]++
+	}
+	return out
+}
--- a/internal/gangs/gangs_test.go
+++ b/internal/gangs/gangs_test.go
@@ -1,9 +1,12 @@
 package gangs
 
 import (
+	"strings"
 	"testing"
 
+	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/parts"
 )
 
 func TestPhaseOf(t *testing.T) {
@@ -29,3 +32,42 @@
 		t.Error("the next try is above all")
 	}
 }
+
+func TestFit(t *testing.T) {
+	whole := parts.Room{Cores: 32, Accelerators: 4, MemoryGB: 256}
+	cand := func(host, site, part string, free float64, cached bool) parts.Candidate {
+		return parts.Candidate{Host: host, Site: site, Part: part, Whole: whole, Free: parts.Room{Cores: 32, Accelerators: free, MemoryGB: 256}, Cached: cached}
+	}
+	spec := &jobs.Spec{Shape: jobs.Ensemble, Pieces: 4, Cores: 1, Accel: 1, MemoryGB: 1}
+	fit := func(change func(*jobs.Spec), cands ...parts.Candidate) (string, bool, bool) {
+		s := *spec
+		if change != nil {
+			change(&s)
+		}
+		hosts, whole, room := Fit(&s, cands, map[string]int{}, func(_ int, cands []parts.Candidate, zones map[string]int) int {
+			return parts.PickIf(s.Need(), false, cands, func(c *parts.Candidate) bool { return book.ZoneAllowed(&s, zones, c.Site) })
+		})
+		return strings.Join(hosts, " "), whole, room
+	}
+	same := func(s *jobs.Spec) { s.SamePlace = true }
+	for name, c := range map[string]struct {
+		change func(*jobs.Spec)
+		cands  []parts.Candidate
+		hosts  string
+		whole  bool
+		room   bool
+	}{
+		"in one part":      {nil, []parts.Candidate{cand("i-1", "a", "n0", 3, false), cand("i-2", "b", "n1", 4, false)}, "i-2 i-2 i-2 i-2", true, true},
+		"across parts":     {nil, []parts.Candidate{cand("i-1", "a", "n0", 3, false), cand("i-2", "b", "n1", 1, false)}, "i-1 i-1 i-1 i-2", false, true},
+		"images first":     {nil, []parts.Candidate{cand("i-1", "a", "n0", 4, false), cand("i-2", "b", "n1", 4, true)}, "i-2 i-2 i-2 i-2", true, true},
+		"the tightest":     {nil, []parts.Candidate{cand("i-1", "a", "n0", 8, false), cand("i-2", "b", "n1", 4, false)}, "i-2 i-2 i-2 i-2", true, true},
+		"in one zone":      {same, []parts.Candidate{cand("i-1", "a", "n0", 3, false), cand("i-2", "b", "n0", 3, false), cand("i-3", "b", "n1", 1, false)}, "i-2 i-2 i-2 i-3", false, true},
+		"no zone holds it": {same, []parts.Candidate{cand("i-1", "a", "n0", 3, false), cand("i-2", "b", "n0", 3, false)}, "", false, false},
+		"too little":       {nil, []parts.Candidate{cand("i-1", "a", "n0", 3, false)}, "", false, false},
+	} {
+		hosts, whole, room := fit(c.change, c.cands...)
+		if hosts != c.hosts || whole != c.whole || room != c.room {
+			t.Errorf("%s: %q %v %v", name, hosts, whole, room)
+		}
+	}
+}
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"sort"
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
@@ -151,9 +150,8 @@
 	return one, true
 }
 
-// fitGang finds a machine for every task of a gang, in one part if one holds
-// it, else across parts; nil when it does not fit. whole tells that all the
-// machines are of one part.
+// fitGang finds a machine for every task of a gang, nil when it does not fit. whole
+// tells that all the machines are of one part.
 func (q *Queue) fitGang(all []*book.Task, p *pass) (offers []offer, whole bool) {
 	t := all[0]
 	spec := &t.Job.Rec.Spec
@@ -167,86 +165,14 @@
 		return nil, false
 	}
 	zones := q.Zones(t.Job)
-	type group struct{ site, part string }
-	type holding struct{ places, cached int }
-	groups := map[group]*holding{}
-	add := func(g group, c *parts.Candidate) {
-		h := groups[g]
-		if h == nil {
-			h = &holding{}
-			groups[g] = h
-		}
-		k := c.Free.Times(spec.Need())
-		h.places += k
-		if c.Cached {
-			h.cached += k
-		}
-	}
-	for i := range cands {
-		c := &cands[i]
-		if !book.ZoneAllowed(spec, zones, c.Site) {
-			continue
-		}
-		site := ""
-		if spec.SamePlace {
-			site = c.Site
-		}
-		add(group{site, c.Part}, c)
-		add(group{site, ""}, c)
-	}
-	var order []group
-	for g, h := range groups {
-		if h.places >= spec.Pieces {
-			order = append(order, g)
-		}
-	}
-	if len(order) == 0 && len(zones) == 0 {
+	hosts, whole, room := gangs.Fit(spec, cands, zones, func(i int, cands []parts.Candidate, zones map[string]int) int { return q.pickFor(all[i], cands, zones) })
+	if !room && len(zones) == 0 {
 		p.refuse(spec, spec.Pieces)
 	}
-	sort.Slice(order, func(a, b int) bool {
-		x, y := order[a], order[b]
-		switch cx, cy := min(groups[x].cached, spec.Pieces), min(groups[y].cached, spec.Pieces); {
-		case (x.part != "") != (y.part != ""):
-			return x.part != "" // inside a part first
-		case cx != cy:
-			return cx > cy
-		case groups[x].places != groups[y].places:
-			return groups[x].places < groups[y].places
-		case x.site != y.site:
-			return x.site < y.site
-		}
-		return x.part < y.part
-	})
-	for _, g := range order {
-		var some []parts.Candidate
-		for _, c := range cands {
-			if (g.site == "" || c.Site == g.site) && (g.part == "" || c.Part == g.part) {
-				some = append(some, c)
-			}
-		}
-		if offers := q.tryFit(all, some, maps.Clone(zones)); offers != nil {
-			return offers, g.part != ""
-		}
-	}
-	return nil, false
-}
-
-// tryFit finds a machine for every task of a gang among the candidates.
-func (q *Queue) tryFit(all []*book.Task, cands []parts.Candidate, zones map[string]int) []offer {
-	spec := &all[0].Job.Rec.Spec
-	out := make([]offer, len(all))
-	for i, t := range all {
-		k := q.pickFor(t, cands, zones)
-		if k < 0 {
-			return nil
-		}
-		c := &cands[k]
-		out[i] = offer{t, c.Host}
-		c.Free = c.Free.Sub(spec.Need())
-		c.Load = c.Whole.Sub(c.Free).Share(c.Whole)
-		zones[c.Site]++
+	for i, h := range hosts {
+		offers = append(offers, offer{all[i], h})
 	}
-	return out
+	return offers, whole
 }
 
 // claimGang places a gang larger than a part: its machines are claimed in the
--- a/internal/queue/preempt.go
+++ b/internal/queue/preempt.go
@@ -1,14 +1,12 @@
 package queue
 
 import (
-	"sort"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
-	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
-	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/preempt"
 	"github.com/harrierreel/harrierreel/internal/reclaim"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -64,7 +62,13 @@
 	}
 	p.searches++
 	var ds []decide.Decision
-	for _, v := range q.victims(w, p, onlyCached) {
+	entitled := -1
+	if w.Within {
+		entitled = w.Entitled
+	}
+	victims := preempt.Victims(q.Book, preempt.Search{Task: w.Task, Rank: w.Rank, Entitled: entitled, Account: p.account, Zones: q.Zones(w.Task.Job), OnlyCached: onlyCached,
+		Open: func(m *book.Machine) bool { return q.offers(w.Task, m) }, Busy: q.Busy, Stopping: p.stopping})
+	for _, v := range victims {
 		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.Task.Piece}); ok {
 			ds = append(ds, decide.Decision{Changes: decide.Become(v, next)})
 			p.stopping[v] = true
@@ -106,81 +110,6 @@
 	return true
 }
 
-// yields tells whether a running task has to make way for a waiting one.
-func (q *Queue) yields(w *Waiting, t *book.Task, account *quota.Account) bool {
-	spec := &t.Job.Rec.Spec
-	if spec.RankOrder() > w.Rank {
-		return true
-	}
-	return w.Within && spec.Shape != jobs.Standing && account.Yields(w.Entitled, q.Leaf(spec), spec.Amount())
-}
-
-// victims finds the machine where stopping the fewest tasks makes room, one
-// with the image if there is any.
-func (q *Queue) victims(w *Waiting, p *pass, onlyCached bool) []*book.Task {
-	spec := &w.Task.Job.Rec.Spec
-	zones := q.Zones(w.Task.Job)
-	var best []*book.Task
-	cached := false
-	for _, m := range q.ByName() {
-		h := m.Name
-		if m.State != fleet.Up || !q.offers(w.Task, m) || !book.ZoneAllowed(spec, zones, m.Site) {
-			continue
-		}
-		has := q.Cached(h, spec.Bundle)
-		if onlyCached && !has || cached && !has {
-			continue
-		}
-		whole := q.Builds[m.Build].Whole()
-		if !whole.Fits(spec.Need()) {
-			continue
-		}
-		free := whole.Sub(m.Use.Room)
-		var lower []*book.Task
-		for _, t := range q.OnHost[h] {
-			if t.Job.Rec == nil || q.Busy(t.Slice.Key) || p.stopping[t] {
-				continue
-			}
-			if t.State == jobs.Stopping {
-				free = free.Add(t.Job.Rec.Spec.Need()) // already on its way out
-				continue
-			}
-			if !q.yields(w, t, p.account) {
-				continue
-			}
-			if gang := &t.Job.Rec.Spec; gang.Shape == jobs.Ensemble && gang.Pieces > 1 {
-				continue
-			}
-			lower = append(lower, t)
-		}
-		if free.Fits(spec.Need()) {
-			return nil // room is coming already
-		}
-		if len(lower) == 0 {
-			continue
-		}
-		// The youngest have the least to lose.
-		sort.Slice(lower, func(a, b int) bool {
-			if !lower[a].Since.Equal(lower[b].Since) {
-				return lower[a].Since.After(lower[b].Since)
-			}
-			return lower[a].Piece < lower[b].Piece
-		})
-		var chosen []*book.Task
-		for _, t := range lower {
-			if free.Fits(spec.Need()) {
-				break
-			}
-			free = free.Add(t.Job.Rec.Spec.Need())
-			chosen = append(chosen, t)
-		}
-		if free.Fits(spec.Need()) && len(chosen) > 0 && (best == nil || (has && !cached) || (has == cached && len(chosen) < len(best))) {
-			best, cached = chosen, has
-		}
-	}
-	return best
-}
-
 // giveBack stops what others borrowed, where that alone keeps a job out of what it is
 // guaranteed: in a tree the limit that it meets may be one that it shares.
 func (q *Queue) giveBack(j *book.Job, p *pass) {
--- a/internal/reclaim/reclaim_test.go
+++ b/internal/reclaim/reclaim_test.go
@@ -168,3 +168,47 @@
 		}
 	})
 }
+
+// TestGuaranteesAreReached draws what runs under a full organisation: whoever is within
+// a guarantee and kept out by a limit alone gets in by what For stops, nobody falls
+// below his own guarantee for it, and gangs and services are left alone.
+func TestGuaranteesAreReached(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := float64(rapid.IntRange(4, 12).Draw(t, "limit"))
+		b := book.New(tree(t, limit), func(string) {})
+		fixed := 0
+		for i := range rapid.IntRange(1, 14).Draw(t, "jobs") {
+			owner := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "owner")
+			shape := rapid.SampledFrom([]string{jobs.Sweep, jobs.Sweep, jobs.Standing}).Draw(t, "shape")
+			spec := jobs.Spec{Owner: owner, Class: "x", Accel: 1}
+			if !b.Account.Allows(b.Leaf(&spec), gpus(1), 1) {
+				break
+			}
+			runs(b, fmt.Sprintf("wk-%d", i), owner, shape, "standard", placed(1), int64(i))
+			if shape == jobs.Standing {
+				fixed++
+			}
+		}
+		for _, owner := range []string{"a", "b"} {
+			spec := &jobs.Spec{Owner: owner, Class: "x", Accel: 1}
+			entitled := b.Account.Entitled(b.Leaf(spec), gpus(1), 1)
+			if entitled < 0 || b.Account.Allows(b.Leaf(spec), gpus(1), 1) {
+				continue
+			}
+			after := b.Account.Clone()
+			stops := For(b, b.Account, entitled, spec, 1)
+			for _, s := range stops {
+				if s.Task.Job.Rec.Spec.Shape == jobs.Standing {
+					t.Fatal("a service was stopped")
+				}
+				after.Charge(s.Task.Job.Rec.Spec.Key(), gpus(1), -1)
+			}
+			if fixed == 0 && len(stops) != 1 {
+				t.Fatalf("%d stopped for one place", len(stops))
+			}
+			if len(stops) > 0 && (!after.Allows(b.Leaf(spec), gpus(1), 1) || after.UsedByTeam("a").Accelerators < 2e6 && owner == "b" || after.UsedByTeam("b").Accelerators < 2e6 && owner == "a") {
+				t.Fatal("not enough, or too much")
+			}
+		}
+	})
+}
