--- a/internal/quota/document.go
+++ b/internal/quota/document.go
@@ -294,15 +294,21 @@
 		if n.Lend {
 			v.Lent = bounds(lent)
 		}
-		if over := c.Excess(i); over != (Amount{}) {
-			v.Why = "over its limit by " + over.String()
-		}
 		out = append(out, v)
 		sum := waiting[i]
 		for _, k := range n.children {
 			sum += visit(k)
 		}
 		out[at].Waiting = sum
+		over, top := c.Excess(i), n.top()
+		switch {
+		case over != (Amount{}):
+			out[at].Why = "over its limit by " + over.String()
+		case sum > 0 && (top.Cores > 0 && c.used[i].Cores == top.Cores || top.Accelerators > 0 && c.used[i].Accelerators == top.Accelerators || top.MemoryGB > 0 && c.used[i].MemoryGB == top.MemoryGB):
+			out[at].Why = "at its limit"
+		case sum > 0 && n.Guaranteed != (Amount{}) && c.used[i].inside(n.Guaranteed):
+			out[at].Why = "within its guarantee, waits for room"
+		}
 		return sum
 	}
 	visit(0)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -243,6 +243,25 @@
 	}
 }
 
+// A guarantee smaller than one task entitles none, and keeps it from nothing; a task
+// that is larger than a limit above it can never run.
+func TestTooSmall(t *testing.T) {
+	tree, faults := Build(&Document{Organisations: []Org{{Name: "o", Limit: &Bounds{Accelerators: 3}, Teams: []OfTeam{{Name: "a", Classes: []OfClass{{Name: "c", Guarantee: &Bounds{Accelerators: 0.5}}}}}}}},
+		map[string]Team{"a": {Name: "a", Max: gpus(8)}}, nil)
+	if len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	c := NewAccount(tree)
+	leaf := tree.Leaf(Key{"a", "c"})
+	if c.Within(leaf, gpus(1), 1) || !c.Allows(leaf, gpus(1), 1) || !tree.Ever(leaf, gpus(3), 1) || tree.Ever(leaf, gpus(4), 1) {
+		t.Error("half a guarantee, or a limit above the team")
+	}
+	c.Charge(Key{"a", "c"}, gpus(1), 3)
+	if v := c.Show(map[int]int{leaf: 2}); v[1].Path != "o" || v[1].Why != "at its limit" || v[0].Waiting != 2 {
+		t.Errorf("%+v", v)
+	}
+}
+
 // fill gives out spare places one by one, each to the side that Compare puts first.
 func fill(c *Account, keys []Key, places int) map[Key]int {
 	got := map[Key]int{}
