--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -127,6 +128,10 @@
 	}
 }
 
+// Sorted lists a map's keys in order: what a look decides must not hang on the order
+// that a map happens to have.
+func Sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 // Leaf is the node of the quotas' tree that a job's tasks are charged to.
 func (b *Book) Leaf(s *jobs.Spec) int { return b.Account.Tree().Leaf(s.Key()) }
 
--- a/internal/book/book_test.go
+++ b/internal/book/book_test.go
@@ -1,7 +1,6 @@
 package book
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"slices"
@@ -13,15 +12,10 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/seeded"
 )
 
-// TestMain seeds the properties' chance: every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261201")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m)) }
 
 var tree = quota.Flat(map[string]quota.Team{"t": {Name: "t"}})
 
--- a/internal/cli/quota.go
+++ b/internal/cli/quota.go
@@ -26,30 +26,30 @@
 	return c
 }
 
-// tree asks for the tree in force.
-func (a *app) tree(c *client.Client) (*quota.ShownTree, error) {
+// tree asks for the tree in force; the client is for what follows from it.
+func (a *app) tree() (*client.Client, *quota.ShownTree, error) {
+	c, err := a.client()
+	if err != nil {
+		return nil, nil, err
+	}
 	ans, err := c.Call("GET", quotaPath, nil)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	if ans.Status != 200 {
-		return nil, refused("quota", ans)
+		return nil, nil, refused("quota", ans)
 	}
 	var t quota.ShownTree
 	if err := json.Unmarshal(ans.Body, &t); err != nil {
-		return nil, usage("quota: %s gave an answer that can't be read: %v", ans.Server, err)
+		return nil, nil, usage("quota: %s gave an answer that can't be read: %v", ans.Server, err)
 	}
-	return &t, nil
+	return c, &t, nil
 }
 
 func (a *app) quotaShow() *cobra.Command {
 	return a.online(&cobra.Command{Use: "show", Short: "Show the tree with what is used, guaranteed, borrowed, lent and waiting", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			c, err := a.client()
-			if err != nil {
-				return err
-			}
-			t, err := a.tree(c)
+			_, t, err := a.tree()
 			if err != nil {
 				return err
 			}
@@ -98,11 +98,7 @@
 			if err != nil {
 				return err
 			}
-			c, err := a.client()
-			if err != nil {
-				return err
-			}
-			t, err := a.tree(c)
+			c, t, err := a.tree()
 			if err != nil {
 				return err
 			}
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -329,3 +329,6 @@
 	d := tuning.Backoff << min(fails, 10)
 	return min(d, tuning.BackoffMax)
 }
+
+// Seconds is a duration of so many of them, as settings and records give it.
+func Seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/fleet"
@@ -64,7 +65,7 @@
 // closeJobs ends jobs whose tasks are done and clears the records of closed
 // ones.
 func (n *Node) closeJobs() {
-	for _, uid := range sorted(n.Complete) {
+	for _, uid := range book.Sorted(n.Complete) {
 		j := n.Complete[uid]
 		if n.lead.closing[uid] || n.busy[jobs.JobPrefix+uid] {
 			continue
@@ -82,7 +83,7 @@
 	}
 	// Clearing is in no hurry and must not hold up decisions that are.
 	var ds []decide.Decision
-	for _, uid := range sorted(n.Closed) {
+	for _, uid := range book.Sorted(n.Closed) {
 		if len(ds) >= n.set.Cluster.State.TxnOps || !n.client.Spare() {
 			break
 		}
@@ -94,7 +95,7 @@
 // takeBack withdraws tasks that their part did not place.
 func (n *Node) takeBack() {
 	var ds []decide.Decision
-	for _, piece := range sorted(n.Released) {
+	for _, piece := range book.Sorted(n.Released) {
 		t := n.Released[piece]
 		gone := n.view.Inc(t.Part) == 0
 		if !gone && n.Now.Sub(t.Since) < tuning.ReleaseStale {
@@ -134,8 +135,8 @@
 	n.lead.movedAt = n.Now
 	most := max(1, int(tuning.MovesShare*float64(len(n.Machines))))
 	var ds []decide.Decision
-	for _, h := range sorted(n.rental.Summary.Drain) {
-		for _, piece := range sorted(n.OnHost[h]) {
+	for _, h := range book.Sorted(n.rental.Summary.Drain) {
+		for _, piece := range book.Sorted(n.OnHost[h]) {
 			t := n.OnHost[h][piece]
 			if t.Job.Rec == nil || t.State != jobs.Placed || !t.Ran && n.owner(h) == n.set.NodeName || t.Job.Rec.Spec.Shape != jobs.Standing ||
 				n.Now.Sub(t.Since) < tuning.MoveAfter || len(ds) >= most {
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -12,7 +12,7 @@
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
-func (n *Node) memberTTL() time.Duration { return seconds(n.set.Operator.MemberTTLS) }
+func (n *Node) memberTTL() time.Duration { return jobs.Seconds(n.set.Operator.MemberTTLS) }
 
 // budget sets this node's share of the state service's limits, which the live
 // members divide among them: what a silent one leaves is there for the others.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,9 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
@@ -341,12 +339,6 @@
 	}
 }
 
-// sorted lists a map's keys in order: what a pass does must not hang on the
-// order that a map happens to have.
-func sorted[V any](m map[string]V) []string {
-	return slices.Sorted(maps.Keys(m))
-}
-
 func hasPrefix(s, p string) bool { return len(s) > len(p) && s[:len(p)] == p }
 
 // able tells whether this node may decide for users.
@@ -384,5 +376,3 @@
 }
 
 func (n *Node) ms() int64 { return n.Now.UnixMilli() }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -92,7 +93,7 @@
 // may take only a share of the state service's requests.
 func (n *Node) followGap() time.Duration {
 	rate := n.set.Cluster.State.RPS * tuning.FollowShare / float64(max(n.set.Cluster.Size, 1))
-	return max(tuning.FollowGap, seconds(1/max(rate, 1)))
+	return max(tuning.FollowGap, jobs.Seconds(1/max(rate, 1)))
 }
 
 // followNow opens the watch unless it is open.
@@ -155,7 +156,7 @@
 	for _, k := range n.front.Conds() {
 		b.Conds[k] = true
 	}
-	for _, k := range sorted(b.Conds) {
+	for _, k := range book.Sorted(b.Conds) {
 		t.If = append(t.If, store.Cond{Key: k, Stamp: n.mirror.Stamp(k)})
 	}
 	for _, w := range t.Writes {
@@ -209,7 +210,7 @@
 		n.finish(writes, batch, false)
 		return
 	}
-	for _, k := range sorted(keys) {
+	for _, k := range book.Sorted(keys) {
 		n.client.Get(store.Urgent, k, nil, func(it *store.Item, err error) {
 			if err == nil && it != nil {
 				n.mirror.Put(it.Key, json.RawMessage(it.Value), it.Stamp)
--- a/internal/part/command.go
+++ b/internal/part/command.go
@@ -83,7 +83,7 @@
 	if s == nil || s.State != workers.Known || s.Warning != nil {
 		return false
 	}
-	if pt.Now.Sub(s.LastReport) > seconds(pt.Cluster.Workers.ReportS*tuning.FreshReports) {
+	if pt.Now.Sub(s.LastReport) > jobs.Seconds(pt.Cluster.Workers.ReportS*tuning.FreshReports) {
 		return false
 	}
 	return pt.takes(t, m) && (m.Claim == "" || m.Claim == t.Job.UID)
--- a/internal/part/health.go
+++ b/internal/part/health.go
@@ -6,6 +6,7 @@
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/workers"
@@ -28,7 +29,7 @@
 	quiet := pt.Now.Sub(s.LastReport)
 	report := pt.Cluster.Workers.ReportS
 	switch {
-	case quiet > seconds(report*tuning.SilentReports) || s.CallFails >= tuning.SilentCalls && quiet > seconds(report*tuning.ReportLate):
+	case quiet > jobs.Seconds(report*tuning.SilentReports) || s.CallFails >= tuning.SilentCalls && quiet > jobs.Seconds(report*tuning.ReportLate):
 		unheard[s.Host] = true
 	case s.State != workers.Known:
 	case s.Warning != nil && m.State != fleet.Warned:
@@ -52,7 +53,7 @@
 	if same || pt.Busy(key) {
 		return nil
 	}
-	hosts := sorted(unheard)
+	hosts := book.Sorted(unheard)
 	w := decide.Put(key, hosts)
 	for len(w.Value) > pt.SliceLimit {
 		hosts = hosts[:len(hosts)*9/10] // those that fit; the rest follow as these end
@@ -87,5 +88,5 @@
 // asked directly: where reports are seldom, waiting for the next would leave
 // its tasks dead for long.
 func (pt *Part) overdue(s *workers.Session) bool {
-	return pt.Now.Sub(s.LastReport) > seconds(pt.Cluster.Workers.ReportS*tuning.ReportLate)
+	return pt.Now.Sub(s.LastReport) > jobs.Seconds(pt.Cluster.Workers.ReportS*tuning.ReportLate)
 }
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -7,8 +7,6 @@
 import (
 	"encoding/json"
 	"log/slog"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
@@ -127,9 +125,3 @@
 }
 
 func (pt *Part) ms() int64 { return pt.Now.UnixMilli() }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// sorted lists a map's keys in order: what a pass does must not hang on the order
-// that a map happens to have.
-func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -113,7 +113,7 @@
 // review compares a machine's records with its reports.
 func (pt *Part) review(s *workers.Session) reviewed {
 	var out reviewed
-	for _, piece := range sorted(pt.OnHost[s.Host]) {
+	for _, piece := range book.Sorted(pt.OnHost[s.Host]) {
 		t := pt.OnHost[s.Host][piece]
 		if pt.Busy(t.Slice.Key) {
 			continue // its end is touched again
@@ -148,7 +148,7 @@
 	if s.State != workers.Known {
 		return out
 	}
-	for _, piece := range sorted(s.Pieces) {
+	for _, piece := range book.Sorted(s.Pieces) {
 		p, t := s.Pieces[piece], pt.OnHost[s.Host][piece]
 		if t != nil && t.Try == p.Try || pt.writing(piece) {
 			continue // recorded here, or its record is being written
@@ -299,7 +299,7 @@
 	if sweep {
 		pt.lastSweep = pt.Now
 		unheard := map[string]bool{}
-		for _, host := range sorted(pt.sessions) {
+		for _, host := range book.Sorted(pt.sessions) {
 			s := pt.sessions[host]
 			ds = append(ds, pt.watchHealth(s, unheard)...)
 			if s.State != workers.Known || s.Warning != nil || pt.overdue(s) {
@@ -318,7 +318,7 @@
 	if !gather {
 		pt.lastEnds = pt.Now
 	}
-	for _, host := range sorted(pt.touched) {
+	for _, host := range book.Sorted(pt.touched) {
 		s := pt.sessions[host]
 		if m := pt.Machines[host]; s == nil && m != nil && m.Owner == pt.Me && m.State != fleet.Deleted {
 			pt.keepSession(m)
--- a/internal/pipelines/keeper_test.go
+++ b/internal/pipelines/keeper_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
 	"maps"
 	"os"
@@ -14,20 +13,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/seeded"
 )
 
-// TestMain seeds the properties' chance, so that every run has the same verdict;
-// -rapid.seed tries others.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	given := false
-	flag.Visit(func(f *flag.Flag) { given = given || f.Name == "rapid.seed" })
-	if !given {
-		_ = flag.Set("rapid.seed", "20261201")
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m)) }
 
 const step = `"cores":1,"memory_gb":1,"bundle":"b"`
 
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -257,7 +257,7 @@
 func (q *Queue) claim(hosts map[string]bool, uid string, done func(bool)) {
 	var ds []decide.Decision
 	left, good := 0, true
-	for _, h := range sorted(hosts) {
+	for _, h := range book.Sorted(hosts) {
 		m := q.Machines[h]
 		if m == nil || m.Claim == uid {
 			continue
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -292,7 +292,7 @@
 		byPart[part] = append(byPart[part], o.host)
 	}
 	slices.SortFunc(fresh, func(a, b *book.Task) int { return a.N - b.N })
-	for _, part := range sorted(byPart) {
+	for _, part := range book.Sorted(byPart) {
 		hosts := byPart[part]
 		for len(hosts) > 0 {
 			k := q.run(fresh, len(hosts))
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -6,8 +6,6 @@
 
 import (
 	"log/slog"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
@@ -85,7 +83,3 @@
 func (q *Queue) Claiming(uid string) bool { return q.claiming[uid] }
 
 func (q *Queue) ms() int64 { return q.Now.UnixMilli() }
-
-// sorted lists a map's keys in order: what a look does must not hang on the order
-// that a map happens to have.
-func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/queue/room.go
+++ b/internal/queue/room.go
@@ -61,7 +61,7 @@
 			cached[cands[i].Part] += k
 		}
 	}
-	order := sorted(room)
+	order := book.Sorted(room)
 	score := func(part string) int { return min(room[part], tasks) + min(cached[part], tasks) }
 	sort.SliceStable(order, func(a, b int) bool { return score(order[a]) > score(order[b]) })
 	use := map[string]bool{}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"flag"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -10,15 +9,11 @@
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"github.com/harrierreel/harrierreel/internal/seeded"
 )
 
-// TestMain seeds the properties' chance: every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261201")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m)) }
 
 func gpus(n float64) Amount { return Of(0, n, 0) }
 
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -28,12 +28,7 @@
 	}
 	tree := account.Tree()
 	all := candidates(b)
-	account = account.Clone()
-	for _, t := range all {
-		if t.State == jobs.Stopping {
-			account.Charge(t.Job.Rec.Spec.Key(), t.Job.Rec.Spec.Amount(), -1)
-		}
-	}
+	account = without(account, all)
 	var out []Stop
 	chosen := map[*book.Task]bool{}
 	for _, node := range over {
@@ -65,12 +60,7 @@
 func For(b *book.Book, account *quota.Account, entitled int, spec *jobs.Spec, count int) []Stop {
 	leaf := b.Leaf(spec)
 	all := candidates(b)
-	account = account.Clone()
-	for _, t := range all {
-		if t.State == jobs.Stopping {
-			account.Charge(t.Job.Rec.Spec.Key(), t.Job.Rec.Spec.Amount(), -1)
-		}
-	}
+	account = without(account, all)
 	var out []Stop
 	for _, t := range all {
 		full := account.FullAt(leaf, spec.Amount(), count)
@@ -92,6 +82,17 @@
 	return out
 }
 
+// without is a copy of an account without what is on its way out.
+func without(account *quota.Account, all []*book.Task) *quota.Account {
+	account = account.Clone()
+	for _, t := range all {
+		if t.State == jobs.Stopping {
+			account.Charge(t.Job.Rec.Spec.Key(), t.Job.Rec.Spec.Amount(), -1)
+		}
+	}
+	return account
+}
+
 // candidates lists the charged tasks of live jobs in the order in which they would
 // go: released ones, then the youngest.
 func candidates(b *book.Book) []*book.Task {
--- a/internal/reclaim/reclaim_test.go
+++ b/internal/reclaim/reclaim_test.go
@@ -1,7 +1,6 @@
 package reclaim
 
 import (
-	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -13,15 +12,10 @@
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/seeded"
 )
 
-// TestMain seeds the properties' chance: every run has the same verdict.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	_ = flag.Set("rapid.seed", "20261201")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m)) }
 
 func gpus(v float64) quota.Amount { return quota.Of(0, v, 0) }
 
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -122,7 +122,7 @@
 	if !c.listRun && (c.listAt.IsZero() || re.Now.Sub(c.listAt) > re.listEvery()) {
 		re.readList()
 	}
-	step := seconds(re.Operator.StepS)
+	step := jobs.Seconds(re.Operator.StepS)
 	if c.catalog != nil && !c.listAt.IsZero() && re.Now.Sub(c.stepAt) >= step && !re.Down() {
 		c.stepAt = re.Now
 		c.open = 0
@@ -180,7 +180,7 @@
 // may take only a share of the cloud's rate.
 func (re *Rental) listEvery() time.Duration {
 	pages := float64(1 + len(re.cloud.listed)/tuning.CloudPage)
-	return max(tuning.ListEvery, seconds(pages/(re.Cluster.Cloud.RPS*tuning.ListShare)))
+	return max(tuning.ListEvery, jobs.Seconds(pages/(re.Cluster.Cloud.RPS*tuning.ListShare)))
 }
 
 // readList reads the whole list, page by page.
--- a/internal/rental/condemn.go
+++ b/internal/rental/condemn.go
@@ -99,7 +99,7 @@
 // deleteGap is the pause between two delete requests, so that deletes share
 // requests where the cloud allows few.
 func (re *Rental) deleteGap() time.Duration {
-	return seconds(1 / (re.Cluster.Cloud.RPS * tuning.DeleteShare))
+	return jobs.Seconds(1 / (re.Cluster.Cloud.RPS * tuning.DeleteShare))
 }
 
 // removed is the decisions that free the tasks of a machine whose delete was
@@ -108,7 +108,7 @@
 func (re *Rental) removed(m *book.Machine) []decide.Decision {
 	var ds []decide.Decision
 	key := fleet.HostPrefix + m.Name
-	for _, piece := range sorted(re.OnHost[m.Name]) {
+	for _, piece := range book.Sorted(re.OnHost[m.Name]) {
 		d := re.Gone(re.OnHost[m.Name][piece], jobs.Gone, 0)
 		if len(d.Changes) > 0 {
 			d.Seen = append(d.Seen, key)
@@ -157,7 +157,7 @@
 		switch {
 		case l.Status == "failed":
 			why = "stopped on its own"
-		case m == nil && seconds(l.AgeS)+age > re.bootLimit(l.Build) && !re.HasSession(h):
+		case m == nil && jobs.Seconds(l.AgeS)+age > re.bootLimit(l.Build) && !re.HasSession(h):
 			why = "never came up"
 		}
 		switch {
@@ -175,7 +175,7 @@
 func (re *Rental) bootLimit(build string) time.Duration {
 	limit := tuning.BootSlackMin
 	if b := re.Builds[build]; b != nil {
-		limit = max(limit, seconds(b.ReadyS*tuning.BootSlack))
+		limit = max(limit, jobs.Seconds(b.ReadyS*tuning.BootSlack))
 	}
 	return limit
 }
@@ -216,9 +216,9 @@
 		return
 	}
 	many := quiet > 2 && float64(quiet) > tuning.SilentMost*float64(all)
-	lease := seconds(re.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
+	lease := jobs.Seconds(re.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
 	// A new leader first waits whether the workers come to it.
-	fresh := re.Now.Sub(re.Since) < seconds(re.Cluster.Workers.ReportS*tuning.SilentReports)
+	fresh := re.Now.Sub(re.Since) < jobs.Seconds(re.Cluster.Workers.ReportS*tuning.SilentReports)
 	for _, m := range re.ByName() {
 		h := m.Name
 		since, is := re.QuietSince(m)
@@ -257,7 +257,7 @@
 		}
 	}
 	var ds []decide.Decision
-	for _, h := range sorted(hosts) {
+	for _, h := range book.Sorted(hosts) {
 		for _, d := range re.Moving(h, fleet.Condemn, "holds a cancelled task") {
 			d.Urgent = true
 			ds = append(ds, d)
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -74,7 +74,7 @@
 		}
 	}
 	if found && cost > least*tuning.PatientPrice {
-		margin := seconds(re.cloud.catalog[best.Build].ReadyS+spec.ExpectS/2) + 2*seconds(re.Operator.StepS)
+		margin := jobs.Seconds(re.cloud.catalog[best.Build].ReadyS+spec.ExpectS/2) + 2*jobs.Seconds(re.Operator.StepS)
 		if re.Queue.StartBy(r, false)-re.ms() > margin.Milliseconds() {
 			return kind{}, false
 		}
@@ -86,7 +86,7 @@
 func (re *Rental) bootLate(build string) time.Duration {
 	late := tuning.BootSlackMin
 	if b := re.Builds[build]; b != nil {
-		late = max(late, seconds(b.ReadyS*tuning.BootLate))
+		late = max(late, jobs.Seconds(b.ReadyS*tuning.BootLate))
 	}
 	return late
 }
@@ -108,7 +108,7 @@
 	for h, l := range c.listed {
 		// An overdue one may never come; a replacement is rented before the
 		// queue suffers, and the late one is used or returned if it comes.
-		if re.Machines[h] == nil && (l.Status == "booting" || l.Status == "running") && seconds(l.AgeS)+age <= re.bootLate(l.Build) {
+		if re.Machines[h] == nil && (l.Status == "booting" || l.Status == "running") && jobs.Seconds(l.AgeS)+age <= re.bootLate(l.Build) {
 			k := kind{fleet.Group{Build: l.Build, Loaner: l.Loaner}, l.Site}
 			counts[k]++
 			booting[k]++
@@ -137,7 +137,7 @@
 
 // listSure is the time after which a machine must be in the cloud's list.
 func (re *Rental) listSure() time.Duration {
-	return seconds(2*re.Cluster.Cloud.ListLagS) + tuning.ListSlack
+	return jobs.Seconds(2*re.Cluster.Cloud.ListLagS) + tuning.ListSlack
 }
 
 // queuedFor is how many machines of a group the waiting tasks would fill that
@@ -176,7 +176,7 @@
 	// Booked room by group, and what is on each machine.
 	demand := map[fleet.Group]float64{}
 	var idle = map[fleet.Group][]fleet.Idle{}
-	for _, h := range sorted(re.Machines) {
+	for _, h := range book.Sorted(re.Machines) {
 		m := re.Machines[h]
 		b := re.Builds[m.Build]
 		if b == nil || !re.InUse(m) {
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -6,9 +6,7 @@
 
 import (
 	"log/slog"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
@@ -95,9 +93,3 @@
 }
 
 func (re *Rental) ms() int64 { return re.Now.UnixMilli() }
-
-func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// sorted lists a map's keys in order: what a pass does must not hang on the order
-// that a map happens to have.
-func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
