try has a tree of quotas; quota show calls borrowed only what is beyond a guarantee

Need: the tree is to be seen without settings of one's own; cores that nobody guarantees were shown as borrowed. Change: both.

--- a/internal/quota/document.go
+++ b/internal/quota/document.go
@@ -288,9 +288,9 @@
 		at := len(out)
 		lent := n.Guaranteed.less(c.used[i])
 		v := View{Path: c.tree.Path(i), Kind: n.Kind, Depth: n.depth, Used: bounds(c.used[i]), Guaranteed: bounds(n.Guaranteed), Limit: bounds(n.top()), Weight: n.Weight}
-		if n.Guaranteed != (Amount{}) {
-			v.Borrowed = bounds(c.used[i].less(n.Guaranteed))
-		}
+		// Only where there is a guarantee can anything be beyond it.
+		beyond := c.used[i].less(n.Guaranteed)
+		v.Borrowed = bounds(Amount{beyond.Cores * sign(n.Guaranteed.Cores), beyond.Accelerators * sign(n.Guaranteed.Accelerators), beyond.MemoryGB * sign(n.Guaranteed.MemoryGB)})
 		if n.Lend {
 			v.Lent = bounds(lent)
 		}
@@ -315,6 +315,9 @@
 	return out
 }
 
+// sign is 1 for an amount that is there, else 0.
+func sign(v int64) int64 { return min(max(v, 0), 1) }
+
 func bounds(a Amount) Bounds {
 	c, g, m := a.Float()
 	return Bounds{c, g, m}
--- a/internal/tryout/tryout.go
+++ b/internal/tryout/tryout.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/node"
+	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/standin"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -197,6 +198,13 @@
 	{Name: "storefront", Gpus: 4, GpusMax: 16},
 }
 
+// tree has two of the teams in an organisation.
+func tree() *quota.Document {
+	return &quota.Document{Organisations: []quota.Org{{Name: "kenya", Limit: &quota.Bounds{Accelerators: 32}, Teams: []quota.OfTeam{
+		{Name: "pricing", Classes: []quota.OfClass{{Name: "kisii-payouts", Guarantee: &quota.Bounds{Accelerators: 2}}}}, {Name: "storefront"},
+	}}}}
+}
+
 func (h *host) settings(state, cloud string) ([]*settings.Settings, error) {
 	var out []*settings.Settings
 	for i := range h.opt.Controllers {
@@ -210,7 +218,7 @@
 		}
 		s := &settings.Settings{NodeName: fmt.Sprintf("n%d", i), Zone: []string{"a", "b"}[i%2], Front: front, PeerListen: peer,
 			Outside: settings.Outside{Cloud: cloud, State: state}, Operator: settings.DefaultOperator()}
-		s.Operator.Pipelines = settings.DefaultPipelines()
+		s.Operator.Pipelines, s.Operator.Quotas = settings.DefaultPipelines(), tree()
 		s.Cluster = settings.Cluster{
 			Size: h.opt.Controllers, Zones: []string{"a", "b"}, Teams: teams,
 			Workers: settings.Workers{ReportS: h.w.ReportS, LeaseS: h.w.LeaseS, GangWaitS: h.w.GangWaitS, GangPeerS: h.w.GangPeerS, CancelS: h.w.CancelS},
