A controller that stands still twice asks for the epoch anew

Need: an answer to the question asked after the first standstill was taken for one asked after the second (a gap named in limits.md): such a leader could rent or delete by an old picture once. Change: an answer asked for before the last wake is dropped.

--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -72,9 +72,11 @@
 		return
 	}
 	n.asking = true
+	asked := n.Now
 	n.client.Epoch(store.Membership, func(epoch uint64, err error) {
 		n.asking = false
-		if err == nil {
+		// What was asked before a later standstill says nothing of it.
+		if err == nil && !asked.Before(n.wokeAt) {
 			n.certain = n.certain.Next(members.StandingEvent{Kind: members.EpochRead, Epoch: epoch})
 			n.followNow()
 		}
