--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,137 @@
+package front
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/wire"
+)
+
+// door is a front whose state service answers as the test says.
+type door struct {
+	*Front
+	able  bool
+	state func(method, target, body string) (int, string)
+	asked []string
+}
+
+func newDoor(t *testing.T, on bool) *door {
+	t.Helper()
+	d := &door{able: true, state: func(string, string, string) (int, string) { return 404, `{"epoch":7}` }}
+	set := &settings.Settings{NodeName: "n0", Operator: settings.DefaultOperator()}
+	set.Cluster = settings.Cluster{Size: 1, Teams: []settings.Team{{Name: "team", GpusMax: 4}}, State: settings.State{RPS: 100, WriteRPS: 100, ValueKB: 8, TxnOps: 16}}
+	if on {
+		set.Operator.Pipelines, set.Operator.Quotas = settings.DefaultPipelines(), &quota.Document{}
+	}
+	b := book.New(quota.Flat(set.TeamMap()), func(string) {})
+	b.Now = time.UnixMilli(1e12)
+	b.Builds["g4"] = &jobs.Build{Name: "g4", Cores: 8, Accel: 4, MemoryGB: 64, Sites: []string{"a"}}
+	client := store.New(func(method, target string, body []byte, _ time.Duration, done func(int, []byte, error)) {
+		d.asked = append(d.asked, method+" "+target)
+		status, answer := d.state(method, target, string(body))
+		done(status, []byte(answer), nil)
+	}, nil)
+	client.SetBudget(1000, 1000, 1000)
+	client.Pump(b.Now)
+	b.Now = b.Now.Add(time.Second)
+	client.Pump(b.Now)
+	yes := func() bool { return true }
+	no := func() bool { return false }
+	mirror := store.NewMirror(func(key string, value json.RawMessage, _ uint64) {
+		if id, ok := strings.CutPrefix(key, "run/"); ok {
+			d.RunChanged(id, value)
+		}
+		if uid, ok := strings.CutPrefix(key, jobs.JobPrefix); ok {
+			_ = b.JobChanged(uid, value)
+		}
+	})
+	mirror.Epoch = 7
+	d.Front = New(b, Env{Set: set, Client: client, Mirror: mirror, Log: slog.New(slog.DiscardHandler), Chance: rand.New(rand.NewPCG(1, 1)), Able: func() bool { return d.able }, Up: func() bool { return d.able },
+		Live: yes, Outside: no, Fencing: no, Members: func() []string { return []string{"n0"} }, Busy: func(string) bool { return false },
+		Commit: func([]decide.Decision) {}, Wake: func() {}, Follow: func() {}, Beat: func(_ []byte, respond func(wire.Reply)) { respond(wire.Reply{Status: 299}) }})
+	return d
+}
+
+func (d *door) ask(method, target, body string) wire.Reply {
+	var out wire.Reply
+	d.Now = d.Now.Add(time.Second)
+	d.Client.Pump(d.Now)
+	d.Request(&wire.Message{Method: method, Target: target, Body: []byte(body)}, func(r wire.Reply) { out = r })
+	return out
+}
+
+const pipeline = `{"id":"run-1","pipeline":{"name":"p","owner":"team","steps":[{"name":"a","cores":1,"memory_gb":1,"bundle":"b"}]}}`
+
+func TestRefusals(t *testing.T) {
+	for _, c := range []struct {
+		on, able             bool
+		method, target, body string
+		status               int
+		says                 string
+	}{
+		{false, true, "POST", "/pipelines", pipeline, 404, ""},
+		{false, true, "GET", "/quota", "", 404, ""},
+		{false, true, "POST", "/agent/beat", "", 299, ""},
+		{true, true, "GET", "/pipelines", "", 405, ""},
+		{true, true, "POST", "/pipelines", "nonsense", 400, "body"},
+		{true, true, "POST", "/pipelines", strings.Replace(pipeline, `"cores":1,`, `"cores":-1,"speed":2,`, 1), 400, `"path":"steps[0].speed"`},
+		{true, true, "POST", "/pipelines", strings.Replace(pipeline, `"cores":1`, `"cores":100`, 1), 422, `"path":"steps[0]"`},
+		{true, true, "POST", "/pipelines", strings.Replace(pipeline, `"owner":"team"`, `"owner":"nobody"`, 1), 422, "unknown team"},
+		{true, false, "POST", "/pipelines", pipeline, 503, ""},
+		{true, true, "GET", "/pipelines/run-9", "", 404, "no such run"},
+		{true, true, "POST", "/pipelines/run-9/abort", "", 404, ""},
+		{true, true, "GET", "/pipelines/RUN/explain", "", 404, ""},
+		{true, true, "GET", "/pipelines/run-9/nonsense", "", 404, ""},
+		{true, false, "POST", "/pipelines/run-9/abort", "", 503, ""},
+		{true, true, "POST", "/quota", `{"base":1,"quotas":{"teams":[{"name":"nobody"}]}}`, 400, "no team is called"},
+		{true, true, "POST", "/quota", `{"base":1,"quotas":{"speed":1}}`, 400, "speed"},
+		{true, true, "DELETE", "/work", "", 405, ""},
+		{true, true, "GET", "/up", "", 200, ""},
+		{true, false, "GET", "/up", "", 503, ""},
+		{true, true, "GET", "/nowhere", "", 404, ""},
+	} {
+		d := newDoor(t, c.on)
+		d.able = c.able
+		r := d.ask(c.method, c.target, c.body)
+		if r.Status != c.status || !strings.Contains(string(r.Body), c.says) || c.status == 503 && r.RetryAfter == 0 {
+			t.Errorf("%s %s able %v: %d %s", c.method, c.target, c.able, r.Status, r.Body)
+		}
+	}
+}
+
+// A run is accepted with the jobs of its first steps in one transaction; the same
+// again is 200, another under its id 409.
+func TestAcceptedOnce(t *testing.T) {
+	d := newDoor(t, true)
+	body := ""
+	d.state = func(method, _, sent string) (int, string) {
+		if method == "POST" {
+			body = sent
+			return 200, `{"epoch":8}`
+		}
+		return 404, `{"epoch":7}`
+	}
+	if r := d.ask("POST", "/pipelines", pipeline); r.Status != 201 || !strings.Contains(string(r.Body), `"status":"submitted"`) {
+		t.Fatalf("%d %s", r.Status, r.Body)
+	}
+	if strings.Count(body, `"write":`) != 2 || !strings.Contains(body, `"key":"ran/run-1"`) || !strings.Contains(body, `"key":"view"`) {
+		t.Error(body)
+	}
+	d.Mirror.Epoch = 8
+	if r := d.ask("POST", "/pipelines", pipeline); r.Status != 200 {
+		t.Errorf("again: %d %s", r.Status, r.Body)
+	}
+	if r := d.ask("POST", "/pipelines", strings.Replace(pipeline, `"cores":1`, `"cores":2`, 1)); r.Status != 409 {
+		t.Errorf("another: %d %s", r.Status, r.Body)
+	}
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -105,7 +105,7 @@
 		a Amount
 	}
 	var all []taken
-	for range 200_000 {
+	for range 1_000_000 {
 		if rng.IntN(2) == 0 && len(all) > 0 {
 			i := rng.IntN(len(all))
 			c.Charge(all[i].k, all[i].a, -1)
