The way of a leaf is worked out once a look; what lies within a guarantee is derived

Need: the order by shares walked the tree for every comparison, and Waiting held what follows from another of its fields. Change: Account.Way once for each leaf and look; Waiting.within.

--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -108,7 +108,7 @@
 func classes(n *Node, waiting, leaves int, tree bool) {
 	d := &quota.Document{Teams: []quota.OfTeam{{Name: "team"}}}
 	for i := range leaves {
-		d.Teams[0].Classes = append(d.Teams[0].Classes, quota.OfClass{Name: fmt.Sprint("c", i), Limit: &quota.Bounds{Cores: 40}, Guarantee: &quota.Bounds{Cores: 1}})
+		d.Teams[0].Classes = append(d.Teams[0].Classes, quota.OfClass{Name: fmt.Sprint("c", i), Limit: &quota.Bounds{Cores: 40}, Guarantee: &quota.Bounds{Cores: float64(i % 2)}})
 	}
 	if tree {
 		t, faults := quota.Build(d, n.set.TeamMap(), nil)
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -66,7 +66,7 @@
 		return
 	}
 	if offers == nil {
-		q.Waiting = append(q.Waiting, &Waiting{Task: all[0], Count: spec.Pieces, Rank: spec.RankOrder(), Within: entitled >= 0, Entitled: entitled})
+		q.Waiting = append(q.Waiting, &Waiting{Task: all[0], Count: spec.Pieces, Rank: spec.RankOrder(), Entitled: entitled})
 		q.holdFor(all[0].Anywhere(), min(spec.Pieces, tuning.HoldEach), q.Zones(j), p)
 		return
 	}
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -12,25 +12,28 @@
 // order lists the live jobs that wait: by rank, then what lies within a
 // guarantee, then by the time by which they must start to meet their aim.
 func (q *Queue) order(account *quota.Account) []*book.Job {
-	a := account
 	type entry struct {
 		j     *book.Job
 		rank  int
-		turn  int // 0: within its team's guarantee
-		leaf  int
+		turn  int       // 0: within its team's guarantee
+		way   []float64 // of its leaf, for what lies beyond that
 		late  bool
 		room  float64
 		start int64
 	}
 	late := func(r *jobs.Record, start int64) bool { return start >= r.AtMs+tuning.QueueHorizon.Milliseconds() }
+	ways := map[int][]float64{}
 	entries := make([]entry, 0, len(q.Queued))
 	for _, j := range q.Queued {
 		spec := &j.Rec.Spec
 		leaf := q.Leaf(spec)
-		entitled := a.Entitled(leaf, spec.Amount(), 1)
-		turn := a.Tree().Turn(entitled, leaf)
+		entitled := account.Entitled(leaf, spec.Amount(), 1)
+		turn := account.Tree().Turn(entitled, leaf)
 		start := q.StartBy(j.Rec, turn == 0)
-		entries = append(entries, entry{j, spec.RankOrder(), turn, leaf, late(j.Rec, start), spec.Accel * float64(spec.Pieces-j.Done), start})
+		if _, known := ways[leaf]; turn > 0 && !known {
+			ways[leaf] = account.Way(leaf)
+		}
+		entries = append(entries, entry{j, spec.RankOrder(), turn, ways[leaf], late(j.Rec, start), spec.Accel * float64(spec.Pieces-j.Done), start})
 	}
 	sort.Slice(entries, func(x, y int) bool {
 		a, b := &entries[x], &entries[y]
@@ -39,8 +42,8 @@
 			return a.rank < b.rank
 		case a.turn != b.turn:
 			return a.turn < b.turn
-		case a.turn > 0 && account.Compare(a.leaf, b.leaf) != 0:
-			return account.Compare(a.leaf, b.leaf) < 0
+		case a.turn > 0 && quota.CompareWays(a.way, b.way) != 0:
+			return quota.CompareWays(a.way, b.way) < 0
 		case a.late != b.late:
 			return !a.late
 		case !a.late && a.room != b.room:
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -217,7 +217,7 @@
 			break
 		}
 		c := &cands[k]
-		if !probing && q.clearCached(&Waiting{Task: t, Rank: spec.RankOrder(), Entitled: within, Within: within >= 0}, c.Host, p) {
+		if !probing && q.clearCached(&Waiting{Task: t, Rank: spec.RankOrder(), Entitled: within}, c.Host, p) {
 			c.Free = c.Free.Sub(spec.Need())
 			p.account.Charge(spec.Key(), spec.Amount(), 1)
 			continue
@@ -250,7 +250,7 @@
 		return
 	}
 	p.account.Charge(spec.Key(), spec.Amount(), count) // keeps its turn
-	q.Waiting = append(q.Waiting, &Waiting{Task: tasks[0], Tasks: tasks[:min(count, len(tasks))], Count: count, Rank: spec.RankOrder(), Entitled: entitled, Within: entitled >= 0})
+	q.Waiting = append(q.Waiting, &Waiting{Task: tasks[0], Tasks: tasks[:min(count, len(tasks))], Count: count, Rank: spec.RankOrder(), Entitled: entitled})
 	q.holdFor(tasks[0], min(count, tuning.HoldEach), zones, p)
 }
 
--- a/internal/queue/preempt.go
+++ b/internal/queue/preempt.go
@@ -34,12 +34,12 @@
 func (q *Queue) preempt(p *pass) {
 	for _, w := range q.Waiting {
 		spec := &w.Task.Job.Rec.Spec
-		if !w.Within && !q.lowerRuns(w.Rank) || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+		if !w.within() && !q.lowerRuns(w.Rank) || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
 			continue
 		}
 		for _, t := range w.Tasks {
 			if !q.Now.Before(q.preempted[t.Piece].until) {
-				q.stopFor(&Waiting{Task: t, Rank: w.Rank, Within: w.Within, Entitled: w.Entitled}, false, p)
+				q.stopFor(&Waiting{Task: t, Rank: w.Rank, Entitled: w.Entitled}, false, p)
 			}
 		}
 	}
@@ -62,11 +62,7 @@
 	}
 	p.searches++
 	var ds []decide.Decision
-	entitled := -1
-	if w.Within {
-		entitled = w.Entitled
-	}
-	victims := preempt.Victims(q.Book, preempt.Search{Task: w.Task, Rank: w.Rank, Entitled: entitled, Account: p.account, Zones: q.Zones(w.Task.Job), OnlyCached: onlyCached,
+	victims := preempt.Victims(q.Book, preempt.Search{Task: w.Task, Rank: w.Rank, Entitled: w.Entitled, Account: p.account, Zones: q.Zones(w.Task.Job), OnlyCached: onlyCached,
 		Open: func(m *book.Machine) bool { return q.offers(w.Task, m) }, Busy: q.Busy, Stopping: p.stopping})
 	for _, v := range victims {
 		if next, ok := jobs.NextTask(v.Task, jobs.TaskEvent{Kind: jobs.Stop, Why: "makes room for " + w.Task.Piece}); ok {
@@ -86,11 +82,11 @@
 // the fetch would take it past its aim, and it may stop others there.
 func (q *Queue) clearCached(w *Waiting, host string, p *pass) bool {
 	rec := w.Task.Job.Rec
-	if (w.Rank > 1 && !w.Within) || q.Cached(host, rec.Spec.Bundle) {
+	if (w.Rank > 1 && !w.within()) || q.Cached(host, rec.Spec.Bundle) {
 		return false
 	}
 	rate := q.Builds[q.Machines[host].Build].PullRate
-	aim := q.startAim(rec, w.Within)
+	aim := q.startAim(rec, w.within())
 	if rate <= 0 || aim < q.ms() || q.ms()+int64(rec.Spec.PullGB/rate*1000) <= aim {
 		return false
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -67,15 +67,17 @@
 // Waiting is queued tasks of one job that may run by their limits but have found
 // no room.
 type Waiting struct {
-	Task   *book.Task   // the first of them
-	Tasks  []*book.Task // the first few
-	Count  int
-	Rank   int
-	Within bool // inside a guarantee
-	// Entitled is the node of the quotas' tree whose guarantee that is.
+	Task  *book.Task   // the first of them
+	Tasks []*book.Task // the first few
+	Count int
+	Rank  int
+	// Entitled is the node of the quotas' tree within whose guarantee it lies,
+	// below 0 for none.
 	Entitled int
 }
 
+func (w *Waiting) within() bool { return w.Entitled >= 0 }
+
 // Avoid keeps tasks off a machine until then.
 func (q *Queue) Avoid(host string, until time.Time) { q.avoid[host] = until }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -63,7 +63,7 @@
 	if !c.Allows(leaf, Of(1e6, 3, 0), 1) || c.Allows(leaf, gpus(3.5), 1) || !c.Allows(tree.Leaf(Key{"free", ""}), gpus(1e6), 1) {
 		t.Error("0 means no cap, 4 means 4")
 	}
-	if tree.Knows("x") || tree.Leaf(Key{"x", ""}) != 0 || tree.Shaped() || c.Compare(leaf, tree.Leaf(Key{"free", ""})) != 0 {
+	if tree.Knows("x") || tree.Leaf(Key{"x", ""}) != 0 || tree.Shaped() || c.Way(leaf) != nil {
 		t.Error("unknown team, or a shape that nobody gave")
 	}
 }
@@ -257,14 +257,14 @@
 	}
 }
 
-// fill gives out spare places one by one, each to the side that Compare puts first.
+// fill gives out spare places one by one, each to the side that CompareWays puts first.
 func fill(c *Account, keys []Key, places int) map[Key]int {
 	got := map[Key]int{}
 	for range places {
 		best := -1
 		for i, k := range keys {
 			leaf := c.tree.Leaf(k)
-			if c.Allows(leaf, gpus(1), 1) && (best < 0 || c.Compare(leaf, c.tree.Leaf(keys[best])) < 0) {
+			if c.Allows(leaf, gpus(1), 1) && (best < 0 || CompareWays(c.Way(leaf), c.Way(c.tree.Leaf(keys[best]))) < 0) {
 				best = i
 			}
 		}
@@ -319,7 +319,7 @@
 	return out
 }
 
-// TestProgressiveFilling compares what Compare gives out, one place at a time, with
+// TestProgressiveFilling compares what CompareWays gives out, one place at a time, with
 // the solution by definition, on small trees of three levels without guarantees.
 func TestProgressiveFilling(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -326,36 +325,30 @@
 	return yields
 }
 
-// Compare orders two leaves by what their sides of the tree use of the spare
-// capacity for their weight, from the top down: who has had less goes first. It is
-// progressive filling: each task goes to the side that is behind. Equal in a tree
-// that has only the platform's teams.
-func (c *Account) Compare(a, b int) int {
-	if !c.tree.shaped || a == b {
-		return 0
+// Way is what the sides of the tree that a leaf is on, from the top down, use of the
+// spare capacity for their weight; nil in a tree that has only the platform's teams.
+func (c *Account) Way(leaf int) []float64 {
+	if !c.tree.shaped {
+		return nil
 	}
-	x, y := c.line(a), c.line(b)
-	for k := 0; k < len(x) && k < len(y); k++ {
-		if x[k] != y[k] {
-			if d := cmp.Compare(c.behind(x[k]), c.behind(y[k])); d != 0 {
-				return d
-			}
+	var out []float64
+	c.tree.up(leaf, func(i int, n *Node) bool {
+		if n.parent >= 0 {
+			out = append(out, c.behind(i))
 		}
-	}
-	return 0
-}
-
-// line lists a leaf and the nodes above it from the root down.
-func (c *Account) line(leaf int) []int {
-	var out []int
-	c.tree.up(leaf, func(i int, _ *Node) bool {
-		out = append(out, i)
 		return true
 	})
 	slices.Reverse(out)
 	return out
 }
 
+// CompareWays orders two leaves by their ways: who has had less goes first. It is
+// progressive filling: each task goes to the side that is behind.
+func CompareWays(a, b []float64) int {
+	k := min(len(a), len(b))
+	return slices.Compare(a[:k], b[:k])
+}
+
 // behind is what a node uses beyond its guarantee for its weight, by the resource
 // of which it uses the most of what its parent has in use.
 func (c *Account) behind(i int) float64 {
