--- a/internal/parts/parts.go
+++ b/internal/parts/parts.go
@@ -132,7 +132,7 @@
 	usable := func(free Room) float64 {
 		return min(free.Accelerators, free.Cores/c.Whole.Cores*c.Whole.Accelerators, free.MemoryGB/c.Whole.MemoryGB*c.Whole.Accelerators)
 	}
-	if c.Whole.Cores <= 0 || c.Whole.MemoryGB <= 0 {
+	if c.Whole.Accelerators <= 0 || c.Whole.Cores <= 0 || c.Whole.MemoryGB <= 0 {
 		return 0
 	}
 	return usable(c.Free) - usable(c.Free.Sub(need))
@@ -152,7 +152,7 @@
 	if !a.Cached && math.Abs(a.PullS-b.PullS) >= pullTells {
 		return a.PullS < b.PullS
 	}
-	if need.Accelerators == 0 {
+	if need.Accelerators == 0 && (a.Whole.Accelerators > 0 || b.Whole.Accelerators > 0) {
 		if x, y := strands(need, a), strands(need, b); math.Abs(x-y) >= strandTells {
 			return x < y
 		}
