--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,220 @@
+// Package membership is how a controller joins the others, renews its lease, and
+// votes on the view (package members decides on it), and how it becomes certain of
+// its place again after a standstill. Calls of the state service go out; it has no IO
+// and no clock.
+package membership
+
+import (
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Env is what it is told from outside.
+type Env struct {
+	Me     string
+	TTL    time.Duration // of its lease
+	Client *store.Client
+	Mirror *store.Mirror
+	Log    *slog.Logger
+	// Live tells whether the mirror follows the store.
+	Live func() bool
+	// View is the newest that is known, Unreachable the members that workers can't
+	// reach.
+	View        func() *members.View
+	Unreachable func() map[string]bool
+	// Wake has the loop look again, Follow opens the watch.
+	Wake, Follow func()
+}
+
+// Membership is what one controller keeps of its own.
+type Membership struct {
+	*book.Book
+	Env
+
+	keys      map[string]uint64 // member keys: name to incarnation
+	hold      uint64            // its lease, which is its incarnation; 0 for none
+	renewedAt time.Time
+	certain   members.Certainty // of its place in the view
+	wokeAt    time.Time         // after it last stood still
+	asking    bool              // for the epoch that makes it certain
+	granting  bool
+	putting   bool // its member key
+	viewBusy  bool
+}
+
+// New makes a controller that has not joined; book tells the time.
+func New(b *book.Book, env Env) *Membership {
+	return &Membership{Book: b, Env: env, keys: map[string]uint64{}, certain: members.Certainty{Standing: members.Sure}}
+}
+
+// Hold is its lease, 0 for none.
+func (me *Membership) Hold() uint64 { return me.hold }
+
+// Sure tells whether it is certain of its place in the view.
+func (me *Membership) Sure() bool { return me.certain.Standing == members.Sure }
+
+// KeyChanged takes in a member's key, nil for one that is gone.
+func (me *Membership) KeyChanged(name string, value json.RawMessage) {
+	var inc uint64
+	if value == nil || json.Unmarshal(value, &inc) != nil {
+		delete(me.keys, name)
+	} else {
+		me.keys[name] = inc
+	}
+}
+
+// StoodStill takes note of a gap that its lease may not have outlived: it decides
+// nothing, and vouches for nothing, until it knows its place in the view again. A
+// leader that woke under another one would rent and delete by an old picture.
+func (me *Membership) StoodStill(gap time.Duration) {
+	if gap < me.TTL-tuning.MemberRenew-tuning.Standstill/2 {
+		return
+	}
+	me.renewedAt, me.wokeAt = time.Time{}, me.Now
+	me.certain = me.certain.Next(members.StandingEvent{Kind: members.StoodStill})
+}
+
+// settled notes that the lease stands, by an answer to what was asked then. An
+// answer from before this node last stood still proves nothing.
+func (me *Membership) settled(asked time.Time) {
+	if asked.Before(me.wokeAt) {
+		return
+	}
+	me.certain = me.certain.Next(members.StandingEvent{Kind: members.LeaseSettled})
+	me.KeepCertain()
+}
+
+// KeepCertain reads the epoch that the mirror must reach before this node is
+// certain of its place again.
+func (me *Membership) KeepCertain() {
+	me.certain = me.certain.Next(members.StandingEvent{Kind: members.FollowedTo, Epoch: me.Mirror.Epoch})
+	if me.certain.Standing != members.Settled || me.asking {
+		return
+	}
+	me.asking = true
+	asked := me.Now
+	me.Client.Epoch(store.Membership, func(epoch uint64, err error) {
+		me.asking = false
+		// What was asked before a later standstill says nothing of it.
+		if err == nil && !asked.Before(me.wokeAt) {
+			me.certain = me.certain.Next(members.StandingEvent{Kind: members.EpochRead, Epoch: epoch})
+			me.Follow()
+		}
+		me.Wake()
+	})
+}
+
+// Unsure tells whether this node must not speak for the controllers now. During
+// an outage of the state service it goes on answering workers: no other node
+// can have been given its machines by then, or their batons show it.
+func (me *Membership) Unsure() bool { return me.certain.Standing != members.Sure && !me.Client.Down() }
+
+// Keep holds the lease, the member key and, where it falls to this
+// node, the view.
+func (me *Membership) Keep() {
+	switch {
+	case me.granting:
+	case me.hold == 0:
+		me.granting = true
+		me.renewedAt = me.Now
+		asked := me.Now
+		me.Client.Grant(me.TTL, func(hold uint64, err error) {
+			me.granting = false
+			if err == nil {
+				me.hold = hold
+				me.settled(asked)
+				me.putMember()
+			}
+		})
+	case me.Now.Sub(me.renewedAt) >= tuning.MemberRenew:
+		me.renewedAt = me.Now
+		hold, asked := me.hold, me.Now
+		me.Client.Renew(hold, func(err error) {
+			if err == nil && me.hold == hold {
+				me.settled(asked)
+			}
+			if errors.Is(err, store.ErrGone) && me.hold == hold {
+				// A new lease is a new incarnation and thus a new epoch.
+				me.Log.Info("membership lease ended")
+				me.hold = 0
+			}
+		})
+	}
+	me.KeepCertain()
+	if !me.Live() || me.hold == 0 || me.Client.Down() || me.certain.Standing != members.Sure {
+		return
+	}
+	if me.Incarnation(me.Me) != me.hold {
+		me.putMember()
+		return
+	}
+	me.changeView()
+}
+
+// Incarnation is that of a member's key, 0 if it has none.
+func (me *Membership) Incarnation(name string) uint64 { return me.keys[name] }
+
+func (me *Membership) putMember() {
+	if me.putting {
+		return
+	}
+	me.putting = true
+	hold := me.hold
+	w := store.Write{Put: members.MemberPrefix + me.Me, Value: jobs.Encode(hold), Hold: hold}
+	me.Client.Multi(store.Membership, store.Txn{Writes: []store.Write{w}}, func(epoch uint64, _ []string, err error) {
+		me.putting = false
+		if errors.Is(err, store.ErrRefused) && me.hold == hold {
+			me.hold = 0 // no such lease
+		}
+		if err == nil {
+			me.Mirror.Put(w.Put, w.Value, epoch)
+			me.Wake()
+		}
+	})
+}
+
+func (me *Membership) changeView() {
+	if me.viewBusy {
+		return
+	}
+	next := members.Next(members.Situation{Me: me.Me, Inc: me.hold, View: me.View(), Keys: me.keys, Out: me.Unreachable()})
+	if next == nil {
+		return
+	}
+	own := members.MemberPrefix + me.Me
+	t := store.Txn{
+		If:     []store.Cond{{Key: members.ViewKey, Stamp: me.Mirror.Stamp(members.ViewKey)}, {Key: own, Stamp: me.Mirror.Stamp(own)}},
+		Writes: []store.Write{decide.Put(members.ViewKey, next)},
+	}
+	// What a member did not hear ends with its place in the view. When it comes
+	// back its machines have been heard by others meanwhile: by the old list
+	// hundreds of them were deleted at once (docs/incidents/ushanga-ops-ops-1.md).
+	for _, name := range me.View().Left(next) {
+		if key := fleet.QuietPrefix + name; me.Mirror.Stamp(key) != 0 {
+			t.Writes = append(t.Writes, decide.Remove(key))
+		}
+	}
+	if me.View() != nil && me.View().Leader != me.Me {
+		key := members.MemberPrefix + me.View().Leader
+		t.If = append(t.If, store.Cond{Key: key, Stamp: me.Mirror.Stamp(key)})
+	}
+	me.viewBusy = true
+	me.Client.Multi(store.Membership, t, func(epoch uint64, _ []string, err error) {
+		me.viewBusy = false
+		if err == nil {
+			me.Log.Info("view changed", "epoch", next.Epoch, "leader", next.Leader, "members", len(next.Members))
+			me.Mirror.Commit(t.Writes, epoch)
+		}
+		me.Wake()
+	})
+}
--- a/internal/node/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -1,29 +1,36 @@
-package node
+package membership
 
 import (
+	"encoding/json"
+	"log/slog"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/store"
 )
 
 // A controller that stands still twice must not take the answer to what it asked
 // after the first time for one that was asked after the second.
 func TestTwoStandstills(t *testing.T) {
-	n := leading(1, 0, 60)
 	var answers []func(int, []byte, error)
-	n.client = store.New(func(method, target string, _ []byte, _ time.Duration, done func(int, []byte, error)) {
+	client := store.New(func(method, target string, _ []byte, _ time.Duration, done func(int, []byte, error)) {
 		if method == "GET" && strings.HasPrefix(target, "/store/") {
 			answers = append(answers, done)
 		}
 	}, nil)
-	n.client.SetBudget(100, 100, 100)
+	client.SetBudget(100, 100, 100)
+	b := book.New(quota.Flat(nil), func(string) {})
+	b.Now = time.UnixMilli(1e12)
+	n := New(b, Env{Me: "n0", TTL: 4 * time.Second, Client: client, Mirror: store.NewMirror(func(string, json.RawMessage, uint64) {}), Log: slog.New(slog.DiscardHandler),
+		Live: func() bool { return true }, Wake: func() {}, Follow: func() {}})
 	wake := func() {
 		n.Now = n.Now.Add(time.Minute)
-		n.client.Pump(n.Now)
-		n.stoodStill(time.Minute)
+		n.Client.Pump(n.Now)
+		n.StoodStill(time.Minute)
 		n.settled(n.Now)
 	}
 	wake()
@@ -35,8 +42,7 @@
 	if n.certain.Standing != members.Settled {
 		t.Fatalf("%s by an answer from before", n.certain.Standing)
 	}
-	n.sync.following = true
-	n.keepCertain()
+	n.KeepCertain()
 	if len(answers) != 2 {
 		t.Fatal("not asked again")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	"github.com/harrierreel/harrierreel/internal/front"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/membership"
 	"github.com/harrierreel/harrierreel/internal/part"
 	"github.com/harrierreel/harrierreel/internal/parts"
 	"github.com/harrierreel/harrierreel/internal/peer"
@@ -59,17 +60,9 @@
 	sync   syncState
 	fence  fence
 
-	*book.Book                   // what is known from the records
-	keys       map[string]uint64 // member keys: name to incarnation
+	*book.Book // what is known from the records
 	view       *members.View
 
-	hold        uint64
-	renewedAt   time.Time
-	certain     members.Certainty // of its place in the view
-	wokeAt      time.Time         // after it last stood still
-	asking      bool              // for the epoch that makes it certain
-	granting    bool
-	viewBusy    bool
 	role        members.Role
 	roleEpoch   uint64
 	lastHint    time.Time
@@ -84,6 +77,7 @@
 	rental *rental.Rental
 	part   *part.Part
 	sight  *sight.Sight
+	member *membership.Membership
 
 	dirty       bool
 	lastPass    time.Time
@@ -95,8 +89,7 @@
 func New(set *settings.Settings, out Outside, log *slog.Logger, rng *rand.Rand) *Node {
 	n := &Node{
 		set: set, out: out, log: log, rng: rng,
-		keys: map[string]uint64{},
-		role: members.Outside, certain: members.Certainty{Standing: members.Sure},
+		role: members.Outside,
 		busy: map[string]bool{},
 	}
 	n.Book = book.New(quota.Flat(set.TeamMap()), func(host string) {
@@ -109,8 +102,11 @@
 		return hasPrefix(key, jobs.FinalPrefix) || hasPrefix(key, pipelines.RanPrefix)
 	}
 	n.fence.key = fencePrefix + set.NodeName
-	n.sight = sight.New(n.Book, sight.Env{Log: log, Chance: rng, Call: out.Worker, OwnerOf: n.owner, Incarnation: n.memberInc,
+	n.sight = sight.New(n.Book, sight.Env{Log: log, Chance: rng, Call: out.Worker, OwnerOf: n.owner, Incarnation: func(name string) uint64 { return n.member.Incarnation(name) },
 		Outside: func() bool { return n.role == members.Outside }, Live: func() bool { return n.sync.live }})
+	n.member = membership.New(n.Book, membership.Env{Me: set.NodeName, TTL: jobs.Seconds(set.Operator.MemberTTLS), Client: n.client, Mirror: n.mirror, Log: log,
+		Live: func() bool { return n.sync.live }, View: func() *members.View { return n.view }, Unreachable: n.sight.Unreachable,
+		Wake: func() { n.dirty = true }, Follow: n.followNow})
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
 		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.isBusy,
@@ -135,7 +131,7 @@
 	})
 	n.part = part.New(n.Book, part.Env{
 		Me: set.NodeName, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Queue: n.queue, Rental: n.rental, Call: out.Worker,
-		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.sync.live && !n.unsure() },
+		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.sync.live && !n.member.Unsure() },
 		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, OwnerOf: n.owner, Complain: n.sight.Complain,
 		Busy: n.isBusy, Spare: n.client.Spare, Commit: n.commit,
 	})
@@ -164,7 +160,7 @@
 // Pulse is the loop's clock.
 func (n *Node) Pulse(now time.Time) {
 	n.Run(now, func() {
-		n.keepMembership()
+		n.member.Keep()
 		n.sight.Keep()
 		n.keepSync()
 		n.sayHints()
@@ -181,7 +177,7 @@
 		return
 	}
 	n.dirty, n.lastPass = false, n.Now
-	if !n.sync.live || n.certain.Standing != members.Sure {
+	if !n.sync.live || !n.member.Sure() {
 		return
 	}
 	if n.mirror.Epoch < n.mirror.Stamp(members.ViewKey) {
@@ -280,12 +276,7 @@
 			n.log.Error("unreadable view", "stamp", stamp)
 		}
 	case hasPrefix(key, members.MemberPrefix):
-		var inc uint64
-		if value == nil || json.Unmarshal(value, &inc) != nil {
-			delete(n.keys, members.NameOfKey(key))
-		} else {
-			n.keys[members.NameOfKey(key)] = inc
-		}
+		n.member.KeyChanged(members.NameOfKey(key), value)
 	case hasPrefix(key, fleet.QuietPrefix):
 		if err := n.part.QuietChanged(key[len(fleet.QuietPrefix):], value); err != nil {
 			n.log.Error("unreadable list of machines set aside", "key", key, "error", err)
@@ -343,14 +334,14 @@
 
 // able tells whether this node may decide for users.
 func (n *Node) able() bool {
-	return !n.client.Down() && n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure
+	return !n.client.Down() && n.sync.live && n.role != members.Outside && n.member.Sure()
 }
 
 // up tells whether users should be sent here. During an outage of the state
 // service every node stays up and refuses at once; a node that alone is refused, as
 // its peers' hints show, steps aside.
 func (n *Node) up() bool {
-	return n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure && !(n.client.Down() && n.sight.StateElsewhere())
+	return n.sync.live && n.role != members.Outside && n.member.Sure() && !(n.client.Down() && n.sight.StateElsewhere())
 }
 
 // Request takes a request from the front door. respond is called exactly once.
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -47,7 +47,7 @@
 		spec := jobs.Spec{UID: uid, Class: "c", Owner: "team", Shape: jobs.Sweep, Rank: "idle", Pieces: 1, Cores: 1, MemoryGB: 1 + float64(i%7)/10, Bundle: "b"}
 		enter(jobs.JobPrefix+uid, jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: spec})
 	}
-	n.hold, n.sync.live, n.mirror.Epoch = 1, true, stamp
+	n.sync.live, n.mirror.Epoch = true, stamp
 	n.role, n.roleEpoch = members.Leader, 1
 	n.client.Pump(n.Now)
 	n.Now = n.Now.Add(time.Second) // the budget fills
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -113,7 +113,7 @@
 		default:
 			n.mirror.Follow(epoch, events)
 			n.sync.next = n.Now.Add(n.followGap())
-			n.keepCertain()
+			n.member.KeepCertain()
 			n.front.AnswerPolls()
 		}
 	})
