Read again: a busy run keeps its clocks; reasons only when asked; one way to withdraw a task

Need: a run under a transaction was taken for another's, so that its clocks began anew from the time of day, which may have jumped; each look at a step's job worked out in words why it waits; a record's change was written and read again to spare its document; who yields made a map for each running task; the choice between stopping and taking back stood three times. Change: Keeper.Pass is told what is busy apart from what is owned, with a test; World.Why is asked by explain alone; stored.record; Tree.Under; jobs.Withdraw.

--- a/internal/front/quotas.go
+++ b/internal/front/quotas.go
@@ -66,12 +66,8 @@
 	q.lookAt = fr.Now
 	var ds []decide.Decision
 	for _, s := range reclaim.Plan(fr.Book, fr.Account, tuning.ReclaimMost) {
-		kind := jobs.Stop
-		if s.Task.State == jobs.Released {
-			kind = jobs.TakeBack
-		}
 		why := "quota of " + s.Path + " was lowered"
-		next, ok := jobs.NextTask(s.Task.Task, jobs.TaskEvent{Kind: kind, Why: why})
+		next, ok := jobs.Withdraw(s.Task.Task, why)
 		if !ok || fr.Busy(s.Task.Slice.Key) {
 			continue
 		}
--- a/internal/front/runs.go
+++ b/internal/front/runs.go
@@ -52,11 +52,10 @@
 		return
 	}
 	names := fr.Members()
-	owned := func(id string) bool {
-		return !fr.Busy(pipelines.RunPrefix+id) && parts.Owner(id, names) == fr.Set.NodeName
-	}
+	owned := func(id string) bool { return parts.Owner(id, names) == fr.Set.NodeName }
+	busy := func(id string) bool { return fr.Busy(pipelines.RunPrefix + id) }
 	room := func(ops int) bool { return fr.Client.Allows(0, ops) }
-	changes, ask := fr.runs.Pass(fr.Now, fr.ms(), owned, room, runWorld{fr})
+	changes, ask := fr.runs.Pass(fr.Now, fr.ms(), owned, busy, room, runWorld{fr})
 	for _, uid := range ask {
 		fr.read(uid, func(_ jobs.Final, err error) {
 			if errors.Is(err, errNoJob) {
@@ -112,18 +111,27 @@
 	if j == nil || j.Rec == nil {
 		return pipelines.JobView{}, false
 	}
-	v := pipelines.JobView{State: j.Rec.State, Running: j.On, Done: j.Done, Probing: fr.Trust(j, "") == jobs.Probing}
+	return pipelines.JobView{State: j.Rec.State, Running: j.On, Done: j.Done, Probing: fr.Trust(j, "") == jobs.Probing}, true
+}
+
+func (w runWorld) Why(uid string) string {
+	fr := w.fr
+	j := fr.Jobs[uid]
+	if j == nil || j.Rec == nil {
+		return ""
+	}
 	spec := &j.Rec.Spec
-	switch waits := spec.Pieces - j.On - j.Done; {
-	case v.Probing:
-		v.Why = "its tasks failed on several machines; one is tried at a time"
-	case waits <= 0:
-	case fr.Account.Full(fr.Leaf(spec), spec.Amount()) != "":
-		v.Why = fmt.Sprintf("%d tasks wait: %s", waits, fr.Account.Full(fr.Leaf(spec), spec.Amount()))
-	default:
-		v.Why = fmt.Sprintf("%d tasks wait for room on a machine", waits)
+	waits := spec.Pieces - j.On - j.Done
+	if fr.Trust(j, "") == jobs.Probing {
+		return "its tasks failed on several machines; one is tried at a time"
+	}
+	if waits <= 0 {
+		return ""
+	}
+	if full := fr.Account.Full(fr.Leaf(spec), spec.Amount()); full != "" {
+		return fmt.Sprintf("%d tasks wait: %s", waits, full)
 	}
-	return v, true
+	return fmt.Sprintf("%d tasks wait for room on a machine", waits)
 }
 
 func (w runWorld) Final(uid string) (jobs.JobState, bool) {
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -193,6 +193,15 @@
 	return t, true
 }
 
+// Withdraw is what becomes of a task that has to make way: one that is released but
+// on no machine is taken back, one that is on a machine is to be stopped.
+func Withdraw(t Task, why string) (Task, bool) {
+	if t.State == Released {
+		return NextTask(t, TaskEvent{Kind: TakeBack})
+	}
+	return NextTask(t, TaskEvent{Kind: Stop, Why: why})
+}
+
 // On tells whether the task may be on a machine.
 func (t *Task) On() bool { return t.State == Placed || t.State == Stopping }
 
--- a/internal/pipelines/bench_test.go
+++ b/internal/pipelines/bench_test.go
@@ -65,7 +65,7 @@
 		s.now = s.now.Add(10 * time.Millisecond)
 		k.swept = time.Time{}
 		for first := true; first || len(k.dirty) > 0; first = false {
-			if c, _ := k.Pass(s.now, s.ms, yes, room, s); len(c) > 0 {
+			if c, _ := k.Pass(s.now, s.ms, yes, func(string) bool { return false }, room, s); len(c) > 0 {
 				b.Fatal("something changed")
 			}
 			k.swept = s.now
@@ -88,7 +88,7 @@
 		k := benchKeeper(b, maps.Clone(records))
 		s := &seat{k: k, jobs: live, now: time.Unix(1_900_000_000, 0), ms: 1e12}
 		for len(k.dirty) > 0 {
-			k.Pass(s.now, s.ms, func(string) bool { return true }, func(int) bool { return true }, s)
+			k.Pass(s.now, s.ms, func(string) bool { return true }, func(string) bool { return false }, func(int) bool { return true }, s)
 		}
 	}
 }
--- a/internal/pipelines/keeper.go
+++ b/internal/pipelines/keeper.go
@@ -18,7 +18,6 @@
 	State         jobs.JobState
 	Running, Done int
 	Probing       bool // fails everywhere so far (jobs.TrustOf)
-	Why           string
 }
 
 // World is what the keeper may ask about jobs. Both may lag behind the state
@@ -26,6 +25,8 @@
 type World interface {
 	// Job is a job with a record in the mirror.
 	Job(uid string) (JobView, bool)
+	// Why says in words what a live job waits for, "" for nothing.
+	Why(uid string) string
 	// Final is a job's final state, if it is in memory.
 	Final(uid string) (jobs.JobState, bool)
 	// Judge explains why a job can never run, or returns "".
@@ -148,13 +149,8 @@
 func decodeLike(value json.RawMessage, old *run) (*Record, error) {
 	if old != nil {
 		var s stored
-		if json.Unmarshal(value, &s) == nil && s.Version == recordVersion && s.Sum == old.rec.Sum && s.Salt == old.rec.Salt {
-			s.Doc = json.RawMessage("{}")
-			rec, err := Decode(jobs.Encode(s))
-			if err == nil {
-				rec.Doc, rec.docPack = old.rec.Doc, old.rec.docPack
-			}
-			return rec, err
+		if json.Unmarshal(value, &s) == nil && s.Sum == old.rec.Sum && s.Salt == old.rec.Salt {
+			return s.record(old.rec.Doc, old.rec.docPack)
 		}
 	}
 	return Decode(value)
@@ -195,9 +191,6 @@
 	}
 }
 
-// Live is how many runs live, and how many steps of theirs have not ended.
-func (k *Keeper) Live() (runs, steps int) { return len(k.runs), k.open }
-
 // Known tells whether a live run has this id, and whether its record can't be read.
 func (k *Keeper) Known(id string) (rec *Record, aside bool) {
 	if r := k.runs[id]; r != nil {
@@ -211,10 +204,10 @@
 	return len(k.runs) < k.limits.Runs && k.open+steps <= k.limits.Steps
 }
 
-// Pass decides what can be decided about the runs that are owned. room tells
-// whether so many changes can be made now; what finds none is looked at again.
-// ask lists jobs that are in no list, to be read.
-func (k *Keeper) Pass(now time.Time, nowMs int64, owned func(id string) bool, room func(changes int) bool, w World) (changes []Change, ask []string) {
+// Pass decides what can be decided about the runs that are owned and not busy, that
+// is under a transaction. room tells whether so many changes can be made now; what
+// finds none is looked at again. ask lists jobs that are in no list, to be read.
+func (k *Keeper) Pass(now time.Time, nowMs int64, owned, busy func(id string) bool, room func(changes int) bool, w World) (changes []Change, ask []string) {
 	if now.Sub(k.swept) >= tuning.RunSweep {
 		k.swept = now
 		for id, r := range k.runs {
@@ -239,7 +232,7 @@
 			r.plan, r.since, r.doubt = nil, map[int]time.Time{}, map[int]time.Time{}
 			continue
 		}
-		if now.Before(r.held) && r.rec.State == RunLive {
+		if busy(id) || now.Before(r.held) && r.rec.State == RunLive {
 			continue
 		}
 		if !k.load(r) {
--- a/internal/pipelines/keeper_test.go
+++ b/internal/pipelines/keeper_test.go
@@ -53,6 +53,7 @@
 	return JobView{State: st, Running: 1, Probing: s.doubt[uid]}, ok
 }
 func (s *seat) Final(string) (jobs.JobState, bool) { return "", false }
+func (s *seat) Why(string) string                  { return "" }
 func (s *seat) Judge(*jobs.Spec) string            { return "" }
 
 func (s *seat) sync(t *rapid.T, m *storeModel) {
@@ -178,7 +179,7 @@
 			s.k.Touch(c.ID) // lost, refused, or without answer
 		}
 		pass := func(s *seat, lose bool) {
-			changes, _ := s.k.Pass(s.now, s.ms, func(string) bool { return true }, func(int) bool { return true }, s)
+			changes, _ := s.k.Pass(s.now, s.ms, func(string) bool { return true }, func(string) bool { return false }, func(int) bool { return true }, s)
 			for i := range changes {
 				tell(s, &changes[i], !lose && m.commit(t, s, &changes[i], p))
 			}
@@ -265,7 +266,7 @@
 func (s *seat) turn(t *testing.T) []Change {
 	t.Helper()
 	s.now, s.ms = s.now.Add(time.Second), s.ms+1000
-	changes, _ := s.k.Pass(s.now, s.ms, func(string) bool { return true }, func(int) bool { return true }, s)
+	changes, _ := s.k.Pass(s.now, s.ms, func(string) bool { return true }, func(string) bool { return false }, func(int) bool { return true }, s)
 	for _, c := range changes {
 		for _, spec := range c.Submit {
 			s.jobs[spec.UID] = jobs.Live
@@ -318,6 +319,26 @@
 	}
 }
 
+// A look at a run that is under a transaction must not restart its clocks: the time
+// of day, which the next would then count from, may have jumped.
+func TestBusyKeepsItsClocks(t *testing.T) {
+	s, _ := one(t, `{"name":"p","owner":"t","steps":[{"name":"a","timeout_s":30,`+step+`}]}`)
+	s.turn(t)
+	s.turn(t)
+	s.ms += 3600_000
+	s.k.Touch("run-1")
+	yes := func(string) bool { return true }
+	if c, _ := s.k.Pass(s.now, s.ms, yes, yes, func(int) bool { return true }, s); len(c) > 0 {
+		t.Fatalf("decided on a run under a transaction: %+v", c)
+	}
+	for range 20 {
+		s.turn(t)
+	}
+	if st := s.state(t, 0); !st.State.HasJob() {
+		t.Fatalf("after a jump it is %+v", st)
+	}
+}
+
 // Whoever takes a run over counts what went before, but never less than nothing
 // if its own clock is behind.
 func TestTakenOver(t *testing.T) {
@@ -350,7 +371,7 @@
 	uid := UID("run-1", "salt", p.Steps[0].Name, 0)
 	delete(s.jobs, uid)
 	s.k.JobChanged(uid)
-	_, ask := s.k.Pass(s.now, s.ms, func(string) bool { return true }, func(int) bool { return true }, s)
+	_, ask := s.k.Pass(s.now, s.ms, func(string) bool { return true }, func(string) bool { return false }, func(int) bool { return true }, s)
 	if !slices.Equal(ask, []string{uid}) {
 		t.Fatalf("asked for %v", ask)
 	}
@@ -455,7 +476,7 @@
 	if err := k.Changed("run-1", good); err != nil {
 		t.Fatal(err)
 	}
-	k.Pass(time.Now(), 1, func(string) bool { return true }, func(int) bool { return true }, &seat{})
+	k.Pass(time.Now(), 1, func(string) bool { return true }, func(string) bool { return false }, func(int) bool { return true }, &seat{})
 	if _, aside := k.Known("run-1"); !aside || k.open != 0 {
 		t.Errorf("aside %v, %d steps open", aside, k.open)
 	}
--- a/internal/pipelines/record.go
+++ b/internal/pipelines/record.go
@@ -213,6 +213,15 @@
 	if err := json.Unmarshal(b, &s); err != nil {
 		return nil, err
 	}
+	doc, err := unpack(s.Doc)
+	if err != nil {
+		return nil, fmt.Errorf("document: %w", err)
+	}
+	return s.record(doc, s.Doc)
+}
+
+// record checks a run as stored, whose document is unpacked already.
+func (s *stored) record(doc []byte, docPack json.RawMessage) (*Record, error) {
 	if s.Version != recordVersion {
 		return nil, fmt.Errorf("unknown version %d of a run", s.Version)
 	}
@@ -221,15 +230,11 @@
 	default:
 		return nil, fmt.Errorf("unknown state %q of a run", s.State)
 	}
-	doc, err := unpack(s.Doc)
-	if err != nil {
-		return nil, fmt.Errorf("document: %w", err)
-	}
 	steps, err := unpackSteps(s.Steps, s.AtMs)
 	if err != nil {
 		return nil, err
 	}
-	return &Record{State: s.State, AtMs: s.AtMs, EndMs: s.EndMs, Sum: s.Sum, Salt: s.Salt, Doc: doc, Steps: steps, docPack: s.Doc}, nil
+	return &Record{State: s.State, AtMs: s.AtMs, EndMs: s.EndMs, Sum: s.Sum, Salt: s.Salt, Doc: doc, Steps: steps, docPack: docPack}, nil
 }
 
 // NewRecord is the record of a run as accepted.
--- a/internal/pipelines/view.go
+++ b/internal/pipelines/view.go
@@ -79,19 +79,18 @@
 		for _, n := range p.Groups[plan.Group].Needs {
 			v.Needs = append(v.Needs, p.Groups[n].Name)
 		}
-		var job JobView
 		switch {
 		case s.State == Succeeded:
 			v.Done = v.Pieces
 		case s.State.HasJob():
-			job, _ = w.Job(v.Job)
+			job, _ := w.Job(v.Job)
 			v.Done, v.Running = job.Done, job.Running
 			if s.State == Submitted && job.Running > 0 {
 				v.Status = Running
 			}
 		}
 		if explain {
-			v.Explain = p.explain(i, rec, &v, job)
+			v.Explain = p.explain(i, rec, &v, w.Why(v.Job))
 		}
 		out.Steps = append(out.Steps, v)
 	}
@@ -99,7 +98,7 @@
 }
 
 // explain says in words why a step is where it is.
-func (p *Plan) explain(i int, rec *Record, v *StepStatus, job JobView) string {
+func (p *Plan) explain(i int, rec *Record, v *StepStatus, waits string) string {
 	s, plan := rec.Steps[i], &p.Steps[i]
 	condition := "success()"
 	if plan.When != nil {
@@ -124,8 +123,8 @@
 		say("may start; its job is submitted as soon as the controllers' changes allow")
 	case Submitted, Running:
 		say("job %s: %d of %d tasks on machines, %d done", v.Job, v.Running, v.Pieces, v.Done)
-		if job.Why != "" {
-			say("%s", job.Why)
+		if waits != "" {
+			say("%s", waits)
 		}
 		if s.DoubtMs != 0 {
 			say("failing everywhere; called failed after %g s of that", plan.DoubtS)
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -29,11 +29,7 @@
 	case gangs.Broken:
 		for _, num := range slices.Sorted(maps.Keys(j.Tasks)) {
 			t := j.Tasks[num]
-			kind := jobs.Stop
-			if t.State == jobs.Released {
-				kind = jobs.TakeBack
-			}
-			if next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, Why: "gang is not whole"}); ok {
+			if next, ok := jobs.Withdraw(t.Task, "gang is not whole"); ok {
 				p.ds = append(p.ds, decide.Decision{Changes: decide.Become(t, next)})
 			}
 		}
--- a/internal/queue/preempt.go
+++ b/internal/queue/preempt.go
@@ -119,11 +119,7 @@
 		try.Charge(spec.Key(), spec.Amount(), 1)
 	}
 	for _, s := range reclaim.For(q.Book, p.account, entitled, spec, count) {
-		kind := jobs.Stop
-		if s.Task.State == jobs.Released {
-			kind = jobs.TakeBack
-		}
-		if next, ok := jobs.NextTask(s.Task.Task, jobs.TaskEvent{Kind: kind, Why: "gives back of " + s.Path + " what " + j.UID + " is guaranteed"}); ok && !p.stopping[s.Task] && !q.Busy(s.Task.Slice.Key) {
+		if next, ok := jobs.Withdraw(s.Task.Task, "gives back of "+s.Path+" what "+j.UID+" is guaranteed"); ok && !p.stopping[s.Task] && !q.Busy(s.Task.Slice.Key) {
 			p.ds = append(p.ds, decide.Decision{Changes: decide.Become(s.Task, next)})
 			p.stopping[s.Task] = true
 			q.preempted[j.UID] = making{until: q.Now.Add(tuning.ReclaimEvery)}
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -308,14 +308,9 @@
 	if entitled == none {
 		return false
 	}
-	above := map[int]bool{}
-	c.tree.up(entitled, func(i int, _ *Node) bool {
-		above[i] = true
-		return true
-	})
 	yields := true
 	c.tree.up(leaf, func(i int, n *Node) bool {
-		if above[i] {
+		if c.tree.Under(entitled, i) { // the two sides meet here
 			yields = yields && i != entitled
 			return false
 		}
@@ -406,6 +401,3 @@
 func (a Amount) Helps(excess Amount) bool {
 	return a.Cores > 0 && excess.Cores > 0 || a.Accelerators > 0 && excess.Accelerators > 0 || a.MemoryGB > 0 && excess.MemoryGB > 0
 }
-
-// Less takes o away, but leaves no less than nothing.
-func (a Amount) Less(o Amount) Amount { return a.less(o) }
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -18,8 +18,8 @@
 	Path string
 }
 
-// Plan lists up to most tasks (and the rest of a gang) whose end brings every node of an account inside its
-// limits, with what is on its way out counted already. Of a gang all tasks go, since
+// Plan lists up to most tasks (and the rest of a gang) whose end brings every node of
+// an account inside its limits, with what is on its way out counted already. Of a gang all tasks go, since
 // the rest could not go on. Tasks that were released but are on no machine go first.
 func Plan(b *book.Book, account *quota.Account, most int) []Stop {
 	over := account.Over()
