--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -132,6 +132,9 @@
 // that a map happens to have.
 func Sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
 
+// Ms is the time of day of the event under way, in ms.
+func (b *Book) Ms() int64 { return b.Now.UnixMilli() }
+
 // Leaf is the node of the quotas' tree that a job's tasks are charged to.
 func (b *Book) Leaf(s *jobs.Spec) int { return b.Account.Tree().Leaf(s.Key()) }
 
--- a/internal/book/book_test.go
+++ b/internal/book/book_test.go
@@ -116,7 +116,7 @@
 	if err := b.JobChanged("wk-2", record("wk-2", jobs.Live, 0)); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := b.SliceChanged("task/wk-2/0", []byte(`[]`)); err == nil || !b.Jobs["wk-2"].Unreadable || b.Account.UsedByTeam("t") != quota.Of(1.5, 1, 4) {
+	if _, err := b.SliceChanged("task/wk-2/0", []byte(`[]`)); err == nil || !b.Jobs["wk-2"].Unreadable || b.Account.Used(tree.Leaf(quota.Key{Team: "t"})) != quota.Of(1.5, 1, 4) {
 		t.Errorf("%v %+v", err, b.Jobs["wk-2"])
 	}
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -100,7 +100,5 @@
 	}
 }
 
-func (fr *Front) ms() int64 { return fr.Now.UnixMilli() }
-
 // sliceLimit is the most bytes that a record may have.
 func (fr *Front) sliceLimit() int { return int(fr.Set.Cluster.State.ValueKB * 1024) }
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -342,7 +342,7 @@
 // acceptance is the record of a job as accepted, a user's or a step's of a run.
 // It is conditional on its own key and on the one that it returns being absent.
 func (fr *Front) acceptance(spec *jobs.Spec) (w store.Write, absent string) {
-	return decide.Put(jobs.JobPrefix+spec.UID, jobs.Record{State: jobs.Live, AtMs: fr.ms(), Spec: *spec}), jobs.FinalPrefix + spec.UID
+	return decide.Put(jobs.JobPrefix+spec.UID, jobs.Record{State: jobs.Live, AtMs: fr.Ms(), Spec: *spec}), jobs.FinalPrefix + spec.UID
 }
 
 func (fr *Front) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
@@ -437,7 +437,7 @@
 			{Key: key, Stamp: fr.Mirror.Stamp(key)},
 			{Key: final, Stamp: 0},
 		},
-		Writes: ending.Writes(j, state, fr.ms()),
+		Writes: ending.Writes(j, state, fr.Ms()),
 	}
 	fr.Client.Multi(p, t, func(epoch uint64, _ []string, err error) {
 		if err == nil {
--- a/internal/front/quotas.go
+++ b/internal/front/quotas.go
@@ -56,11 +56,11 @@
 	}
 	if fr.Mirror.Stamp(quota.StoreKey) == 0 {
 		if !fr.Busy(quota.StoreKey) {
-			fr.Commit([]decide.Decision{{Urgent: true, Writes: []store.Write{decide.Put(quota.StoreKey, quota.NewStored(1, fr.ms(), *fr.Set.Operator.Quotas))}}})
+			fr.Commit([]decide.Decision{{Urgent: true, Writes: []store.Write{decide.Put(quota.StoreKey, quota.NewStored(1, fr.Ms(), *fr.Set.Operator.Quotas))}}})
 		}
 		return
 	}
-	if q.stored == nil || fr.Now.Sub(q.lookAt) < tuning.ReclaimEvery || float64(fr.ms()-q.stored.AtMs) < q.stored.Doc.Grace()*1000 {
+	if q.stored == nil || fr.Now.Sub(q.lookAt) < tuning.ReclaimEvery || float64(fr.Ms()-q.stored.AtMs) < q.stored.Doc.Grace()*1000 {
 		return
 	}
 	q.lookAt = fr.Now
@@ -150,7 +150,7 @@
 			respond(wire.Reply{Status: status, Body: jobs.Encode(quota.Preview{Number: stored.Number})})
 			return
 		}
-		w := decide.Put(quota.StoreKey, quota.NewStored(stored.Number+1, fr.ms(), a.Quotas))
+		w := decide.Put(quota.StoreKey, quota.NewStored(stored.Number+1, fr.Ms(), a.Quotas))
 		if len(w.Value) > fr.sliceLimit() {
 			respond(wire.Reply{Status: 413, Body: wire.ErrorBody("the tree does not fit into one value of the state service")})
 			return
--- a/internal/front/runs.go
+++ b/internal/front/runs.go
@@ -55,7 +55,7 @@
 	owned := func(id string) bool { return parts.Owner(id, names) == fr.Set.NodeName }
 	busy := func(id string) bool { return fr.Busy(pipelines.RunPrefix + id) }
 	room := func(ops int) bool { return fr.Client.Allows(0, ops) }
-	changes, ask := fr.runs.Pass(fr.Now, fr.ms(), owned, busy, room, runWorld{fr})
+	changes, ask := fr.runs.Pass(fr.Now, fr.Ms(), owned, busy, room, runWorld{fr})
 	for _, uid := range ask {
 		fr.read(uid, func(_ jobs.Final, err error) {
 			if errors.Is(err, errNoJob) {
@@ -93,7 +93,7 @@
 	}
 	for _, uid := range c.Cancel {
 		if j := fr.Jobs[uid]; j != nil && j.Rec != nil {
-			d.Writes = append(d.Writes, ending.Writes(j, jobs.Cancelled, fr.ms())...)
+			d.Writes = append(d.Writes, ending.Writes(j, jobs.Cancelled, fr.Ms())...)
 		}
 	}
 	for _, uid := range c.Absent {
@@ -208,7 +208,7 @@
 		return
 	}
 	if rec != nil {
-		if s, ok := fr.runs.StatusOf(id, rec, fr.ms(), runWorld{fr}, explain); ok {
+		if s, ok := fr.runs.StatusOf(id, rec, fr.Ms(), runWorld{fr}, explain); ok {
 			respond(wire.Reply{Status: status, Body: s.Encode()})
 			return
 		}
@@ -233,7 +233,7 @@
 		known()
 		return
 	}
-	c, err := fr.runs.Accept(q, fmt.Sprintf("%016x%016x", fr.Chance.Uint64(), fr.Chance.Uint64()), fr.ms(), runWorld{fr})
+	c, err := fr.runs.Accept(q, fmt.Sprintf("%016x%016x", fr.Chance.Uint64(), fr.Chance.Uint64()), fr.Ms(), runWorld{fr})
 	// Only an unknown run is judged: what made it acceptable may have changed since.
 	unknown := func(r wire.Reply) {
 		fr.Client.Get(store.User, pipelines.RanPrefix+q.ID, nil, func(it *store.Item, gerr error) {
@@ -287,7 +287,7 @@
 		respond(wire.Refuse("not able to cancel"))
 		return
 	}
-	c := fr.runs.CancelRun(id, fr.Now, fr.ms(), runWorld{fr})
+	c := fr.runs.CancelRun(id, fr.Now, fr.Ms(), runWorld{fr})
 	if c == nil { // over, being cancelled, or unknown
 		fr.showRun(id, 200, false, "", respond)
 		return
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -58,6 +58,9 @@
 // Ranks is how many there are.
 const Ranks = 4
 
+// Gang tells whether it is an ensemble of several tasks.
+func (s *Spec) Gang() bool { return s.Shape == Ensemble && s.Pieces > 1 }
+
 // RankOrder is the place of a rank, 0 the most urgent.
 func (s *Spec) RankOrder() int { return slices.Index(ranks, s.Rank) }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -365,5 +365,3 @@
 	}
 	return parts.Owner(host, n.view.Names())
 }
-
-func (n *Node) ms() int64 { return n.Now.UnixMilli() }
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -45,7 +45,7 @@
 	for i := range waiting {
 		uid := fmt.Sprintf("wk-%06d", i)
 		spec := jobs.Spec{UID: uid, Class: "c", Owner: "team", Shape: jobs.Sweep, Rank: "idle", Pieces: 1, Cores: 1, MemoryGB: 1 + float64(i%7)/10, Bundle: "b"}
-		enter(jobs.JobPrefix+uid, jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: spec})
+		enter(jobs.JobPrefix+uid, jobs.Record{State: jobs.Live, AtMs: n.Ms(), Spec: spec})
 	}
 	n.sync.live, n.mirror.Epoch = true, stamp
 	n.role, n.roleEpoch = members.Leader, 1
@@ -76,7 +76,7 @@
 func TestHugeJobIsTakenInPieces(t *testing.T) {
 	n := leading(0, 0, 60)
 	spec := jobs.Spec{UID: "wk-000007", Class: "c", Owner: "team", Shape: jobs.Sweep, Rank: "idle", Pieces: 100000, Cores: 1, MemoryGB: 1, Bundle: "b"}
-	n.mirror.Put(jobs.JobPrefix+spec.UID, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: spec}), 9000)
+	n.mirror.Put(jobs.JobPrefix+spec.UID, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: n.Ms(), Spec: spec}), 9000)
 	n.queue.Release()
 	if len(n.queue.Waiting) != 1 || n.queue.Waiting[0].Count != tuning.MostActive {
 		t.Errorf("what waits: %+v", n.queue.Waiting)
@@ -120,7 +120,7 @@
 	for i := range waiting {
 		uid := fmt.Sprintf("wk-9%05d", i)
 		spec := jobs.Spec{UID: uid, Class: fmt.Sprint("c", i%leaves), Owner: "team", Shape: jobs.Sweep, Rank: "standard", Pieces: 1, Cores: 1, MemoryGB: 1, Bundle: "b"}
-		n.mirror.Put(jobs.JobPrefix+uid, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: spec}), 1e6+uint64(i))
+		n.mirror.Put(jobs.JobPrefix+uid, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: n.Ms(), Spec: spec}), 1e6+uint64(i))
 	}
 }
 
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -256,7 +256,7 @@
 		f.running = true
 		t := store.Txn{
 			If:     []store.Cond{{Key: f.key, Stamp: n.mirror.Stamp(f.key)}},
-			Writes: []store.Write{decide.Put(f.key, n.ms())},
+			Writes: []store.Write{decide.Put(f.key, n.Ms())},
 		}
 		n.client.Multi(store.Membership, t, func(epoch uint64, _ []string, err error) {
 			f.running = false
--- a/internal/part/health.go
+++ b/internal/part/health.go
@@ -18,7 +18,7 @@
 	m := pt.Machines[s.Host]
 	if m == nil {
 		if s.State == workers.Known {
-			rec := fleet.Host{State: fleet.Up, Endpoint: s.Endpoint, Build: s.Build, Site: s.Site, Loaner: s.Loaner, SinceMs: pt.ms()}
+			rec := fleet.Host{State: fleet.Up, Endpoint: s.Endpoint, Build: s.Build, Site: s.Site, Loaner: s.Loaner, SinceMs: pt.Ms()}
 			return []decide.Decision{{Writes: []store.Write{decide.Put(fleet.HostPrefix+s.Host, rec)}}}
 		}
 		if pt.Now.Sub(s.LastReport) > tuning.ForgetSession {
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -123,5 +123,3 @@
 	delete(pt.health, host)
 	delete(pt.sessions, host)
 }
-
-func (pt *Part) ms() int64 { return pt.Now.UnixMilli() }
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -132,7 +132,7 @@
 			if p.Status == workers.Running && !t.Ran {
 				t.Ran = true
 				if t.Job.Rec != nil {
-					pt.Log.Debug("runs", "task", piece, "class", t.Job.Rec.Spec.Class, "machine", s.Host, "try", t.Try, "since_accepted_ms", pt.ms()-t.Job.Rec.AtMs, "since_placed_ms", pt.Now.Sub(t.Since).Milliseconds())
+					pt.Log.Debug("runs", "task", piece, "class", t.Job.Rec.Spec.Class, "machine", s.Host, "try", t.Try, "since_accepted_ms", pt.Ms()-t.Job.Rec.AtMs, "since_placed_ms", pt.Now.Sub(t.Since).Milliseconds())
 				}
 			}
 			if over || t.State == jobs.Stopping || pt.saveNow(s, t, p) {
@@ -208,7 +208,7 @@
 	if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live {
 		kind = jobs.Gone
 	}
-	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, AfterMs: pt.ms() + pause.Milliseconds()})
+	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, AfterMs: pt.Ms() + pause.Milliseconds()})
 	if !ok {
 		return decide.Decision{}
 	}
@@ -278,7 +278,7 @@
 		return nil
 	}
 	from := rec.State
-	rec.State, rec.Why, rec.SinceMs = state, why, pt.ms()
+	rec.State, rec.Why, rec.SinceMs = state, why, pt.Ms()
 	return []decide.Decision{{Writes: []store.Write{decide.Put(fleet.HostPrefix+host, rec)}, Done: func(ok bool) {
 		if ok {
 			pt.Log.Info("machine", "machine", host, "from", string(from), "to", string(state), "why", why)
--- a/internal/preempt/preempt.go
+++ b/internal/preempt/preempt.go
@@ -35,7 +35,7 @@
 func (s *Search) yields(b *book.Book, t *book.Task) bool {
 	spec := &t.Job.Rec.Spec
 	switch {
-	case spec.Shape == jobs.Ensemble && spec.Pieces > 1:
+	case spec.Gang():
 		return false
 	case spec.RankOrder() > s.Rank:
 		return true
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -67,7 +67,7 @@
 	late := r.AtMs + tuning.QueueHorizon.Milliseconds()
 	best := late
 	consider := func(seconds float64) {
-		if t := r.AtMs + int64(seconds*1000); t > q.ms() && t < best {
+		if t := r.AtMs + int64(seconds*1000); t > q.Ms() && t < best {
 			best = t
 		}
 	}
@@ -91,7 +91,7 @@
 	var best int64
 	for _, o := range q.Objectives {
 		if (o.Kind == "guarantee" && within) || (o.Kind == "wait" && o.Class == r.Spec.Class) {
-			if t := r.AtMs + int64(o.WithinS*1000); t > q.ms() && (best == 0 || t < best) {
+			if t := r.AtMs + int64(o.WithinS*1000); t > q.Ms() && (best == 0 || t < best) {
 				best = t
 			}
 		}
@@ -104,7 +104,7 @@
 func (q *Queue) pending(j *book.Job, most int) []*book.Task {
 	var out []*book.Task
 	for _, t := range j.Again {
-		if t.After <= q.ms() && !q.Busy(t.Slice.Key) {
+		if t.After <= q.Ms() && !q.Busy(t.Slice.Key) {
 			out = append(out, t)
 		}
 	}
@@ -143,7 +143,7 @@
 			most = t
 		}
 	}
-	if most == nil || most.After > q.ms() {
+	if most == nil || most.After > q.Ms() {
 		return nil
 	}
 	return []*book.Task{most}
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -141,7 +141,7 @@
 		if p.full[q.Leaf(spec)] {
 			continue
 		}
-		if spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+		if spec.Gang() {
 			q.releaseGang(j, p)
 			looked++
 			continue
--- a/internal/queue/place.go
+++ b/internal/queue/place.go
@@ -32,7 +32,7 @@
 		for k < len(mine) && mine[k].Job == j {
 			k++
 		}
-		if j.Rec.Spec.Shape == jobs.Ensemble && j.Rec.Spec.Pieces > 1 {
+		if j.Rec.Spec.Gang() {
 			out = append(out, q.placeGang(j, mine[:k])...)
 		} else {
 			for _, t := range mine[:k] {
@@ -95,7 +95,7 @@
 		return next, false
 	}
 	q.Log.Debug("places", "task", t.Piece, "class", t.Job.Rec.Spec.Class, "machine", host, "kind", q.Machines[host].Build, "cheap", q.Machines[host].Loaner,
-		"try", try, "cached", q.Cached(host, t.Job.Rec.Spec.Bundle), "since_accepted_ms", q.ms()-t.Job.Rec.AtMs)
+		"try", try, "cached", q.Cached(host, t.Job.Rec.Spec.Bundle), "since_accepted_ms", q.Ms()-t.Job.Rec.AtMs)
 	q.Reserve(t, host, q.Machines[host].Site)
 	return next, true
 }
--- a/internal/queue/preempt.go
+++ b/internal/queue/preempt.go
@@ -34,7 +34,7 @@
 func (q *Queue) preempt(p *pass) {
 	for _, w := range q.Waiting {
 		spec := &w.Task.Job.Rec.Spec
-		if !w.within() && !q.lowerRuns(w.Rank) || spec.Shape == jobs.Ensemble && spec.Pieces > 1 {
+		if !w.within() && !q.lowerRuns(w.Rank) || spec.Gang() {
 			continue
 		}
 		for _, t := range w.Tasks {
@@ -87,7 +87,7 @@
 	}
 	rate := q.Builds[q.Machines[host].Build].PullRate
 	aim := q.startAim(rec, w.within())
-	if rate <= 0 || aim < q.ms() || q.ms()+int64(rec.Spec.PullGB/rate*1000) <= aim {
+	if rate <= 0 || aim < q.Ms() || q.Ms()+int64(rec.Spec.PullGB/rate*1000) <= aim {
 		return false
 	}
 	if m := q.preempted[w.Task.Piece]; q.Now.Before(m.until) {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -83,5 +83,3 @@
 
 // Claiming tells whether a gang's machines are being claimed by this leader.
 func (q *Queue) Claiming(uid string) bool { return q.claiming[uid] }
-
-func (q *Queue) ms() int64 { return q.Now.UnixMilli() }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -68,7 +68,7 @@
 	if change != nil {
 		change(&spec)
 	}
-	if err := d.JobChanged(uid, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: d.ms(), Spec: spec})); err != nil {
+	if err := d.JobChanged(uid, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: d.Ms(), Spec: spec})); err != nil {
 		d.t.Fatal(err)
 	}
 }
--- a/internal/quota/amount.go
+++ b/internal/quota/amount.go
@@ -76,10 +76,7 @@
 }
 
 // Covers tells whether an amount is at least as large as o in every resource.
-func (a Amount) Covers(o Amount) bool { return a.covers(o) }
-
-// covers tells whether an amount is at least as large as o in every resource.
-func (a Amount) covers(o Amount) bool {
+func (a Amount) Covers(o Amount) bool {
 	return a.Cores >= o.Cores && a.Accelerators >= o.Accelerators && a.MemoryGB >= o.MemoryGB
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -57,7 +57,7 @@
 	k := Key{"t", "any"}
 	leaf := tree.Leaf(k)
 	c.Charge(k, Of(50, 1, 1), 1)
-	if !c.Within(leaf, Of(50, 1, 1), 1) || c.Within(leaf, gpus(1.5), 1) || c.Within(tree.Leaf(Key{"free", ""}), Amount{}, 1) {
+	if c.Entitled(leaf, Of(50, 1, 1), 1) == none || c.Entitled(leaf, gpus(1.5), 1) != none || c.Entitled(tree.Leaf(Key{"free", ""}), Amount{}, 1) != none {
 		t.Error("a guarantee of 0 in one resource says nothing of it; no guarantee guarantees nothing")
 	}
 	if !c.Allows(leaf, Of(1e6, 3, 0), 1) || c.Allows(leaf, gpus(3.5), 1) || !c.Allows(tree.Leaf(Key{"free", ""}), gpus(1e6), 1) {
@@ -122,7 +122,7 @@
 			if !c.used[i].inside(tree.nodes[i].top()) {
 				t.Fatalf("%s uses %s of %s", tree.Path(i), c.used[i], tree.nodes[i].top())
 			}
-			if p := tree.nodes[i].parent; p >= 0 && !c.used[p].covers(c.used[i]) {
+			if p := tree.nodes[i].parent; p >= 0 && !c.used[p].Covers(c.used[i]) {
 				t.Fatalf("%s uses more than what is above it", tree.Path(i))
 			}
 		}
@@ -248,7 +248,7 @@
 	}
 	c := NewAccount(tree)
 	leaf := tree.Leaf(Key{"a", "c"})
-	if c.Within(leaf, gpus(1), 1) || !c.Allows(leaf, gpus(1), 1) || !tree.Ever(leaf, gpus(3), 1) || tree.Ever(leaf, gpus(4), 1) {
+	if c.Entitled(leaf, gpus(1), 1) != none || !c.Allows(leaf, gpus(1), 1) || !tree.Ever(leaf, gpus(3), 1) || tree.Ever(leaf, gpus(4), 1) {
 		t.Error("half a guarantee, or a limit above the team")
 	}
 	c.Charge(Key{"a", "c"}, gpus(1), 3)
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -190,14 +190,6 @@
 // Used is a node's present use.
 func (c *Account) Used(i int) Amount { return c.used[i] }
 
-// UsedByTeam is a team's present use.
-func (c *Account) UsedByTeam(team string) Amount {
-	if i, ok := c.tree.teams[team]; ok {
-		return c.used[i]
-	}
-	return Amount{}
-}
-
 // Allows tells whether n more tasks of amount a are inside the limits of a leaf
 // and of all nodes above it.
 func (c *Account) Allows(leaf int, a Amount, n int) bool {
@@ -284,9 +276,6 @@
 	return node
 }
 
-// Within tells whether n more tasks of amount a lie within any guarantee.
-func (c *Account) Within(leaf int, a Amount, n int) bool { return c.Entitled(leaf, a, n) != none }
-
 // Turn is the place of a node in the queue: 0 for what lies within its own team's
 // guarantee, then what lies within those further up, the nearest first, last what
 // lies within none.
@@ -314,7 +303,7 @@
 			yields = yields && i != entitled
 			return false
 		}
-		yields = yields && c.used[i].Add(a, -1).covers(n.Guaranteed)
+		yields = yields && c.used[i].Add(a, -1).Covers(n.Guaranteed)
 		return yields
 	})
 	return yields
@@ -363,7 +352,7 @@
 func (c *Account) Over() []int {
 	var out []int
 	for i := range c.tree.nodes {
-		if !c.used[i].inside(c.tree.nodes[i].top()) {
+		if c.Excess(i) != (Amount{}) {
 			out = append(out, i)
 		}
 	}
--- a/internal/reclaim/reclaim.go
+++ b/internal/reclaim/reclaim.go
@@ -68,7 +68,7 @@
 			return out
 		}
 		other := &t.Job.Rec.Spec
-		gang := other.Shape == jobs.Ensemble && other.Pieces > 1
+		gang := other.Gang()
 		if gang || other.Shape == jobs.Standing || t.State == jobs.Stopping || !account.Tree().Under(b.Leaf(other), full) ||
 			!other.Amount().Helps(spec.Amount()) || !account.Yields(entitled, b.Leaf(other), other.Amount()) {
 			continue
--- a/internal/reclaim/reclaim_test.go
+++ b/internal/reclaim/reclaim_test.go
@@ -200,7 +200,7 @@
 			if fixed == 0 && len(stops) != 1 {
 				t.Fatalf("%d stopped for one place", len(stops))
 			}
-			if len(stops) > 0 && (!after.Allows(b.Leaf(spec), gpus(1), 1) || after.UsedByTeam("a").Accelerators < 2e6 && owner == "b" || after.UsedByTeam("b").Accelerators < 2e6 && owner == "a") {
+			if len(stops) > 0 && (!after.Allows(b.Leaf(spec), gpus(1), 1) || after.Used(after.Tree().Leaf(quota.Key{Team: "a"})).Accelerators < 2e6 && owner == "b" || after.Used(after.Tree().Leaf(quota.Key{Team: "b"})).Accelerators < 2e6 && owner == "a") {
 				t.Fatal("not enough, or too much")
 			}
 		}
--- a/internal/rental/condemn.go
+++ b/internal/rental/condemn.go
@@ -136,7 +136,7 @@
 		return nil
 	}
 	l := re.cloud.listed[host]
-	rec := fleet.Host{State: fleet.Deleting, Endpoint: l.Endpoint, Build: l.Build, Site: l.Site, Loaner: l.Loaner, Why: why, SinceMs: re.ms()}
+	rec := fleet.Host{State: fleet.Deleting, Endpoint: l.Endpoint, Build: l.Build, Site: l.Site, Loaner: l.Loaner, Why: why, SinceMs: re.Ms()}
 	return []decide.Decision{{Writes: []store.Write{decide.Put(key, rec)}, Done: func(ok bool) {
 		if ok {
 			re.Log.Info("machine", "machine", host, "to", string(rec.State), "why", why)
@@ -247,7 +247,7 @@
 	limit := int64(re.Cluster.Workers.CancelS * tuning.CancelDelete * 1000)
 	hosts := map[string]bool{}
 	for _, j := range re.Closed {
-		if j.Rec.State != jobs.Cancelled || re.ms()-j.Rec.EndMs <= limit {
+		if j.Rec.State != jobs.Cancelled || re.Ms()-j.Rec.EndMs <= limit {
 			continue
 		}
 		for _, t := range j.Active {
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -75,7 +75,7 @@
 	}
 	if found && cost > least*tuning.PatientPrice {
 		margin := jobs.Seconds(re.cloud.catalog[best.Build].ReadyS+spec.ExpectS/2) + 2*jobs.Seconds(re.Operator.StepS)
-		if re.Queue.StartBy(r, false)-re.ms() > margin.Milliseconds() {
+		if re.Queue.StartBy(r, false)-re.Ms() > margin.Milliseconds() {
 			return kind{}, false
 		}
 	}
@@ -118,7 +118,7 @@
 		// A list read long enough after the request has what there is: a
 		// machine that it lacks was returned or lost meanwhile, perhaps by an
 		// earlier leader, and must not count.
-		if c.listAt.UnixMilli()-a.AtMs > re.listSure().Milliseconds() || re.ms()-a.AtMs > re.bootLimit(a.Build).Milliseconds() {
+		if c.listAt.UnixMilli()-a.AtMs > re.listSure().Milliseconds() || re.Ms()-a.AtMs > re.bootLimit(a.Build).Milliseconds() {
 			continue
 		}
 		k := kind{fleet.Group{Build: a.Build, Loaner: a.Loaner}, a.Site}
--- a/internal/rental/rent.go
+++ b/internal/rental/rent.go
@@ -60,7 +60,7 @@
 	rents = re.withinRate(rents)
 	var keep []asked
 	for _, a := range c.asked {
-		if re.ms()-a.AtMs <= re.bootLimit(a.Build).Milliseconds() {
+		if re.Ms()-a.AtMs <= re.bootLimit(a.Build).Milliseconds() {
 			keep = append(keep, a)
 		}
 	}
@@ -85,7 +85,7 @@
 	for _, r := range rents {
 		c.open++
 		c.hires++
-		a := asked{Hire: fmt.Sprintf("r-%d-%d", epoch, c.hires), Build: r.k.Build, Site: r.k.site, Loaner: r.k.Loaner, Count: r.count, AtMs: re.ms()}
+		a := asked{Hire: fmt.Sprintf("r-%d-%d", epoch, c.hires), Build: r.k.Build, Site: r.k.site, Loaner: r.k.Loaner, Count: r.count, AtMs: re.Ms()}
 		c.asked = append(c.asked, a)
 		re.rent(a, 0)
 	}
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -91,5 +91,3 @@
 func (re *Rental) GivenUp(host string) bool {
 	return re.cloud.lost[host] != "" || re.cloud.freed[host]
 }
-
-func (re *Rental) ms() int64 { return re.Now.UnixMilli() }
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -129,7 +129,7 @@
 
 func (o *office) job(uid string, pieces int) {
 	spec := jobs.Spec{UID: uid, Class: "c", Owner: "t", Shape: jobs.Sweep, Rank: "standard", Pieces: pieces, Cores: 2, Accel: 1, MemoryGB: 8, Bundle: "b", ExpectS: 60}
-	if err := o.JobChanged(uid, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: o.ms(), Spec: spec})); err != nil {
+	if err := o.JobChanged(uid, jobs.Encode(jobs.Record{State: jobs.Live, AtMs: o.Ms(), Spec: spec})); err != nil {
 		o.t.Fatal(err)
 	}
 }
