--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -424,3 +424,22 @@
 	}
 	return tree, keys
 }
+
+// What a team runs outside its classes is a side of its own. While its way ended a
+// level earlier, y came level with both classes and the classes not with each other:
+// which of three jobs went first depended on which two were compared.
+func TestWaysOrderAllLeaves(t *testing.T) {
+	c := NewAccount(world(t))
+	sweep, audit, y := Key{"pricing", "sweep"}, Key{"pricing", "audit"}, Key{"pricing", "y"}
+	way := func(k Key) []float64 { return c.Way(c.tree.Leaf(k)) }
+	c.Charge(sweep, gpus(1), 5) // 3 beyond its guarantee
+	c.Charge(audit, gpus(1), 1) // none beyond
+	c.Charge(y, gpus(1), 2)
+	if len(way(y)) != len(way(sweep)) || CompareWays(way(audit), way(y)) >= 0 || CompareWays(way(y), way(sweep)) >= 0 || CompareWays(way(audit), way(sweep)) >= 0 {
+		t.Errorf("audit %v, then y %v, then sweep %v", way(audit), way(y), way(sweep))
+	}
+	c.Charge(y, gpus(1), 2)
+	if CompareWays(way(sweep), way(y)) >= 0 {
+		t.Errorf("sweep %v, then y %v", way(sweep), way(y))
+	}
+}
--- a/internal/scenario/hour_test.go
+++ b/internal/scenario/hour_test.go
@@ -76,6 +76,14 @@
 		if at%45 == 0 && at < hour-900 {
 			submitted[submit("stazioni", "probe", "sweep", 2, 20)] = w.At()
 		}
+		// Before a limit is lowered all that it is about to allow less of is in use.
+		if at == 940 || at == 1440 {
+			for _, x := range tenants {
+				if x.class == "sweep" || x.class == "tags" || x.class == "train" {
+					submit(x.owner, x.class, "sweep", 16, 150)
+				}
+			}
+		}
 		switch at % 400 {
 		case 150:
 			w.Nodes[w.Order[at/400%3]].Crash()
