--- a/internal/book/audit.go
+++ b/internal/book/audit.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/parts"
@@ -24,21 +25,26 @@
 				if j.Tasks[sl.From+i] != t || t.Slice != sl || t.N != sl.From+i {
 					out = append(out, fmt.Sprintf("%s: task %d is not where its slice has it", uid, sl.From+i))
 				}
-				switch {
-				case t.On():
-					on++
-					if j.Rec != nil {
-						onRank[j.Rec.Spec.RankOrder()]++
-					}
-					book(t.Host, t.Need)
-				case t.State == jobs.Released && t.Want != "" && !t.Unwanted:
-					book(t.Want, t.Need)
-				case t.State == jobs.Finished:
-					done++
-				}
-				if t.Charged() || t.State == Unreadable {
-					active++
+			}
+		}
+		for n, t := range j.Tasks {
+			if t.N != n || t.Job != j || !slices.Contains(t.Slice.Tasks, t) || t.Slice.Packed() && b.Packs[t.Slice.Key] != t.Slice {
+				out = append(out, fmt.Sprintf("%s: task %d is not in its slice %s", uid, n, t.Slice.Key))
+			}
+			switch {
+			case t.On():
+				on++
+				if j.Rec != nil {
+					onRank[j.Rec.Spec.RankOrder()]++
 				}
+				book(t.Host, t.Need)
+			case t.State == jobs.Released && t.Want != "" && !t.Unwanted:
+				book(t.Want, t.Need)
+			case t.State == jobs.Finished:
+				done++
+			}
+			if t.Charged() || t.State == Unreadable {
+				active++
 			}
 		}
 		if done != j.Done || on != j.On || active != len(j.Active) {
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -34,6 +34,8 @@
 	// Unreadable: a slice of it cannot be read. Nobody knows which tasks that
 	// slice holds, so no new slice is begun.
 	Unreadable bool
+	// Doubted: its own record cannot be read, so it may be live.
+	Doubted bool
 	// Gather is since when tasks that there is room for wait for more of them.
 	Gather time.Time
 }
@@ -42,13 +44,25 @@
 // it releases the tasks to one part; from then on mostly the owner of that
 // part's machines writes it. Whoever writes it makes the record's own stamp a
 // condition, so that writers never undo one another.
+//
+// A pack is a slice of many jobs' tasks, in no order (package records). While changes
+// are scarce the leader begins one for each part, and the part's owner unites those
+// that it writes. So a task may move from one pack to another; it is in one only.
 type Slice struct {
 	Key   string
 	From  int
-	Job   *Job
+	Job   *Job // nil for a pack
 	Tasks []*Task
+	// Stamp is the version of a pack that is known.
+	Stamp uint64
 }
 
+// Packed tells whether it is a pack.
+func (sl *Slice) Packed() bool { return sl.Job == nil }
+
+// Holds tells whether a task that it lists is still here, and not in another pack.
+func (sl *Slice) Holds(t *Task) bool { return t.Slice == sl && t.Job.Tasks[t.N] == t }
+
 // Task is a task's record in memory.
 type Task struct {
 	jobs.Task
@@ -63,6 +77,8 @@
 	// Unwanted: the room that the leader had in mind is given up, because the
 	// task's placement is under way and has booked its own.
 	Unwanted bool
+
+	seen uint64 // the last reading of its pack that it was in
 }
 
 // Machine is a machine's record in memory.
@@ -111,6 +127,12 @@
 	Closed   map[string]*Job // ended jobs whose records are to be cleared
 	Reserved map[string]Reservation
 	Images   fleet.Images
+	Packs    map[string]*Slice
+
+	// aside is the packs that cannot be read, with the jobs whose tasks they hold,
+	// none if not even that is known.
+	aside   map[string][]string
+	reading uint64 // of packs so far
 
 	order []*Machine // by name, nil when it must be sorted anew
 	// happened is told of each machine on which something changed.
@@ -124,7 +146,7 @@
 		Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, OnHost: map[string]map[string]*Task{}, Released: map[string]*Task{},
 		Usages: map[string]*Usage{}, Account: quota.NewAccount(tree), Builds: map[string]*jobs.Build{},
 		Queued: map[string]*Job{}, Complete: map[string]*Job{}, Closed: map[string]*Job{}, Reserved: map[string]Reservation{},
-		Images: fleet.Images{}, happened: happened,
+		Images: fleet.Images{}, Packs: map[string]*Slice{}, aside: map[string][]string{}, happened: happened,
 	}
 }
 
@@ -169,7 +191,7 @@
 	enter(b.Complete, complete)
 	enter(b.Queued, live && !complete && len(j.Active)+j.Done < j.Rec.Spec.Pieces)
 	enter(b.Closed, j.Rec != nil && !live)
-	if j.Rec == nil && len(j.Slices) == 0 {
+	if j.Rec == nil && len(j.Tasks) == 0 && len(j.Slices) == 0 {
 		delete(b.Jobs, j.UID)
 	}
 }
@@ -395,7 +417,7 @@
 	for _, t := range j.Tasks {
 		b.unindex(t)
 	}
-	j.Rec = rec
+	j.Rec, j.Doubted = rec, err != nil
 	for _, t := range j.Tasks {
 		b.index(t)
 		b.touch(t)
--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -8,6 +8,7 @@
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/store"
 )
 
@@ -16,6 +17,7 @@
 type Decision struct {
 	Changes []Change
 	Writes  []store.Write
+	Fresh   []Fresh
 	Seen    []string
 	Done    func(ok bool)
 	// Urgent: a rule hangs on it, so it goes before all else that waits.
@@ -30,6 +32,15 @@
 type Change struct {
 	Task *book.Task
 	Next jobs.Task
+	// Leaves: it goes from its pack into a new one; it is in Fresh as well.
+	Leaves bool
+}
+
+// Fresh is a task that goes into a new pack, with what else the same transaction
+// gives to the same part.
+type Fresh struct {
+	Part  string
+	Entry records.Entry
 }
 
 // Put is a record to write.
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -50,10 +50,10 @@
 		ds = append(ds, end(x))
 	}
 	batches := packer(16, 100).Pack(ds)
-	if len(batches) != 1 || len(batches[0].Writes(8192)) != 4 || len(batches[0].Decisions) != 12 {
+	if len(batches) != 1 || len(batches[0].Writes(Form{Limit: 8192})) != 4 || len(batches[0].Decisions) != 12 {
 		t.Fatalf("%d batches", len(batches))
 	}
-	w := batches[0].Writes(8192)[0]
+	w := batches[0].Writes(Form{Limit: 8192})[0]
 	if records, err := jobs.DecodeSlice(w.Value); err != nil || records[0].State != jobs.Finished || records[2].State != jobs.Finished {
 		t.Errorf("%s %v", w.Value, err)
 	}
@@ -63,7 +63,7 @@
 		t.Error("one task was decided on twice")
 	}
 	tasks[0].Job.Rec.State = jobs.Cancelled
-	if w := packer(16, 100).Pack(ds[:3])[0].Writes(8192); len(w) != 1 || w[0].Remove == "" {
+	if w := packer(16, 100).Pack(ds[:3])[0].Writes(Form{Limit: 8192}); len(w) != 1 || w[0].Remove == "" {
 		t.Errorf("%+v", w)
 	}
 }
@@ -88,11 +88,11 @@
 	for _, b := range p.Pack(ds) {
 		taken += len(b.Decisions)
 		size := 0
-		for _, w := range b.Writes(8192) {
+		for _, w := range b.Writes(Form{Limit: 8192}) {
 			size += len(w.Value)
 		}
-		if len(b.Writes(8192)) > 8 || len(b.Conds) > 8*4-condsKept || size > 64<<10 {
-			t.Errorf("%d writes, %d conditions, %d bytes", len(b.Writes(8192)), len(b.Conds), size)
+		if len(b.Writes(Form{Limit: 8192})) > 8 || len(b.Conds) > 8*4-condsKept || size > 64<<10 {
+			t.Errorf("%d writes, %d conditions, %d bytes", len(b.Writes(Form{Limit: 8192})), len(b.Conds), size)
 		}
 	}
 	if taken < 120 {
--- a/internal/decide/pack.go
+++ b/internal/decide/pack.go
@@ -1,8 +1,11 @@
 package decide
 
 import (
+	"slices"
+
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -14,40 +17,59 @@
 	Urgent    bool
 
 	writes []store.Write
-	edits  map[string]map[*book.Task]jobs.Task // slice to its tasks' new records
-	order  []string                            // the slices, as they came
-	size   int                                 // bytes, at least
+	edits  map[string]map[*book.Task]Change // slice to what becomes of its tasks
+	order  []string                         // the slices, as they came
+	fresh  map[string][]records.Entry       // part to the tasks of its new pack
+	size   int                              // bytes, at least
+	alone  bool                             // it writes a pack that others write too
+}
+
+// Form is what the records that a batch writes hang on.
+type Form struct {
+	Limit int // bytes of a record
+	// Known is up to where all changes of the state service are known.
+	Known uint64
+	// Mine tells whether a machine belongs to this controller.
+	Mine func(host string) bool
+	// NewKey is the key of a pack that was never used.
+	NewKey func() string
 }
 
-// Writes is what the batch writes. limit is the most bytes of a record.
-func (b *Batch) Writes(limit int) []store.Write {
-	out := b.writes
+// Writes is what the batch writes: what is put stands before what is removed.
+func (b *Batch) Writes(f Form) []store.Write {
+	out := slices.Clone(b.writes)
 	for _, k := range b.order {
-		out = append(out, sliceWrite(k, b.edits[k], limit))
+		if sl := sliceOf(b.edits[k]); !sl.Packed() {
+			out = append(out, sliceWrite(sl, b.edits[k], f.Limit))
+		}
 	}
-	return out
+	return append(out, b.packWrites(f)...)
 }
 
-// sliceWrite is the record of a slice with some of its tasks changed. A slice of a
-// job that is over, none of whose tasks may be on a machine, is removed.
-func sliceWrite(key string, edits map[*book.Task]jobs.Task, limit int) store.Write {
-	var sl *book.Slice
+// sliceOf is the slice that some changed tasks are in.
+func sliceOf(edits map[*book.Task]Change) *book.Slice {
 	for t := range edits {
-		sl = t.Slice
+		return t.Slice
 	}
+	return nil
+}
+
+// sliceWrite is the record of a slice with some of its tasks changed. A slice of a
+// job that is over, none of whose tasks may be on a machine, is removed.
+func sliceWrite(sl *book.Slice, edits map[*book.Task]Change, limit int) store.Write {
 	records := make([]jobs.Task, len(sl.Tasks))
 	rest := true
 	for i, t := range sl.Tasks {
 		records[i] = t.Task
-		if next, ok := edits[t]; ok {
-			records[i] = next
+		if c, ok := edits[t]; ok {
+			records[i] = c.Next
 		}
 		rest = rest && !records[i].On()
 	}
 	if rest && (sl.Job.Rec == nil || sl.Job.Rec.State != jobs.Live) {
-		return Remove(key)
+		return Remove(sl.Key)
 	}
-	return store.Write{Put: key, Value: jobs.EncodeSlice(records, limit)}
+	return store.Write{Put: sl.Key, Value: jobs.EncodeSlice(records, limit)}
 }
 
 // Packer packs decisions into transactions within the state service's limits.
@@ -59,8 +81,10 @@
 	Busy   func(key string) bool        // under a transaction
 	Allows func(spent, writes int) bool // by the budget, now
 	Size   func(key string) int         // bytes of a record as it is
+	Mine   func(host string) bool       // a machine of this controller
 
 	all     []*Batch
+	last    *Batch            // that takes whatever comes next
 	in      map[string]*Batch // record to the batch that writes it
 	changed map[*book.Task]bool
 	spent   int
@@ -76,7 +100,7 @@
 func (p *Packer) Pack(ds []Decision) []*Batch {
 	p.in, p.changed = map[string]*Batch{}, map[*book.Task]bool{}
 	for i := range ds {
-		if keys := ds[i].Keys(); len(keys) > 0 {
+		if keys := ds[i].Keys(); len(keys) > 0 || len(ds[i].Fresh) > 0 {
 			p.enter(&ds[i], keys)
 		}
 	}
@@ -91,8 +115,9 @@
 		return
 	}
 	fixed := b != nil // a slice of it is in that batch already
-	if b == nil && len(p.all) > 0 {
-		b = p.all[len(p.all)-1]
+	alone := p.shared(d)
+	if b == nil && !alone {
+		b = p.last
 	}
 	if b != nil && !p.room(b, d, keys) {
 		if fixed {
@@ -102,8 +127,11 @@
 		b = nil
 	}
 	if b == nil {
-		b = &Batch{edits: map[string]map[*book.Task]jobs.Task{}, Conds: map[string]bool{}}
+		b = &Batch{edits: map[string]map[*book.Task]Change{}, Conds: map[string]bool{}, fresh: map[string][]records.Entry{}, alone: alone}
 		p.all = append(p.all, b)
+		if !alone {
+			p.last = b
+		}
 	}
 	p.spent += more
 	p.add(b, d, keys)
@@ -118,6 +146,11 @@
 			more++
 		}
 	}
+	for _, x := range d.Fresh {
+		if p.last == nil || p.last.fresh[x.Part] == nil {
+			more++
+		}
+	}
 	ok = (d.Urgent || more == 0 || p.Allows(p.spent, more)) && !(d.Ends && p.Ending >= p.MostOps)
 	for _, k := range keys {
 		ok = ok && !p.Busy(k)
@@ -139,7 +172,11 @@
 // room tells whether a batch holds a decision more.
 func (p *Packer) room(b *Batch, d *Decision, keys []string) bool {
 	ops, conds, size := p.cost(b, d, keys)
-	return len(b.writes)+len(b.order)+ops <= p.MostOps && len(b.Conds)+conds <= p.MostOps*tuning.CondsPerOp-condsKept && b.size+size <= tuning.TxnBytes
+	most := p.MostOps
+	if len(d.Fresh) > 0 || len(b.fresh) > 0 || len(b.order) > 0 {
+		most = max(most-tuning.PackSpare, 1)
+	}
+	return len(b.writes)+len(b.order)+len(b.fresh)+ops <= most && len(b.Conds)+conds <= p.MostOps*tuning.CondsPerOp-condsKept && b.size+size <= tuning.TxnBytes
 }
 
 // cost is what a decision adds to a batch: records, conditions and bytes.
@@ -156,6 +193,14 @@
 	for _, w := range d.Writes {
 		size += len(w.Value)
 	}
+	parts := map[string]bool{}
+	for _, x := range d.Fresh {
+		if b.fresh[x.Part] == nil && !parts[x.Part] {
+			parts[x.Part] = true
+			ops, conds = ops+1, conds+1
+		}
+		size += tuning.ChangeBytes
+	}
 	for _, k := range d.Seen {
 		if !b.Conds[k] {
 			conds++
@@ -184,10 +229,13 @@
 	for _, c := range d.Changes {
 		key := c.Task.Slice.Key
 		if b.edits[key] == nil {
-			b.edits[key] = map[*book.Task]jobs.Task{}
+			b.edits[key] = map[*book.Task]Change{}
 			b.order = append(b.order, key)
 		}
-		b.edits[key][c.Task] = c.Next
+		b.edits[key][c.Task] = c
 		p.changed[c.Task] = true
 	}
+	for _, x := range d.Fresh {
+		b.fresh[x.Part] = append(b.fresh[x.Part], x.Entry)
+	}
 }
--- /dev/null
+++ b/internal/decide/packs.go
@@ -0,0 +1,112 @@
+package decide
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/records"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// shared tells whether a decision writes a pack with tasks on other controllers'
+// machines. Its owner writes it all the time, so the transaction may well conflict,
+// and nothing else should fail with it.
+func (p *Packer) shared(d *Decision) bool {
+	for _, c := range d.Changes {
+		if c.Task.Slice.Packed() && !mine(c.Task.Slice, p.Mine) {
+			return true
+		}
+	}
+	return false
+}
+
+// mine tells whether no task of a pack is on another controller's machine.
+func mine(sl *book.Slice, owned func(host string) bool) bool {
+	for _, t := range sl.Tasks {
+		if t.On() && sl.Holds(t) && !owned(t.Host) {
+			return false
+		}
+	}
+	return true
+}
+
+// packed is a pack as it is to be written.
+type packed struct {
+	key     string // none for a new one
+	entries []records.Entry
+	mine    bool
+}
+
+// packWrites is the packs that the batch changes and those that it begins. Those of
+// this controller alone are united where they fit together: it is one put and one
+// removal instead of two puts, and from then on one change instead of two.
+func (b *Batch) packWrites(f Form) []store.Write {
+	var ps []packed
+	for _, k := range b.order {
+		sl := sliceOf(b.edits[k])
+		if sl.Packed() {
+			ps = append(ps, packed{k, remaining(sl, b.edits[k], f.Known), mine(sl, f.Mine)})
+		}
+	}
+	unite(ps, f.Limit)
+	for _, part := range book.Sorted(b.fresh) {
+		ps = append(ps, packed{entries: b.fresh[part]})
+	}
+	var puts, removes []store.Write
+	for _, p := range ps {
+		if len(p.entries) == 0 {
+			removes = append(removes, Remove(p.key))
+			continue
+		}
+		for _, v := range records.Split(p.entries, f.Limit) {
+			if p.key == "" {
+				p.key = f.NewKey()
+			}
+			puts = append(puts, store.Write{Put: p.key, Value: v})
+			p.key = ""
+		}
+	}
+	return append(puts, removes...)
+}
+
+// remaining is a pack's entries with some of its tasks changed, without those that
+// leave it and those of jobs that are over.
+func remaining(sl *book.Slice, edits map[*book.Task]Change, known uint64) []records.Entry {
+	var out []records.Entry
+	for _, t := range sl.Tasks {
+		c, edited := edits[t]
+		switch {
+		case !sl.Holds(t) || c.Leaves:
+		case edited && !(t.Job.Rec == nil && !t.Job.Doubted && !c.Next.On() && sl.Stamp <= known):
+			out = append(out, records.Entry{UID: t.Job.UID, N: t.N, Task: c.Next})
+		case !edited && !t.Over(known):
+			out = append(out, records.Entry{UID: t.Job.UID, N: t.N, Task: t.Task})
+		}
+	}
+	return out
+}
+
+// unite moves the entries of small packs into larger ones of the same controller.
+func unite(ps []packed, limit int) {
+	var own []*packed
+	for i := range ps {
+		if ps[i].mine && len(ps[i].entries) > 0 {
+			own = append(own, &ps[i])
+		}
+	}
+	slices.SortStableFunc(own, func(a, b *packed) int { return cmp.Compare(len(b.entries), len(a.entries)) })
+	full := int(float64(limit) * tuning.PackFull)
+	for i, into := range own {
+		for _, from := range own[i+1:] {
+			if len(into.entries) == 0 || len(from.entries) == 0 || len(into.entries)+len(from.entries) > full/tuning.PackTaskBytes {
+				continue
+			}
+			both := slices.Concat(into.entries, from.entries)
+			if len(records.Encode(both)) <= full {
+				into.entries, from.entries = both, nil
+			}
+		}
+	}
+}
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -8,6 +8,7 @@
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/store"
 )
@@ -54,9 +55,15 @@
 }
 
 // Clear removes the records of a closed job: those of slices without a task on
-// a machine, and the job's own once no slice is left.
+// a machine, and the job's own once no slice is left. What packs still say of its
+// tasks is left out when they are next written.
 func Clear(j *book.Job, txnOps int, busy func(string) bool) []decide.Decision {
 	if len(j.Slices) == 0 {
+		for _, t := range j.Active {
+			if t.On() || t.State == book.Unreadable {
+				return nil
+			}
+		}
 		return []decide.Decision{{Writes: []store.Write{decide.Remove(jobs.JobPrefix + j.UID)}}}
 	}
 	var ds []decide.Decision
@@ -74,11 +81,12 @@
 }
 
 // WithLast is the decision that ends a sweep with its last task, when one slice
-// holds all of the job. For a job of one task that is four changes instead of
-// five, and the leader's turn is not waited for.
+// holds all of the job, or packs do. For a job of one task that is four changes
+// instead of five, and the leader's turn is not waited for.
 func WithLast(t *book.Task) (decide.Decision, bool) {
 	j, sl := t.Job, t.Slice
-	if j.Rec.Spec.Shape != jobs.Sweep || len(j.Slices) != 1 || len(sl.Tasks) != j.Rec.Spec.Pieces || j.Done != len(sl.Tasks)-1 {
+	whole := len(j.Slices) == 1 && len(sl.Tasks) == j.Rec.Spec.Pieces || len(j.Slices) == 0 && sl.Packed()
+	if j.Rec.Spec.Shape != jobs.Sweep || !whole || j.Done != j.Rec.Spec.Pieces-1 {
 		return decide.Decision{}, false
 	}
 	if _, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Complete}); !ok {
@@ -88,5 +96,13 @@
 	if !ok {
 		return decide.Decision{}, false
 	}
-	return final(j, state), true
+	d := final(j, state)
+	if sl.Packed() {
+		// The pack is not written for it: its record of the task outlives the job's
+		// by a moment and goes with the next ends. That nobody has given the task
+		// up and started it elsewhere hangs on its machine's record, which changes
+		// before that.
+		d.Seen = append(d.Seen, fleet.HostPrefix+t.Host)
+	}
+	return d, true
 }
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -250,11 +250,11 @@
 		return []Task{*t}, nil
 	case s.Version != sliceVersion:
 		return nil, fmt.Errorf("unknown version %d of a slice", s.Version)
-	case len(s.Tasks) == 0 || len(s.Tasks) > maxPieces:
+	case len(s.Tasks) == 0 || len(s.Tasks) > MaxPieces:
 		return nil, fmt.Errorf("a slice of %d tasks", len(s.Tasks))
 	}
 	for i := range s.Tasks {
-		if err := s.Tasks[i].check(); err != nil {
+		if err := s.Tasks[i].Check(); err != nil {
 			return nil, err
 		}
 	}
@@ -271,7 +271,7 @@
 		return "", 0, false
 	}
 	n, err := strconv.Atoi(num)
-	if err != nil || n < 0 || n >= maxPieces || strconv.Itoa(n) != num {
+	if err != nil || n < 0 || n >= MaxPieces || strconv.Itoa(n) != num {
 		return "", 0, false
 	}
 	return uid, n, true
@@ -292,7 +292,7 @@
 	if err := json.Unmarshal(b, &r); err != nil {
 		return nil, err
 	}
-	if r.Spec.UID != uid || r.Spec.Pieces < 1 || r.Spec.Pieces > maxPieces || r.Spec.RankOrder() < 0 {
+	if r.Spec.UID != uid || r.Spec.Pieces < 1 || r.Spec.Pieces > MaxPieces || r.Spec.RankOrder() < 0 {
 		return nil, fmt.Errorf("record of %s does not hold its job", uid)
 	}
 	switch r.State {
@@ -308,13 +308,14 @@
 	if err := json.Unmarshal(b, &t); err != nil {
 		return nil, err
 	}
-	if err := t.check(); err != nil {
+	if err := t.Check(); err != nil {
 		return nil, err
 	}
 	return &t, nil
 }
 
-func (t *Task) check() error {
+// Check tells what is wrong with a task's record.
+func (t *Task) Check() error {
 	switch t.State {
 	case Pending, Released, Finished:
 	case Placed, Stopping:
--- a/internal/jobs/spec.go
+++ b/internal/jobs/spec.go
@@ -46,8 +46,9 @@
 
 // Limits on what a specification may hold.
 const (
-	maxPieces = 100_000 // protocol
-	maxName   = 200     // bytes; keys are no longer either
+	// MaxPieces is the most tasks that a job may have (protocol).
+	MaxPieces = 100_000
+	maxName   = 200 // bytes; keys are no longer either
 	maxBuilds = 64
 	maxAmount = 1e9
 )
@@ -170,7 +171,7 @@
 	s.Shape = p.oneOf("shape", r.Shape, Sweep, Ensemble, Standing)
 	s.Rank = p.oneOf("rank", r.Rank, ranks...)
 	pieces := p.amount("pieces", r.Pieces, true)
-	if pieces < 1 || pieces > maxPieces || pieces != math.Trunc(pieces) {
+	if pieces < 1 || pieces > MaxPieces || pieces != math.Trunc(pieces) {
 		p.fail("pieces", "must be a whole number from 1 to 100000")
 	}
 	s.Pieces = int(pieces)
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -13,6 +13,8 @@
 const (
 	ViewKey      = "view"
 	MemberPrefix = "member/"
+	// FormPrefix is that of the keys in which members say what they can read.
+	FormPrefix = "form/"
 )
 
 // Member is a live controller. Inc is the id of the lease that its member key
@@ -142,3 +144,20 @@
 
 // NameOfKey is the member's name in a member key.
 func NameOfKey(key string) string { return strings.TrimPrefix(key, MemberPrefix) }
+
+// Forms is what one incarnation of a controller can read of the records that came
+// after the first version. A controller that says nothing reads none of them.
+type Forms struct {
+	Inc  uint64 `json:"inc"`
+	Pack int    `json:"pack"` // newest form of packs
+}
+
+// AllRead tells whether every member of the view reads packs of some form.
+func (v *View) AllRead(forms map[string]Forms, pack int) bool {
+	for _, m := range v.Members {
+		if f := forms[m.Name]; f.Inc != m.Inc || f.Pack < pack {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -15,6 +15,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -42,7 +43,8 @@
 	Env
 
 	keys      map[string]uint64 // member keys: name to incarnation
-	hold      uint64            // its lease, which is its incarnation; 0 for none
+	forms     map[string]members.Forms
+	hold      uint64 // its lease, which is its incarnation; 0 for none
 	renewedAt time.Time
 	certain   members.Certainty // of its place in the view
 	wokeAt    time.Time         // after it last stood still
@@ -54,7 +56,7 @@
 
 // New makes a controller that has not joined; book tells the time.
 func New(b *book.Book, env Env) *Membership {
-	return &Membership{Book: b, Env: env, keys: map[string]uint64{}, certain: members.Certainty{Standing: members.Sure}}
+	return &Membership{Book: b, Env: env, keys: map[string]uint64{}, forms: map[string]members.Forms{}, certain: members.Certainty{Standing: members.Sure}}
 }
 
 // Hold is its lease, 0 for none.
@@ -73,6 +75,36 @@
 	}
 }
 
+// FormChanged takes in what a member can read, nil for a key that is gone.
+func (me *Membership) FormChanged(name string, value json.RawMessage) {
+	var f members.Forms
+	if value == nil || json.Unmarshal(value, &f) != nil {
+		delete(me.forms, name)
+	} else {
+		me.forms[name] = f
+	}
+}
+
+// AllReadPacks tells whether all members of the view read packs.
+func (me *Membership) AllReadPacks() bool {
+	return me.View() != nil && me.View().AllRead(me.forms, records.Form)
+}
+
+// candidates is the members' keys without those of controllers that cannot read what
+// is stored: in the view they would take tasks in packs for tasks that nobody knows.
+func (me *Membership) candidates() map[string]uint64 {
+	if len(me.Packs) == 0 {
+		return me.keys
+	}
+	out := map[string]uint64{}
+	for name, inc := range me.keys {
+		if f := me.forms[name]; f.Inc == inc && f.Pack >= records.Form {
+			out[name] = inc
+		}
+	}
+	return out
+}
+
 // StoodStill takes note of a gap that its lease may not have outlived: it decides
 // nothing, and vouches for nothing, until it knows its place in the view again. A
 // leader that woke under another one would rent and delete by an old picture.
@@ -170,14 +202,17 @@
 	}
 	me.putting = true
 	hold := me.hold
-	w := store.Write{Put: members.MemberPrefix + me.Me, Value: jobs.Encode(hold), Hold: hold}
-	me.Client.Multi(store.Membership, store.Txn{Writes: []store.Write{w}}, func(epoch uint64, _ []string, err error) {
+	ws := []store.Write{
+		{Put: members.FormPrefix + me.Me, Value: jobs.Encode(members.Forms{Inc: hold, Pack: records.Form}), Hold: hold},
+		{Put: members.MemberPrefix + me.Me, Value: jobs.Encode(hold), Hold: hold},
+	}
+	me.Client.Multi(store.Membership, store.Txn{Writes: ws}, func(epoch uint64, _ []string, err error) {
 		me.putting = false
 		if errors.Is(err, store.ErrRefused) && me.hold == hold {
 			me.hold = 0 // no such lease
 		}
 		if err == nil {
-			me.Mirror.Put(w.Put, w.Value, epoch)
+			me.Mirror.Commit(ws, epoch)
 			me.Wake()
 		}
 	})
@@ -187,7 +222,7 @@
 	if me.viewBusy {
 		return
 	}
-	next := members.Next(members.Situation{Me: me.Me, Inc: me.hold, View: me.View(), Keys: me.keys, Out: me.Unreachable()})
+	next := members.Next(members.Situation{Me: me.Me, Inc: me.hold, View: me.View(), Keys: me.candidates(), Out: me.Unreachable()})
 	if next == nil {
 		return
 	}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
@@ -19,6 +20,7 @@
 	closing    map[string]bool
 	movedAt    time.Time
 	releasedAt time.Time // last look at the queue
+	clearedAt  time.Time // last look for packs of no more use
 	turn       int       // which duty has the first go at the budget
 }
 
@@ -44,6 +46,7 @@
 	}
 	n.lead.turn++
 	n.moveReplicas()
+	n.clearPacks()
 }
 
 // releasePass looks at the queue. While no change can be made, room that comes
@@ -56,6 +59,9 @@
 	if !n.front.QuotaSettled() {
 		return
 	}
+	if n.packing() && !n.client.Spare() && n.Now.Sub(n.lead.releasedAt) < tuning.PackEvery {
+		return
+	}
 	if n.client.Allows(0, least) || n.Now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
 		n.lead.releasedAt = n.Now
 		n.queue.Release()
@@ -92,6 +98,23 @@
 	n.commit(ds)
 }
 
+// clearPacks removes packs that hold only what is left of jobs that are over.
+func (n *Node) clearPacks() {
+	if len(n.Packs) == 0 || n.Now.Sub(n.lead.clearedAt) < tuning.Step || !n.client.Spare() {
+		return
+	}
+	n.lead.clearedAt = n.Now
+	var ds []decide.Decision
+	for _, key := range book.Sorted(n.Packs) {
+		sl := n.Packs[key]
+		inUse := func(t *book.Task) bool { return sl.Holds(t) && !t.Over(n.mirror.Epoch) }
+		if len(ds) < n.set.Cluster.State.TxnOps && !n.busy[key] && len(sl.Tasks) > 0 && !slices.ContainsFunc(sl.Tasks, inUse) && sl.Stamp <= n.mirror.Epoch {
+			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Remove(key)}})
+		}
+	}
+	n.commit(ds)
+}
+
 // takeBack withdraws tasks that their part did not place.
 func (n *Node) takeBack() {
 	var ds []decide.Decision
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	"github.com/harrierreel/harrierreel/internal/pipelines"
 	"github.com/harrierreel/harrierreel/internal/queue"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/sight"
@@ -69,6 +70,7 @@
 	hintedEpoch uint64
 
 	busy   map[string]bool // keys under an unfinished transaction
+	packs  uint64          // begun by this process
 	ending int             // writes of jobs' ends under way
 
 	front  *front.Front
@@ -110,7 +112,7 @@
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
 		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.isBusy,
-		Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit,
+		Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit, Packing: n.packing,
 		Ready:    func(m *book.Machine) bool { return n.part.Ready(m) },
 		CanPlace: func(t *book.Task, m *book.Machine) bool { return n.part.CanPlace(t, m) },
 	})
@@ -277,6 +279,8 @@
 		}
 	case hasPrefix(key, members.MemberPrefix):
 		n.member.KeyChanged(members.NameOfKey(key), value)
+	case hasPrefix(key, members.FormPrefix):
+		n.member.FormChanged(key[len(members.FormPrefix):], value)
 	case hasPrefix(key, fleet.QuietPrefix):
 		if err := n.part.QuietChanged(key[len(fleet.QuietPrefix):], value); err != nil {
 			n.log.Error("unreadable list of machines set aside", "key", key, "error", err)
@@ -287,6 +291,14 @@
 			n.log.Error("unreadable slice set aside", "key", key, "error", err)
 		}
 		n.front.RunSees(uid)
+	case hasPrefix(key, records.Prefix):
+		uids, err := n.PackChanged(key, value, stamp)
+		if err != nil {
+			n.log.Error("unreadable pack set aside", "key", key, "error", err)
+		}
+		for _, uid := range uids {
+			n.front.RunSees(uid)
+		}
 	case hasPrefix(key, jobs.JobPrefix):
 		uid := key[len(jobs.JobPrefix):]
 		if err := n.JobChanged(uid, value); err != nil {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -12,7 +12,9 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/rental"
+	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -22,7 +24,7 @@
 )
 
 // livePrefixes are read whole at a start. Jobs come before their tasks.
-var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, fleet.HostPrefix, fleet.QuietPrefix, rental.BuildPrefix, fencePrefix, members.MemberPrefix, members.ViewKey, rental.SummaryKey}
+var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, records.Prefix, fleet.HostPrefix, fleet.QuietPrefix, rental.BuildPrefix, fencePrefix, members.FormPrefix, members.MemberPrefix, members.ViewKey, rental.SummaryKey}
 
 // prefixes are the live prefixes of this node's duties.
 func (n *Node) prefixes() []string {
@@ -134,6 +136,7 @@
 		Busy:   func(key string) bool { return n.busy[key] },
 		Allows: n.client.Allows,
 		Size:   func(key string) int { return len(n.mirror.Get(key)) },
+		Mine:   n.mine,
 	}
 	batches := p.Pack(ds)
 	n.ending = p.Ending
@@ -150,18 +153,43 @@
 	return min(max(1, n.sliceLimit()/tuning.SliceTaskBytes), n.set.Cluster.State.TxnOps*tuning.CondsPerOp/2)
 }
 
+// newPack is the key of a new pack: every incarnation of a controller has its own
+// epoch, so none is ever used twice.
+func (n *Node) newPack() string {
+	n.packs++
+	return fmt.Sprintf("%s%d-%s-%d", records.Prefix, n.roleEpoch, n.set.NodeName, n.packs)
+}
+
+// packing tells whether tasks are given away in packs: where changes are scarce, and
+// every controller reads them.
+func (n *Node) packing() bool {
+	switch n.set.Operator.Packs {
+	case settings.PacksAlways:
+	case settings.PacksScarce:
+		if !n.queue.Scarce() {
+			return false
+		}
+	default:
+		return false
+	}
+	return n.member.AllReadPacks()
+}
+
+func (n *Node) mine(host string) bool { return n.owner(host) == n.set.NodeName }
+
 func (n *Node) send(b *decide.Batch) {
-	t := store.Txn{Writes: b.Writes(n.sliceLimit())}
+	t := store.Txn{Writes: b.Writes(decide.Form{Limit: n.sliceLimit(), Known: n.mirror.Epoch, Mine: n.mine, NewKey: n.newPack})}
 	b.Conds[members.ViewKey], b.Conds[n.fence.key] = true, true
 	for _, k := range n.front.Conds() {
 		b.Conds[k] = true
 	}
-	for _, k := range book.Sorted(b.Conds) {
-		t.If = append(t.If, store.Cond{Key: k, Stamp: n.mirror.Stamp(k)})
-	}
 	for _, w := range t.Writes {
+		b.Conds[decide.Key(w)] = true
 		n.busy[decide.Key(w)] = true
 	}
+	for _, k := range book.Sorted(b.Conds) {
+		t.If = append(t.If, store.Cond{Key: k, Stamp: n.mirror.Stamp(k)})
+	}
 	p := store.Decision
 	if b.Urgent {
 		p = store.Urgent
--- a/internal/part/part_test.go
+++ b/internal/part/part_test.go
@@ -37,7 +37,7 @@
 	log := slog.New(slog.DiscardHandler)
 	cluster := settings.Cluster{Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}, State: settings.State{TxnOps: 16}}
 	not := func(string) bool { return false }
-	q := queue.New(b, queue.Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, Log: log, Busy: not, Allows: func(int, int) bool { return true }, Spare: func() bool { return true },
+	q := queue.New(b, queue.Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, Packing: func() bool { return false }, Log: log, Busy: not, Allows: func(int, int) bool { return true }, Spare: func() bool { return true },
 		Ready: func(m *book.Machine) bool { return o.Ready(m) }, CanPlace: func(x *book.Task, m *book.Machine) bool { return o.CanPlace(x, m) }, Commit: o.commit})
 	re := rental.New(b, rental.Env{Cluster: cluster, Log: log, Queue: q})
 	o.Part = New(b, Env{Me: "n0", Cluster: cluster, SliceLimit: 8192, Log: log, Queue: q, Rental: re, Wake: func() {}, Speaks: func() bool { return o.speaks },
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -227,7 +227,9 @@
 		if t.Job.Rec.Spec.Shape == jobs.Standing {
 			return pt.Gone(t, jobs.Gone, 0)
 		}
-		if d, whole := ending.WithLast(t); whole {
+		m := pt.Machines[s.Host]
+		inUse := m != nil && m.State != fleet.Deleting && m.State != fleet.Deleted
+		if d, whole := ending.WithLast(t); whole && (inUse || !t.Slice.Packed()) {
 			return d
 		}
 		return pt.Gone(t, jobs.Complete, 0)
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -113,7 +113,7 @@
 		j.Free++
 	}
 	// Where a slice cannot be read, nobody knows which tasks it holds.
-	for i := j.Free; i < j.Rec.Spec.Pieces && len(out) < most && !j.Unreadable; i++ {
+	for i := j.Free; i < j.Rec.Spec.Pieces && len(out) < most && !j.Unreadable && !q.MayHold(j.UID); i++ {
 		if j.Tasks[i] != nil {
 			continue
 		}
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -11,6 +11,7 @@
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/parts"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -66,11 +67,12 @@
 
 // writes is how many records the pass's decisions write, at most.
 func (p *pass) writes() int {
-	sum := 0
+	sum, fresh := 0, 0
 	for i := range p.ds {
 		sum += len(p.ds[i].Writes) + len(p.ds[i].Changes)
+		fresh += len(p.ds[i].Fresh)
 	}
-	return sum
+	return sum + fresh/tuning.PackShared
 }
 
 func (q *Queue) newPass() *pass {
@@ -257,7 +259,7 @@
 // gathers tells whether the few tasks of a sweep that there is room for should
 // wait a moment for more of them, to share a slice. Their room is kept.
 func (q *Queue) gathers(j *book.Job, offers, room int) bool {
-	if !q.Scarce() || q.Spare() || j.Rec.Spec.Shape != jobs.Sweep || offers == 0 ||
+	if !q.Scarce() || q.Spare() || q.Packing() || j.Rec.Spec.Shape != jobs.Sweep || offers == 0 ||
 		offers >= min(tuning.GatherTasks, j.Rec.Spec.Pieces-j.Done-len(j.Active)) || offers < room {
 		j.Gather = time.Time{}
 		return false
@@ -280,7 +282,14 @@
 	var ds []decide.Decision
 	byPart := map[string][]string{}
 	var fresh []*book.Task
+	packs := q.Packing()
 	for _, o := range offers {
+		if spec := &j.Rec.Spec; packs && spec.Shape == jobs.Sweep && (o.t.Slice == nil || o.t.Slice.Packed()) {
+			if d, ok := q.packing(o); ok {
+				ds = append(ds, d)
+			}
+			continue
+		}
 		if o.t.Slice != nil {
 			if d, ok := q.releaseOld(o); ok {
 				ds = append(ds, d)
@@ -303,6 +312,32 @@
 	return ds
 }
 
+// packing is the decision that gives a task to a part in a new pack, with all else
+// that goes to that part in the same transaction. One that has been tried before
+// leaves its pack for that: the owner of the machine that it goes to writes it next.
+func (q *Queue) packing(o offer) (decide.Decision, bool) {
+	m := q.Machines[o.host]
+	d := decide.Decision{Seen: []string{jobs.JobPrefix + o.t.Job.UID}}
+	var next jobs.Task
+	var ok bool
+	if q.ours(o.t, m) {
+		d.Seen = append(d.Seen, fleet.HostPrefix+o.host)
+		next, ok = q.placed(o.t, o.host, m.Site, o.t.Try+1)
+	} else if next, ok = jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host}); ok {
+		q.Reserve(o.t, o.host, m.Site)
+	}
+	if !ok {
+		return d, false
+	}
+	if o.t.Slice != nil {
+		d.Changes = []decide.Change{{Task: o.t, Next: next, Leaves: true}}
+	}
+	d.Fresh = []decide.Fresh{{Part: m.Owner, Entry: records.Entry{UID: o.t.Job.UID, N: o.t.N, Task: next}}}
+	piece := o.t.Piece
+	d.Done = func(bool) { q.Unreserve(piece) }
+	return d, true
+}
+
 // releaseOld gives a task to a part once more.
 func (q *Queue) releaseOld(o offer) (decide.Decision, bool) {
 	m := q.Machines[o.host]
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -33,6 +33,8 @@
 	Ready func(m *book.Machine) bool
 	// CanPlace tells whether a task may go on a machine of this part now.
 	CanPlace func(t *book.Task, m *book.Machine) bool
+	// Packing tells whether tasks are given away in packs of many jobs.
+	Packing func() bool
 	// Commit takes decisions.
 	Commit func([]decide.Decision)
 }
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -29,7 +29,7 @@
 	b := book.New(quota.Flat(teams), func(string) {})
 	b.Now = time.UnixMilli(1e12)
 	b.Builds["g4"] = &jobs.Build{Name: "g4", Cores: 32, Accel: 4, MemoryGB: 256, CacheGB: 100, PullRate: 1, Sites: []string{"a", "b"}}
-	d.Queue = New(b, Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, WriteRPS: 1000, Log: slog.New(slog.DiscardHandler),
+	d.Queue = New(b, Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, Packing: func() bool { return false }, WriteRPS: 1000, Log: slog.New(slog.DiscardHandler),
 		Busy: func(string) bool { return false }, Allows: func(spent, writes int) bool { return spent+writes <= d.budget }, Spare: func() bool { return true },
 		Ready: func(m *book.Machine) bool { return m.State == fleet.Up }, CanPlace: func(t *book.Task, m *book.Machine) bool { return book.Suits(t, m) }, Commit: d.commit})
 	return d
@@ -39,7 +39,7 @@
 	d.taken = append(d.taken, ds...)
 	p := decide.Packer{MostOps: 16, Busy: d.Busy, Allows: func(int, int) bool { return true }, Size: func(string) int { return 0 }}
 	for _, b := range p.Pack(ds) {
-		for _, w := range b.Writes(8192) {
+		for _, w := range b.Writes(decide.Form{Limit: 8192}) {
 			if strings.HasPrefix(decide.Key(w), jobs.TaskPrefix) {
 				if _, err := d.SliceChanged(decide.Key(w), w.Value); err != nil {
 					d.t.Error(err)
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -40,7 +40,7 @@
 	cluster := settings.Cluster{Cloud: settings.Cloud{RPS: 20, ListLagS: 4}, Workers: settings.Workers{ReportS: 3, LeaseS: 30, CancelS: 60}, State: settings.State{TxnOps: 16, WriteRPS: 100}}
 	not := func(string) bool { return false }
 	yes := func(int, int) bool { return true }
-	q := queue.New(b, queue.Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, WriteRPS: 100, Log: log, Busy: not, Allows: yes, Spare: func() bool { return true },
+	q := queue.New(b, queue.Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, Packing: func() bool { return false }, WriteRPS: 100, Log: log, Busy: not, Allows: yes, Spare: func() bool { return true },
 		Ready: func(m *book.Machine) bool { return m.State == fleet.Up }, CanPlace: func(*book.Task, *book.Machine) bool { return true }, Commit: func([]decide.Decision) {}})
 	o.Rental = New(b, Env{Operator: settings.DefaultOperator(), Cluster: cluster, SliceLimit: 8192, Log: log, Chance: rand.New(rand.NewPCG(1, 1)), Queue: q,
 		Send: o.cloud, Leads: func() (bool, uint64) { return o.leads, o.epoch }, Wake: func() {}, Busy: not, Recorded: not, Allows: yes,
--- a/internal/scenario/hour_test.go
+++ b/internal/scenario/hour_test.go
@@ -37,6 +37,8 @@
 		w.Max[team.Name] = team.GpusMax
 	}
 	s.set.Operator.Quotas = s.quotas("hour")
+	s.set.Operator.Packs = settings.PacksAlways
+	w.WatchTasks()
 	w.Cloud.Limit = 10 // 80 accelerators
 	for range 10 {
 		w.Cloud.AddRunning("g8", "a", false)
--- a/internal/scenario/same_test.go
+++ b/internal/scenario/same_test.go
@@ -14,6 +14,7 @@
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/pipefile"
 	"github.com/harrierreel/harrierreel/internal/pipelines"
+	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/standin"
 )
@@ -42,6 +43,18 @@
 	Used   map[string]int       // by task: accelerators charged, once for each release
 }
 
+// state notes a task's state.
+func (acc *account) state(uid string, n int, task *jobs.Task) {
+	piece := jobs.Piece(uid, n)
+	state := fmt.Sprintf("%s on %s in %s, try %d", task.State, task.Host, task.Site, task.Try)
+	if k := len(acc.Tasks[piece]); k == 0 || acc.Tasks[piece][k-1] != state {
+		acc.Tasks[piece] = append(acc.Tasks[piece], state)
+		if task.State == jobs.Placed {
+			acc.Used[piece] += int(acc.Specs[uid].Accel)
+		}
+	}
+}
+
 // watched is a world with three controllers and the account of what they write.
 func watched(t *testing.T) (*standin.World, *account) {
 	t.Helper()
@@ -67,6 +80,14 @@
 			}
 		case jobs.FinalPrefix:
 			acc.Finals[name] = string(v)
+		case records.Prefix:
+			es, err := records.Decode(v)
+			if err != nil {
+				t.Error(err)
+			}
+			for _, e := range es {
+				acc.state(e.UID, e.N, &e.Task)
+			}
 		case jobs.TaskPrefix:
 			uid, from, _ := jobs.SplitPiece(name)
 			tasks, err := jobs.DecodeSlice(v)
@@ -74,14 +95,7 @@
 				t.Error(err)
 			}
 			for i, task := range tasks {
-				piece := jobs.Piece(uid, from+i)
-				state := fmt.Sprintf("%s on %s in %s, try %d", task.State, task.Host, task.Site, task.Try)
-				if n := len(acc.Tasks[piece]); n == 0 || acc.Tasks[piece][n-1] != state {
-					acc.Tasks[piece] = append(acc.Tasks[piece], state)
-					if task.State == jobs.Placed {
-						acc.Used[piece] += int(acc.Specs[uid].Accel)
-					}
-				}
+				acc.state(uid, from+i, &task)
 			}
 		}
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -33,7 +33,12 @@
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
 			t.Parallel()
-			run(t, f, nil)
+			run(t, f, settings.PacksScarce, nil)
+		})
+		// The same must hold when all that can be packed is.
+		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt")+"-packed", func(t *testing.T) {
+			t.Parallel()
+			run(t, f, settings.PacksAlways, nil)
 		})
 	}
 }
@@ -54,7 +59,7 @@
 
 // run plays a scenario. committed, if given, is told of each write of a
 // transaction.
-func run(t *testing.T, file string, committed func(key string, v json.RawMessage)) {
+func run(t *testing.T, file string, packs settings.Packs, committed func(key string, v json.RawMessage)) {
 	f, err := os.Open(file)
 	if err != nil {
 		t.Fatal(err)
@@ -66,7 +71,9 @@
 	}
 	s := &script{t: t, size: 3, vars: map[string]string{}, applied: map[string]int{}, w: standin.NewWorld(7, log)}
 	s.w.Store.Committed = committed
+	s.w.WatchTasks()
 	s.set = baseSettings(s.w)
+	s.set.Operator.Packs = packs
 	started := false
 	sc := bufio.NewScanner(f)
 	for n := 1; sc.Scan(); n++ {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -25,10 +25,21 @@
 	ReviveSteps int
 	MemberTTLS  float64
 	FinalCache  int
+	Packs       Packs           // when tasks of many jobs share a record
 	Pipelines   *Pipelines      // nil: turned off
 	Quotas      *quota.Document // nil: the platform's teams alone
 }
 
+// Packs tells when new tasks go into records that many jobs share (package records).
+type Packs string
+
+// When tasks are packed.
+const (
+	PacksOff    Packs = "off"
+	PacksScarce Packs = "scarce" // where there are more machines than changes a second
+	PacksAlways Packs = "always"
+)
+
 // Pipelines holds the limits on runs of pipeline files.
 type Pipelines struct {
 	MostRuns     int     // live at once
@@ -56,6 +67,9 @@
 	Users *struct {
 		FinalCache *int `hcl:"final_cache,optional"`
 	} `hcl:"users,block"`
+	Records *struct {
+		Packs *string `hcl:"packs,optional"`
+	} `hcl:"records,block"`
 	Quotas    *quota.Document `hcl:"quotas,block"`
 	Pipelines *struct {
 		MostRuns     *int     `hcl:"most_runs,optional"`
@@ -77,6 +91,7 @@
 		ReviveSteps: tuning.ReviveSteps,
 		MemberTTLS:  tuning.MemberTTL.Seconds(),
 		FinalCache:  tuning.FinalCache,
+		Packs:       PacksScarce,
 	}
 }
 
@@ -115,6 +130,11 @@
 		set(c, "scaler.trend_steps", &op.TrendSteps, s.TrendSteps, 3, 200)
 		set(c, "scaler.fresh_steps", &op.FreshSteps, s.FreshSteps, 0, 200)
 	}
+	if r := f.Records; r != nil && r.Packs != nil {
+		op.Packs = Packs(*r.Packs)
+		known := op.Packs == PacksOff || op.Packs == PacksScarce || op.Packs == PacksAlways
+		c.that(known, "records.packs", fmt.Sprintf("is %q; expected %q, %q or %q", *r.Packs, PacksOff, PacksScarce, PacksAlways))
+	}
 	if d := f.Drain; d != nil {
 		set(c, "drain.steps", &op.DrainSteps, d.Steps, 1, 100)
 		set(c, "drain.revive_steps", &op.ReviveSteps, d.Revive, 0, 100)
--- a/internal/standin/quotas.go
+++ b/internal/standin/quotas.go
@@ -3,10 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/records"
 )
 
 // ApplyQuota puts another tree in force, repeating until there is a final answer.
@@ -22,6 +25,31 @@
 	})
 }
 
+// charge is what a task in a record is charged for.
+type charge struct {
+	uid    string
+	key    quota.Key
+	amount quota.Amount
+}
+
+// tasksOf is the tasks in a slice or a pack, none in what can't be read.
+func tasksOf(key string, v json.RawMessage) []records.Entry {
+	if strings.HasPrefix(key, records.Prefix) {
+		es, _ := records.Decode(v)
+		return es
+	}
+	uid, from, ok := jobs.SplitPiece(strings.TrimPrefix(key, jobs.TaskPrefix))
+	if !ok {
+		return nil
+	}
+	tasks, _ := jobs.DecodeSlice(v)
+	var es []records.Entry
+	for i := range tasks {
+		es = append(es, records.Entry{UID: uid, N: from + i, Task: tasks[i]})
+	}
+	return es
+}
+
 // WatchQuotas checks, at each commit, that no node of the tree in the store uses
 // more than its limit, unless it did so before the tree was put there, and then that
 // its use does not grow; and that whatever is stopped has a cause. stops counts the
@@ -30,70 +58,82 @@
 	stops = map[string]int{}
 	specs := map[string]*jobs.Spec{}
 	stopped := map[string]bool{}
-	charged := map[string]map[string]quota.Key{} // slice to its charged pieces
+	charged := map[string][]charge{} // by record
 	account := quota.NewAccount(quota.Flat(teams))
 	next := w.Store.Committed
-	slice := func(key string, v json.RawMessage) {
-		uid, from, ok := jobs.SplitPiece(key)
-		if !ok || specs[uid] == nil {
-			return
-		}
-		a := specs[uid].Amount()
-		for _, k := range charged[key] {
-			account.Charge(k, a, -1)
+	take := func(key string, v json.RawMessage) {
+		for _, c := range charged[key] {
+			account.Charge(c.key, c.amount, -1)
 		}
-		charged[key] = map[string]quota.Key{}
-		tasks, err := jobs.DecodeSlice(v)
-		if v == nil || err != nil {
-			delete(charged, key)
-			return
-		}
-		for i, t := range tasks {
-			if t.Charged() {
-				charged[key][jobs.Piece(uid, from+i)] = specs[uid].Key()
-				account.Charge(specs[uid].Key(), a, 1)
+		delete(charged, key)
+		for _, e := range tasksOf(key, v) {
+			spec := specs[e.UID]
+			if spec == nil {
+				continue
+			}
+			if e.Task.Charged() {
+				charged[key] = append(charged[key], charge{e.UID, spec.Key(), spec.Amount()})
+				account.Charge(spec.Key(), spec.Amount(), 1)
 			}
-			if t.State == jobs.Stopping {
-				if t.Why == "" {
-					w.Break("stopped without a cause: %s", jobs.Piece(uid, from+i))
+			if e.Task.State == jobs.Stopping {
+				piece := jobs.Piece(e.UID, e.N)
+				if e.Task.Why == "" {
+					w.Break("stopped without a cause: %s", piece)
 				}
-				if attempt := fmt.Sprint(jobs.Piece(uid, from+i), t.Try); !stopped[attempt] {
+				if attempt := fmt.Sprint(piece, e.Task.Try); !stopped[attempt] {
 					stopped[attempt] = true
-					stops[t.Why]++
+					stops[e.Task.Why]++
 				}
 			}
 		}
 	}
+	before := account.Clone()
 	w.Store.Committed = func(key string, v json.RawMessage) {
 		if next != nil {
 			next(key, v)
 		}
-		before := account.Clone()
 		switch {
 		case key == quota.StoreKey:
 			if s, err := quota.Decode(v); err == nil {
 				if tree, faults := quota.Build(&s.Doc, teams, classes); tree != nil {
 					account.Rebase(tree)
+					before = account.Clone()
 				} else {
 					w.Break("a tree with faults was put in force: %v", faults)
 				}
 			}
-			return
-		case len(key) > 4 && key[:4] == jobs.JobPrefix:
-			if r, err := jobs.DecodeRecord(key[4:], v); err == nil {
-				specs[key[4:]] = &r.Spec
+		case strings.HasPrefix(key, jobs.JobPrefix):
+			uid := key[len(jobs.JobPrefix):]
+			if r, err := jobs.DecodeRecord(uid, v); err == nil {
+				specs[uid] = &r.Spec
+				return
 			}
-			return
-		case len(key) > 5 && key[:5] == jobs.TaskPrefix:
-			slice(key[5:], v)
-		default:
-			return
+			// Its record goes when the last of its tasks has truly ended; what a
+			// pack still says of it counts no more.
+			delete(specs, uid)
+			for k, cs := range charged {
+				charged[k] = slices.DeleteFunc(cs, func(c charge) bool {
+					if c.uid == uid {
+						account.Charge(c.key, c.amount, -1)
+					}
+					return c.uid == uid
+				})
+			}
+		case strings.HasPrefix(key, jobs.TaskPrefix), strings.HasPrefix(key, records.Prefix):
+			take(key, v)
+		}
+	}
+	settled := w.Store.Settled
+	w.Store.Settled = func() {
+		if settled != nil {
+			settled()
 		}
 		for _, i := range account.Over() {
 			if !before.Used(i).Covers(account.Used(i)) {
 				w.Break("quota: %s uses %s, more than its limit", account.Tree().Path(i), account.Used(i))
 			}
 		}
+		before = account.Clone()
 	}
 	return stops
 }
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -34,8 +34,10 @@
 	// Slow is added to every answer.
 	Slow time.Duration
 	// Committed, if set, is called for every write of a transaction, with a nil
-	// value for a removal. Requests counts all that were served.
+	// value for a removal, and Settled after each transaction. Requests counts all
+	// that were served.
 	Committed func(key string, v json.RawMessage)
+	Settled   func()
 	Requests  int
 }
 
@@ -305,6 +307,9 @@
 			s.log = append(s.log, storeEvent{Remove: wr.Remove, Stamp: s.epoch})
 		}
 	}
+	if s.Settled != nil {
+		s.Settled()
+	}
 	answer(200, encode(map[string]uint64{"epoch": s.epoch}))
 	s.wake()
 }
--- /dev/null
+++ b/internal/standin/tasks.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/records"
+)
+
+// held is what the records say of one task.
+type held struct {
+	in   string // record that holds it, none if none does
+	task jobs.Task
+}
+
+// WatchTasks checks, after each transaction, that every task is in one record at most,
+// that its try never falls, that what is done stays done, and that no record of a task
+// on a machine goes while its job is live.
+func (w *World) WatchTasks() {
+	tasks := map[string]*held{}
+	holds := map[string]map[string]bool{} // record to pieces
+	live := map[string]bool{}             // jobs that are neither done nor cancelled
+	next, settled := w.Store.Committed, w.Store.Settled
+	lost := map[string]bool{}   // pieces that a record of this transaction no longer holds
+	now := map[string][]entry{} // records that this transaction wrote
+	w.Store.Committed = func(key string, v json.RawMessage) {
+		if next != nil {
+			next(key, v)
+		}
+		switch {
+		case strings.HasPrefix(key, jobs.JobPrefix):
+			r, err := jobs.DecodeRecord(key[4:], v)
+			live[key[4:]] = err == nil && r.State == jobs.Live
+		case strings.HasPrefix(key, jobs.TaskPrefix), strings.HasPrefix(key, records.Prefix):
+			now[key] = nil
+			for _, e := range tasksOf(key, v) {
+				now[key] = append(now[key], entry{jobs.Piece(e.UID, e.N), e.Task})
+			}
+		}
+	}
+	w.Store.Settled = func() {
+		if settled != nil {
+			settled()
+		}
+		for key := range now {
+			for piece := range holds[key] {
+				lost[piece] = true
+				tasks[piece].in = ""
+			}
+			holds[key] = map[string]bool{}
+		}
+		for key, es := range now {
+			for _, e := range es {
+				h := tasks[e.piece]
+				switch {
+				case h == nil:
+					h = &held{}
+					tasks[e.piece] = h
+				case h.in != "":
+					w.Break("%s is in %s and in %s", e.piece, h.in, key)
+				case e.task.Try < h.task.Try:
+					w.Break("%s: try %d after %d", e.piece, e.task.Try, h.task.Try)
+				case h.task.State == jobs.Finished && e.task.State != jobs.Finished:
+					w.Break("%s: %s after done", e.piece, e.task.State)
+				}
+				h.in, h.task = key, e.task
+				holds[key][e.piece] = true
+				delete(lost, e.piece)
+			}
+		}
+		for piece := range lost {
+			uid, _, _ := jobs.SplitPiece(piece)
+			if tasks[piece].task.On() && live[uid] {
+				w.Break("%s was on a machine when its record went", piece)
+			}
+		}
+		clear(lost)
+		clear(now)
+	}
+}
+
+// entry is a task in a record.
+type entry struct {
+	piece string
+	task  jobs.Task
+}
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"cmp"
 	"encoding/json"
+	"slices"
 	"sort"
 	"strings"
 )
@@ -71,8 +73,12 @@
 	}
 }
 
-// Follow enters what a watch brought.
+// Follow enters what a watch brought. Of one transaction the puts come first: a task
+// that moved from one pack to another must not be gone in between.
 func (m *Mirror) Follow(epoch uint64, events []Event) {
+	slices.SortStableFunc(events, func(a, b Event) int {
+		return cmp.Or(cmp.Compare(a.Stamp, b.Stamp), cmp.Compare(len(a.Remove), 0)-cmp.Compare(len(b.Remove), 0))
+	})
 	for _, e := range events {
 		if e.Put != "" {
 			m.Put(e.Put, e.Value, e.Stamp)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -226,6 +226,22 @@
 	SliceTaskBytes = 220
 	// ChangeBytes, bytes: what a changed task may add to a slice's record.
 	ChangeBytes = 100
+	// PackTaskBytes, bytes: what a task takes of a pack, at least; with the share of
+	// PackFull it decides how many tasks are put into one.
+	PackTaskBytes = 12
+	// PackFull: share of the most bytes of a value up to which packs are filled; the
+	// rest is for what their tasks' records grow by.
+	PackFull = 0.7
+	// MostPacked: tasks in a pack; bounds what reading one takes.
+	MostPacked = 20_000
+	// PackEvery: while changes are short the leader gives tasks away at most this
+	// often: what one look places shares its packs.
+	PackEvery = 400 * time.Millisecond
+	// PackShared: tasks given away that may be counted as one change of packs.
+	PackShared = 6
+	// PackSpare: changes that a transaction with packs leaves free, for packs that
+	// have to be split as they are written.
+	PackSpare = 2
 	// TxnBytes, bytes: a transaction's size, below the protocol's 64 KiB.
 	TxnBytes = 48 << 10
 	// MaxSessions: machines that one controller keeps a session for.
