--- /dev/null
+++ b/internal/book/packs_test.go
@@ -0,0 +1,87 @@
+package book
+
+import (
+	"testing"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/records"
+)
+
+func sweep(uid string) []byte {
+	return jobs.Encode(jobs.Record{State: jobs.Live, AtMs: 1, Spec: jobs.Spec{UID: uid, Class: "c", Owner: "t", Shape: jobs.Sweep, Rank: "standard", Pieces: 9, Cores: 1, MemoryGB: 1, Bundle: "b"}})
+}
+
+// Of a pack that can't be read only its tasks are set aside: those that it held are
+// neither placed again nor lost, and their jobs begin no task of which nobody knows
+// whether that pack has it. Other jobs go on.
+func TestUnreadablePack(t *testing.T) {
+	b := New(quota.Flat(nil), func(string) {})
+	for _, uid := range []string{"wk-1", "wk-2", "wk-3"} {
+		_ = b.JobChanged(uid, sweep(uid))
+	}
+	on := jobs.Task{State: jobs.Placed, Host: "i-1", Try: 2}
+	good := records.Encode([]records.Entry{{UID: "wk-1", N: 0, Task: on}, {UID: "wk-2", N: 4, Task: on}})
+	if uids, err := b.PackChanged("pack/1", good, 5); err != nil || len(uids) != 2 || b.MayHold("wk-1") {
+		t.Fatal(uids, err)
+	}
+	bad := []byte(`{"v":9,"jobs":"wk-1 wk-2","z":"?"}`)
+	if _, err := b.PackChanged("pack/1", bad, 6); err == nil {
+		t.Fatal("read")
+	}
+	task := b.Jobs["wk-2"].Tasks[4]
+	if task.State != Unreadable || !b.MayHold("wk-1") || b.MayHold("wk-3") || len(b.Jobs["wk-2"].Active) != 1 || task.Over(9) {
+		t.Errorf("%+v", task)
+	}
+	for _, k := range []jobs.TaskEventKind{jobs.Release, jobs.TakeBack, jobs.Place, jobs.Stop, jobs.Complete, jobs.Gone, jobs.Fail} {
+		if _, ok := jobs.NextTask(task.Task, jobs.TaskEvent{Kind: k, Host: "i-2", Try: 9}); ok {
+			t.Error("decided on:", k)
+		}
+	}
+	// Met for the first time, its jobs are known; if not even they are, any may be in it.
+	_, _ = b.PackChanged("pack/2", []byte(`{"v":9,"jobs":"wk-3"}`), 7)
+	if !b.MayHold("wk-3") {
+		t.Error("a job's pack that was never read")
+	}
+	_ = b.JobChanged("wk-4", sweep("wk-4"))
+	if _, _ = b.PackChanged("pack/3", []byte(`[]`), 8); !b.MayHold("wk-4") {
+		t.Error("a pack that tells nothing")
+	}
+	// Readable again, or gone, all is as it was.
+	_, _ = b.PackChanged("pack/1", good, 9)
+	_, _ = b.PackChanged("pack/2", nil, 10)
+	_, _ = b.PackChanged("pack/3", nil, 11)
+	if b.MayHold("wk-1") || b.MayHold("wk-3") || b.Jobs["wk-1"].Tasks[0].State != jobs.Placed || len(b.Packs) != 1 || len(b.Audit()) != 0 {
+		t.Error(b.Audit())
+	}
+	// A job whose own record can't be read may be live: what packs say of it stays.
+	_, _ = b.PackChanged("pack/1", records.Encode([]records.Entry{{UID: "wk-1", N: 0, Task: jobs.Task{State: jobs.Pending, Try: 2}}}), 12)
+	_ = b.JobChanged("wk-1", []byte(`{`))
+	if b.Jobs["wk-1"].Tasks[0].Over(99) {
+		t.Error("of a job that may be live")
+	}
+	_ = b.JobChanged("wk-1", nil)
+	if !b.Jobs["wk-1"].Tasks[0].Over(12) || b.Jobs["wk-1"].Tasks[0].Over(11) {
+		t.Error("over, once all is known up to its pack")
+	}
+}
+
+// A task that moves keeps what is known of it besides its record.
+func TestMoving(t *testing.T) {
+	b := New(quota.Flat(nil), func(string) {})
+	_ = b.JobChanged("wk-1", sweep("wk-1"))
+	e := []records.Entry{{UID: "wk-1", N: 0, Task: jobs.Task{State: jobs.Placed, Host: "i-1", Try: 1}}}
+	_, _ = b.PackChanged("pack/a", records.Encode(e), 1)
+	task := b.Jobs["wk-1"].Tasks[0]
+	task.Ran = true
+	_, _ = b.PackChanged("pack/b", records.Encode(e), 2)
+	_, _ = b.PackChanged("pack/a", nil, 2)
+	if now := b.Jobs["wk-1"].Tasks[0]; now != task || !now.Ran || now.Slice.Key != "pack/b" || len(b.Audit()) != 0 {
+		t.Error(b.Audit())
+	}
+	// An old version of the pack that it left, read late, does not take it back.
+	_, _ = b.PackChanged("pack/a", records.Encode(e), 1)
+	if now := b.Jobs["wk-1"].Tasks[0]; now.Slice.Key != "pack/b" {
+		t.Error("taken back")
+	}
+}
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"errors"
 	"strings"
 	"testing"
@@ -182,3 +183,14 @@
 		t.Errorf("%d writes a second soon after a refusal", got)
 	}
 }
+
+// Of one transaction the puts are told first, in whatever order they come.
+func TestPutsBeforeRemovals(t *testing.T) {
+	var told []string
+	m := NewMirror(func(key string, v json.RawMessage, _ uint64) { told = append(told, fmt.Sprint(key, v != nil)) })
+	m.Put("a", json.RawMessage("1"), 1)
+	m.Follow(3, []Event{{Remove: "a", Stamp: 2}, {Put: "b", Value: json.RawMessage("1"), Stamp: 2}, {Put: "c", Value: json.RawMessage("1"), Stamp: 3}})
+	if got := fmt.Sprint(told); got != "[atrue btrue afalse ctrue]" {
+		t.Error(got)
+	}
+}
