--- /dev/null
+++ b/internal/cli/state.go
@@ -0,0 +1,182 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/time/rate"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/snapshot"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/wire"
+)
+
+func (a *app) state() *cobra.Command {
+	c := &cobra.Command{Use: "state", Short: "Save and check what the state service holds", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
+	c.AddCommand(a.stateDump(), a.stateVerify())
+	return c
+}
+
+// stateSource reads the state service, paced.
+type stateSource struct {
+	do       func(target string, wait time.Duration) (*wire.Message, error)
+	limit    *rate.Limiter
+	patience time.Duration
+	note     func(string)
+}
+
+// get asks until there is an answer that counts, and decodes it.
+func (s *stateSource) get(target string, wait time.Duration, v any) error {
+	end := time.Now().Add(s.patience)
+	for {
+		if err := s.limit.Wait(context.Background()); err != nil {
+			return err
+		}
+		m, err := s.do(target, wait)
+		switch {
+		case err != nil:
+		case m.Status == 200:
+			return json.Unmarshal(m.Body, v)
+		case m.Status == 410:
+			return store.ErrGone
+		case m.Status != 429 && m.Status != 503:
+			return fmt.Errorf("the state service answered %d", m.Status)
+		default:
+			err = fmt.Errorf("answered %d", m.Status)
+		}
+		if time.Now().After(end) {
+			return &Exit{ExitUnreachable, fmt.Sprintf("the state service gave nothing for %g s (%v); run the same command again to go on", s.patience.Seconds(), err)}
+		}
+		s.note(fmt.Sprintf("state service: %v; trying again", err))
+		time.Sleep(tuning.ClientPause)
+	}
+}
+
+// List is a page of all keys.
+func (s *stateSource) List(after string) (store.Page, error) {
+	target := fmt.Sprintf("/store?prefix=&limit=%d", tuning.ListPage)
+	if after != "" {
+		target += "&since=" + url.QueryEscape(after)
+	}
+	var p store.Page
+	err := s.get(target, tuning.StateTimeout, &p)
+	return p, err
+}
+
+// Changes is what the service remembers since an epoch; it waits for none.
+func (s *stateSource) Changes(since uint64) (uint64, []store.Event, error) {
+	var answer struct {
+		Epoch  uint64        `json:"epoch"`
+		Events []store.Event `json:"events"`
+	}
+	err := s.get(fmt.Sprintf("/follow?prefix=&since=%d&hold_ms=0", since), tuning.StateTimeout, &answer)
+	return answer.Epoch, answer.Events, err
+}
+
+func (a *app) stateDump() *cobra.Command {
+	var config string
+	share := 0.1
+	c := a.printed(&cobra.Command{Use: "dump FILE", Short: "Save all keys as of one epoch, while controllers work; goes on where it was cut off", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			if config == "" {
+				return usage("--config: is missing; expected the platform's settings file, for the state service's address and limits")
+			}
+			if share <= 0 || share > 1 {
+				return usage("--share: must be above 0 and at most 1")
+			}
+			if _, err := os.Stat(args[0]); err == nil {
+				return usage("%s: is there already", args[0])
+			}
+			set, err := settings.Load(config, "")
+			if err != nil {
+				return usage("%v", err)
+			}
+			conn := &wire.Client{Addr: set.Outside.State, MaxIdle: 1, MaxBody: tuning.SnapshotBlock}
+			src := &stateSource{limit: rate.NewLimiter(rate.Limit(max(set.Cluster.State.RPS*share, 1)), 1), patience: tuning.SnapshotPatience,
+				do: func(target string, wait time.Duration) (*wire.Message, error) {
+					return conn.Do("GET", target, nil, wait)
+				},
+				note: func(what string) { fmt.Fprintln(a.note, "harrierreel:", what) }}
+			epoch, err := snapshot.Take(src, args[0], time.Now(), src.note)
+			if err != nil {
+				return err
+			}
+			if a.json() {
+				a.line(map[string]any{"event": "saved", "file": args[0], "epoch": epoch})
+			} else {
+				fmt.Fprintf(a.out, "saved %s as of epoch %d\n", args[0], epoch)
+			}
+			return nil
+		}})
+	c.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
+	c.Flags().Float64Var(&share, "share", share, "share of the state service's requests a second that it may take")
+	return c
+}
+
+func (a *app) stateVerify() *cobra.Command {
+	var config string
+	c := a.printed(&cobra.Command{Use: "verify FILE", Short: "Check a saved state: that it is whole, and that its records agree", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			var teams map[string]quota.Team
+			if config != "" {
+				set, err := settings.Load(config, "")
+				if err != nil {
+					return usage("%v", err)
+				}
+				teams = set.TeamMap()
+			}
+			f, err := os.Open(args[0])
+			if err != nil {
+				return usage("%v", err)
+			}
+			defer f.Close()
+			s, err := snapshot.Read(f)
+			switch {
+			case errors.Is(err, snapshot.ErrCut):
+				return usage("%s: %v; the same dump command goes on with it if it ends in .part", args[0], err)
+			case err != nil:
+				return usage("%s: %v", args[0], err)
+			}
+			r := snapshot.Check(s, teams)
+			if a.json() {
+				a.line(r)
+			} else {
+				a.report(s, r)
+			}
+			if len(r.Findings) > 0 {
+				return &Exit{Code: ExitFailed}
+			}
+			return nil
+		}})
+	c.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML), to check limits of teams as well")
+	return c
+}
+
+// report prints what a check found, for people.
+func (a *app) report(s *snapshot.State, r snapshot.Report) {
+	fmt.Fprintf(a.out, "epoch %d, begun %s: %d live jobs, %d tasks, %d of them on machines\n", r.Epoch, time.UnixMilli(s.AtMs).UTC().Format(time.RFC3339), r.Live, r.Tasks, r.On)
+	w := tabwriter.NewWriter(a.out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	for _, k := range book.Sorted(r.Keys) {
+		fmt.Fprintf(w, "%d\t %s\t\n", r.Keys[k], k)
+	}
+	_ = w.Flush()
+	for _, f := range r.Findings {
+		fmt.Fprintln(a.out, strings.TrimPrefix(f.Key+": "+f.What, ": "))
+	}
+	if len(r.Findings) == 0 {
+		fmt.Fprintln(a.out, "all records agree")
+	}
+}
--- a/internal/decide/packs_test.go
+++ b/internal/decide/packs_test.go
@@ -128,7 +128,9 @@
 				}
 				switch {
 				case x == nil:
-					if slices.ContainsFunc(ds, func(d Decision) bool { return len(d.Fresh) > 0 && d.Fresh[0].Entry.UID == uid && d.Fresh[0].Entry.N == n }) {
+					if slices.ContainsFunc(ds, func(d Decision) bool {
+						return len(d.Fresh) > 0 && d.Fresh[0].Entry.UID == uid && d.Fresh[0].Entry.N == n
+					}) {
 						continue
 					}
 					ds = append(ds, Decision{Fresh: []Fresh{{rapid.SampledFrom([]string{"n0", "n1"}).Draw(t, "part"), records.Entry{UID: uid, N: n, Task: placed(jobs.Task{State: jobs.Pending})}}}})
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -2,8 +2,8 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -472,6 +472,11 @@
 	AbortTries = 3
 	// PlanCache: compiled plans kept of runs that this node does not move.
 	PlanCache = 64
+	// SnapshotPatience: a snapshot waits so long for a state service that gives nothing.
+	SnapshotPatience = 2 * time.Minute
+	// SnapshotBlock, bytes: most that a block of a snapshot unpacks to; a page of the
+	// state service is 512 KiB, what changes meanwhile may be more.
+	SnapshotBlock = 256 << 20
 	// MostUnpacked, bytes: what a packed record may grow to.
 	MostUnpacked = 1 << 20
 )
