--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -87,25 +87,28 @@
 }
 
 func (a *app) stateDump() *cobra.Command {
-	var config string
-	share := 0.1
+	var config, address string
+	rps := tuning.SnapshotRPS
 	c := a.printed(&cobra.Command{Use: "dump FILE", Short: "Save all keys as of one epoch, while controllers work; goes on where it was cut off", Args: cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
-			if config == "" {
-				return usage("--config: is missing; expected the platform's settings file, for the state service's address and limits")
+			if (config == "") == (address == "") {
+				return usage("give either --config, the platform's settings file, or --state, the state service's HOST:PORT")
 			}
-			if share <= 0 || share > 1 {
-				return usage("--share: must be above 0 and at most 1")
+			if rps <= 0 {
+				return usage("--rps: must be above 0")
 			}
 			if _, err := os.Stat(args[0]); err == nil {
 				return usage("%s: is there already", args[0])
 			}
-			set, err := settings.Load(config, "")
-			if err != nil {
-				return usage("%v", err)
+			if config != "" {
+				set, err := settings.Load(config, "")
+				if err != nil {
+					return usage("%v", err)
+				}
+				address = set.Outside.State
 			}
-			conn := &wire.Client{Addr: set.Outside.State, MaxIdle: 1, MaxBody: tuning.SnapshotBlock}
-			src := &stateSource{limit: rate.NewLimiter(rate.Limit(max(set.Cluster.State.RPS*share, 1)), 1), patience: tuning.SnapshotPatience,
+			conn := &wire.Client{Addr: address, MaxIdle: 1, MaxBody: tuning.SnapshotBlock}
+			src := &stateSource{limit: rate.NewLimiter(rate.Limit(rps), 1), patience: tuning.SnapshotPatience,
 				do: func(target string, wait time.Duration) (*wire.Message, error) {
 					return conn.Do("GET", target, nil, wait)
 				},
@@ -122,7 +125,8 @@
 			return nil
 		}})
 	c.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML)")
-	c.Flags().Float64Var(&share, "share", share, "share of the state service's requests a second that it may take")
+	c.Flags().StringVar(&address, "state", "", "the state service's address, HOST:PORT, instead of a settings file")
+	c.Flags().Float64Var(&rps, "rps", rps, "requests a second to the state service, which controllers then lack")
 	return c
 }
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -472,6 +472,8 @@
 	AbortTries = 3
 	// PlanCache: compiled plans kept of runs that this node does not move.
 	PlanCache = 64
+	// SnapshotRPS: requests a second that taking a snapshot makes unless told else.
+	SnapshotRPS = 5.0
 	// SnapshotPatience: a snapshot waits so long for a state service that gives nothing.
 	SnapshotPatience = 2 * time.Minute
 	// SnapshotBlock, bytes: most that a block of a snapshot unpacks to; a page of the
