--- a/internal/decide/packs.go
+++ b/internal/decide/packs.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"slices"
 
 	"github.com/harrierreel/harrierreel/internal/book"
@@ -37,6 +38,7 @@
 	key     string // none for a new one
 	entries []records.Entry
 	mine    bool
+	value   json.RawMessage // as united, if it was
 }
 
 // packWrites is the packs that the batch changes and those that it begins. Those of
@@ -47,7 +49,7 @@
 	for _, k := range b.order {
 		sl := sliceOf(b.edits[k])
 		if sl.Packed() {
-			ps = append(ps, packed{k, remaining(sl, b.edits[k], f.Known), mine(sl, f.Mine)})
+			ps = append(ps, packed{key: k, entries: remaining(sl, b.edits[k], f.Known), mine: mine(sl, f.Mine)})
 		}
 	}
 	unite(ps, f.Limit)
@@ -60,7 +62,11 @@
 			removes = append(removes, Remove(p.key))
 			continue
 		}
-		for _, v := range records.Split(p.entries, f.Limit) {
+		values := []json.RawMessage{p.value}
+		if p.value == nil {
+			values = records.Split(p.entries, f.Limit)
+		}
+		for _, v := range values {
 			if p.key == "" {
 				p.key = f.NewKey()
 			}
@@ -104,8 +110,8 @@
 				continue
 			}
 			both := slices.Concat(into.entries, from.entries)
-			if len(records.Encode(both)) <= full {
-				into.entries, from.entries = both, nil
+			if v := records.Encode(both); len(v) <= full {
+				into.entries, into.value, from.entries = both, v, nil
 			}
 		}
 	}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -59,8 +59,14 @@
 	if !n.front.QuotaSettled() {
 		return
 	}
-	if n.packing() && !n.client.Spare() && n.Now.Sub(n.lead.releasedAt) < tuning.PackEvery {
-		return
+	if n.packing() {
+		gap := tuning.PackEvery
+		if !n.client.Spare() {
+			gap = tuning.PackShort
+		}
+		if n.Now.Sub(n.lead.releasedAt) < gap {
+			return
+		}
 	}
 	if n.client.Allows(0, least) || n.Now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
 		n.lead.releasedAt = n.Now
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -60,6 +60,7 @@
 	// What changed since a pass last looked at it.
 	touched map[string]bool // machines to review
 	revisit map[string]bool // machines to review again before long
+	held    map[string]bool // machines with ends that are being gathered
 
 	calls     int // to workers under way
 	lastSweep time.Time
@@ -69,7 +70,7 @@
 // New makes the part of an owner over a book.
 func New(b *book.Book, env Env) *Part {
 	return &Part{Book: b, Env: env, sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{}, quiet: map[string]fleet.Quiet{},
-		touched: map[string]bool{}, revisit: map[string]bool{}}
+		touched: map[string]bool{}, revisit: map[string]bool{}, held: map[string]bool{}}
 }
 
 // Touch has a machine reviewed.
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -316,9 +316,19 @@
 	}
 	// Ends are gathered while writes are short: many tasks of a slice end soon
 	// after one another, and all of them are one write.
-	gather := !pt.Spare() && pt.Now.Sub(pt.lastEnds) < tuning.GatherFor
+	gap := tuning.GatherFor
+	if pt.Spare() {
+		gap = 0
+		if pt.Queue.Packing() {
+			gap = tuning.PackEvery
+		}
+	}
+	gather := pt.Now.Sub(pt.lastEnds) < gap
 	if !gather {
-		pt.lastEnds = pt.Now
+		for host := range pt.held {
+			pt.touched[host] = true
+		}
+		clear(pt.held)
 	}
 	for _, host := range book.Sorted(pt.touched) {
 		s := pt.sessions[host]
@@ -333,7 +343,12 @@
 		if len(rv.decisions) > 0 || len(rv.orders) > 0 {
 			pt.revisit[host] = true
 		}
-		if !gather {
+		switch {
+		case len(rv.decisions) == 0:
+		case gather:
+			pt.held[host] = true
+		default:
+			pt.lastEnds = pt.Now
 			ds = append(ds, rv.decisions...)
 		}
 		pt.command(s, rv.orders)
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -13,6 +13,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
@@ -21,6 +22,8 @@
 	*Queue
 	t      *testing.T
 	budget int
+	packs  bool
+	keys   int
 	taken  []decide.Decision
 }
 
@@ -29,7 +32,7 @@
 	b := book.New(quota.Flat(teams), func(string) {})
 	b.Now = time.UnixMilli(1e12)
 	b.Builds["g4"] = &jobs.Build{Name: "g4", Cores: 32, Accel: 4, MemoryGB: 256, CacheGB: 100, PullRate: 1, Sites: []string{"a", "b"}}
-	d.Queue = New(b, Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, Packing: func() bool { return false }, WriteRPS: 1000, Log: slog.New(slog.DiscardHandler),
+	d.Queue = New(b, Env{Me: "n0", TxnOps: 16, SliceLimit: 8192, SliceMost: 30, Packing: func() bool { return d.packs }, WriteRPS: 1000, Log: slog.New(slog.DiscardHandler),
 		Busy: func(string) bool { return false }, Allows: func(spent, writes int) bool { return spent+writes <= d.budget }, Spare: func() bool { return true },
 		Ready: func(m *book.Machine) bool { return m.State == fleet.Up }, CanPlace: func(t *book.Task, m *book.Machine) bool { return book.Suits(t, m) }, Commit: d.commit})
 	return d
@@ -37,9 +40,15 @@
 
 func (d *desk) commit(ds []decide.Decision) {
 	d.taken = append(d.taken, ds...)
-	p := decide.Packer{MostOps: 16, Busy: d.Busy, Allows: func(int, int) bool { return true }, Size: func(string) int { return 0 }}
+	mine := func(host string) bool { return d.Machines[host].Owner == "n0" }
+	p := decide.Packer{MostOps: 16, Mine: mine, Busy: d.Busy, Allows: func(int, int) bool { return true }, Size: func(string) int { return 0 }}
 	for _, b := range p.Pack(ds) {
-		for _, w := range b.Writes(decide.Form{Limit: 8192}) {
+		for _, w := range b.Writes(decide.Form{Limit: 8192, Mine: mine, NewKey: func() string { d.keys++; return fmt.Sprint(records.Prefix, d.keys) }}) {
+			if strings.HasPrefix(decide.Key(w), records.Prefix) {
+				if _, err := d.PackChanged(decide.Key(w), w.Value, uint64(d.keys)); err != nil {
+					d.t.Error(err)
+				}
+			}
 			if strings.HasPrefix(decide.Key(w), jobs.TaskPrefix) {
 				if _, err := d.SliceChanged(decide.Key(w), w.Value); err != nil {
 					d.t.Error(err)
@@ -85,6 +94,55 @@
 
 var teams = map[string]quota.Team{"a": {Name: "a", Guaranteed: quota.Of(0, 2, 0), Max: quota.Of(0, 6, 0)}, "b": {Name: "b"}}
 
+// What one look gives to one part is one pack, whatever jobs it is of; gangs and
+// services keep slices of their own, and a task that failed leaves its pack for one of
+// the part that it goes to.
+func TestPacked(t *testing.T) {
+	d := newDesk(t, map[string]quota.Team{"b": {Name: "b"}})
+	d.packs = true
+	d.machine("i-1", "n0", "a")
+	d.machine("i-2", "n1", "a")
+	for i := range 4 {
+		d.job(fmt.Sprint("wk-", i), "b", "standard", 1, nil)
+	}
+	d.job("wk-9", "b", "urgent", 2, func(s *jobs.Spec) { s.Shape = jobs.Standing })
+	d.Release()
+	if len(d.Packs) != 2 || len(d.Jobs["wk-9"].Slices) == 0 {
+		t.Fatalf("%d packs, %d slices of a service", len(d.Packs), len(d.Jobs["wk-9"].Slices))
+	}
+	var on *book.Task
+	for _, sl := range d.Packs {
+		for _, x := range sl.Tasks {
+			if m := d.Machines[x.Host+x.Want]; x.Job.UID == "wk-9" || m.Owner != d.Machines[sl.Tasks[0].Host+sl.Tasks[0].Want].Owner {
+				t.Errorf("%s in a pack with %s", x.Piece, sl.Tasks[0].Piece)
+			}
+			if x.On() && x.Host == "i-1" {
+				on = x
+			}
+		}
+	}
+	if on == nil {
+		t.Fatal("none placed by the leader in its own part")
+	}
+	uid, n, from := on.Job.UID, on.N, on.Slice.Key
+	failed, _ := jobs.NextTask(on.Task, jobs.TaskEvent{Kind: jobs.Fail})
+	d.commit([]decide.Decision{{Changes: decide.Become(on, failed)}})
+	d.Now = d.Now.Add(time.Hour)
+	d.Release()
+	again := d.Jobs[uid].Tasks[n]
+	if again.Slice.Key == from || again.Host+again.Want != "i-2" || again.State == jobs.Placed && again.Try != 2 {
+		t.Errorf("%+v in %s", again.Task, again.Slice.Key)
+	}
+	// A pack that can't be read may hold any task of its jobs.
+	d.job("wk-8", "b", "prod", 1, nil)
+	_, _ = d.PackChanged("pack/odd", []byte(`{"v":9,"jobs":"wk-8"}`), 99)
+	d.machine("i-3", "n0", "a")
+	d.Release()
+	if got := len(d.Jobs["wk-8"].Tasks); got != 0 {
+		t.Errorf("%d tasks begun that an unreadable pack may hold", got)
+	}
+}
+
 func TestRelease(t *testing.T) {
 	d := newDesk(t, teams)
 	d.machine("i-1", "n0", "a")
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -68,7 +68,7 @@
 // coder holds the compressor; both halves are safe for concurrent use of their All
 // functions.
 var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(64<<10), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(true))
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(64<<10), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(true))
 	if err != nil {
 		panic(err) // constant options
 	}
@@ -127,7 +127,7 @@
 		b = protowire.AppendString(b, name)
 	}
 	enc, _ := coder()
-	return jobs.Encode(stored{Form, strings.Join(uids, " "), base64.StdEncoding.EncodeToString(enc.EncodeAll(append(b, tasks...), nil))})
+	return jobs.Encode(stored{Form, strings.Join(uids, " "), base64.StdEncoding.EncodeToString(enc.EncodeAll(append(b, tasks...), make([]byte, 0, len(b)+len(tasks))))})
 }
 
 func appendTask(b []byte, t *jobs.Task, job, n int, table *names) []byte {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -234,9 +234,12 @@
 	PackFull = 0.7
 	// MostPacked: tasks in a pack; bounds what reading one takes.
 	MostPacked = 20_000
-	// PackEvery: while changes are short the leader gives tasks away at most this
-	// often: what one look places shares its packs.
-	PackEvery = 400 * time.Millisecond
+	// PackEvery: the leader gives tasks away in packs, and owners write ends into
+	// them, at most this often: what one look places, and what ends meanwhile, shares
+	// packs. While changes are short it is GatherFor for ends and PackShort for the
+	// leader. The first after a pause waits for nothing.
+	PackEvery = 300 * time.Millisecond
+	PackShort = 400 * time.Millisecond
 	// PackShared: tasks given away that may be counted as one change of packs.
 	PackShared = 6
 	// PackSpare: changes that a transaction with packs leaves free, for packs that
