--- a/internal/decide/packs.go
+++ b/internal/decide/packs.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -48,9 +49,16 @@
 	var ps []packed
 	for _, k := range b.order {
 		sl := sliceOf(b.edits[k])
-		if sl.Packed() {
-			ps = append(ps, packed{key: k, entries: remaining(sl, b.edits[k], f.Known), mine: mine(sl, f.Mine)})
+		if !sl.Packed() {
+			continue
+		}
+		es := remaining(sl, b.edits[k], f.Known)
+		if mine(sl, f.Mine) {
+			ps = append(ps, packed{key: k, entries: es, mine: true})
+			continue
 		}
+		own, others := apart(sl, b.edits[k], es, f.Mine)
+		ps = append(ps, packed{key: k, entries: others}, packed{entries: own, mine: true})
 	}
 	unite(ps, f.Limit)
 	for _, part := range book.Sorted(b.fresh) {
@@ -58,6 +66,9 @@
 	}
 	var puts, removes []store.Write
 	for _, p := range ps {
+		if len(p.entries) == 0 && p.key == "" {
+			continue
+		}
 		if len(p.entries) == 0 {
 			removes = append(removes, Remove(p.key))
 			continue
@@ -94,6 +105,32 @@
 	return out
 }
 
+// apart takes the tasks on this controller's machines out of a pack that others write
+// as well, when it writes one of them: after a change of view every pack has tasks of
+// all owners, and while they write the same packs most of their transactions conflict.
+func apart(sl *book.Slice, edits map[*book.Task]Change, es []records.Entry, owned func(host string) bool) (own, others []records.Entry) {
+	ours := map[string]bool{}
+	writes := false
+	for _, t := range sl.Tasks {
+		if t.On() && sl.Holds(t) && owned(t.Host) {
+			ours[t.Piece] = true
+			_, edited := edits[t]
+			writes = writes || edited
+		}
+	}
+	if !writes {
+		return nil, es
+	}
+	for _, e := range es {
+		if ours[jobs.Piece(e.UID, e.N)] {
+			own = append(own, e)
+		} else {
+			others = append(others, e)
+		}
+	}
+	return own, others
+}
+
 // unite moves the entries of small packs into larger ones of the same controller.
 func unite(ps []packed, limit int) {
 	var own []*packed
--- a/internal/decide/packs_test.go
+++ b/internal/decide/packs_test.go
@@ -249,6 +249,22 @@
 			t.Errorf("%+v", ws)
 		}
 	}
+	// Of a pack that others write too, what is on this controller's machines leaves it
+	// when one of that is written.
+	on := func(n int, host string) records.Entry {
+		return records.Entry{UID: "wk-0", N: n, Task: jobs.Task{State: jobs.Placed, Host: host, Try: 1}}
+	}
+	_, _ = r.book.PackChanged("pack/mixed", records.Encode([]records.Entry{on(10, "i-1"), on(11, "i-2"), on(12, "i-1")}), 1)
+	mixed := packer(16, 100)
+	mixed.Mine = form.Mine
+	ws := mixed.Pack([]Decision{end(tasks[10])})[0].Writes(form)
+	if len(ws) != 2 || ws[0].Put != "pack/mixed" {
+		t.Fatalf("%+v", ws)
+	}
+	left, _ := records.Decode(ws[0].Value)
+	if own, _ := records.Decode(ws[1].Value); len(left) != 1 || left[0].N != 11 || len(own) != 2 {
+		t.Errorf("%+v and %+v", left, own)
+	}
 	// A job that is over is left out only where all is known up to the pack's stamp.
 	_ = r.book.JobChanged("wk-0", nil)
 	gone := []Decision{{Changes: Become(tasks[0], jobs.Task{State: jobs.Pending, Try: 1})}}
