--- a/internal/decide/pack.go
+++ b/internal/decide/pack.go
@@ -87,6 +87,7 @@
 	last    *Batch            // that takes whatever comes next
 	in      map[string]*Batch // record to the batch that writes it
 	changed map[*book.Task]bool
+	own     map[*book.Slice]bool // packs looked at: with no task on others' machines
 	spent   int
 }
 
@@ -98,7 +99,7 @@
 // are dropped, to be decided again later, and so are those, but for urgent ones,
 // that the budget does not allow at once.
 func (p *Packer) Pack(ds []Decision) []*Batch {
-	p.in, p.changed = map[string]*Batch{}, map[*book.Task]bool{}
+	p.in, p.changed, p.own = map[string]*Batch{}, map[*book.Task]bool{}, map[*book.Slice]bool{}
 	for i := range ds {
 		if keys := ds[i].Keys(); len(keys) > 0 || len(ds[i].Fresh) > 0 {
 			p.enter(&ds[i], keys)
--- a/internal/decide/packs.go
+++ b/internal/decide/packs.go
@@ -17,7 +17,16 @@
 // and nothing else should fail with it.
 func (p *Packer) shared(d *Decision) bool {
 	for _, c := range d.Changes {
-		if c.Task.Slice.Packed() && !mine(c.Task.Slice, p.Mine) {
+		sl := c.Task.Slice
+		if !sl.Packed() {
+			continue
+		}
+		own, known := p.own[sl]
+		if !known {
+			own = mine(sl, p.Mine)
+			p.own[sl] = own
+		}
+		if !own {
 			return true
 		}
 	}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -175,7 +175,13 @@
 	return n.member.AllReadPacks()
 }
 
-func (n *Node) mine(host string) bool { return n.owner(host) == n.set.NodeName }
+// mine tells whether a machine belongs to this controller.
+func (n *Node) mine(host string) bool {
+	if m := n.Machines[host]; m != nil {
+		return m.Owner == n.set.NodeName
+	}
+	return n.owner(host) == n.set.NodeName
+}
 
 func (n *Node) send(b *decide.Batch) {
 	t := store.Txn{Writes: b.Writes(decide.Form{Limit: n.sliceLimit(), Known: n.mirror.Epoch, Mine: n.mine, NewKey: n.newPack})}
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -101,17 +101,19 @@
 
 // Sort puts entries in the order of packs: by job, then by number.
 func Sort(es []Entry) {
-	slices.SortFunc(es, func(a, b Entry) int {
-		return cmp.Or(strings.Compare(a.UID, b.UID), cmp.Compare(a.N, b.N))
-	})
+	slices.SortFunc(es, compare)
 }
 
+func compare(a, b Entry) int { return cmp.Or(strings.Compare(a.UID, b.UID), cmp.Compare(a.N, b.N)) }
+
 // Encode writes a pack. The same entries, in any order, give the same bytes.
 func Encode(es []Entry) json.RawMessage {
-	es = slices.Clone(es)
-	Sort(es)
+	if !slices.IsSortedFunc(es, compare) {
+		es = slices.Clone(es)
+		Sort(es)
+	}
 	var uids []string
-	table := names{at: map[string]int{}}
+	table := names{at: make(map[string]int, len(es))}
 	var tasks, one []byte
 	for i := range es {
 		if len(uids) == 0 || uids[len(uids)-1] != es[i].UID {
@@ -188,7 +190,14 @@
 // false if not even they can be told.
 func Jobs(v json.RawMessage) ([]string, bool) {
 	var s stored
-	if json.Unmarshal(v, &s) != nil || s.Jobs == "" {
+	if json.Unmarshal(v, &s) != nil {
+		return nil, false
+	}
+	return s.uids()
+}
+
+func (s *stored) uids() ([]string, bool) {
+	if s.Jobs == "" {
 		return nil, false
 	}
 	uids := strings.Split(s.Jobs, " ")
@@ -210,7 +219,7 @@
 	if s.Version != Form {
 		return nil, fmt.Errorf("unknown version %d of a pack", s.Version)
 	}
-	uids, ok := Jobs(v)
+	uids, ok := s.uids()
 	if !ok {
 		return nil, errPack
 	}
@@ -223,7 +232,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := decoder{uids: uids}
+	d := decoder{uids: uids, out: make([]Entry, 0, min(len(b)/entryBytes+1, tuning.MostPacked))}
 	for len(b) > 0 {
 		if b, err = d.field(b); err != nil {
 			return nil, err
@@ -235,6 +244,9 @@
 	return d.out, nil
 }
 
+// entryBytes is about what a task takes unpacked, names and all.
+const entryBytes = 18
+
 // decoder is what was read of a pack so far.
 type decoder struct {
 	uids, names []string
