--- a/internal/book/packs_test.go
+++ b/internal/book/packs_test.go
@@ -1,6 +1,8 @@
 package book
 
 import (
+	"encoding/json"
+	"fmt"
 	"testing"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -85,3 +87,58 @@
 		t.Error("taken back")
 	}
 }
+
+// BenchmarkRebuild is what a controller that starts takes to read 30,000 live tasks of
+// 4,000 jobs, besides what the state service takes to send them; bytes/op is what it
+// sends of tasks.
+func BenchmarkRebuild(b *testing.B) {
+	var es []records.Entry
+	uid := func(i int) string { return fmt.Sprintf("wk-%06d", i) }
+	on := func(i int) jobs.Task {
+		return jobs.Task{State: jobs.Placed, Host: fmt.Sprintf("i-%06d", i%2000), Site: fmt.Sprint("zone-", i%3), Try: 1}
+	}
+	const live, tasks = 4000, 30000
+	for i := range tasks {
+		es = append(es, records.Entry{UID: uid(i % live), N: i / live, Task: on(i)})
+	}
+	rebuild := func(b *testing.B, items map[string]json.RawMessage) {
+		sent := 0
+		for _, v := range items {
+			sent += len(v)
+		}
+		b.ReportAllocs()
+		for b.Loop() {
+			bk := New(quota.Flat(nil), func(string) {})
+			for i := range live {
+				_ = bk.JobChanged(uid(i), sweep(uid(i)))
+			}
+			for _, k := range Sorted(items) {
+				var err error
+				if k[:4] == "pack" {
+					_, err = bk.PackChanged(k, items[k], 1)
+				} else {
+					_, err = bk.SliceChanged(k, items[k])
+				}
+				if err != nil {
+					b.Fatal(err)
+				}
+			}
+		}
+		b.ReportMetric(float64(sent), "sent/op")
+		b.ReportMetric(float64(len(items)), "records/op")
+	}
+	b.Run("slices of 5 tasks", func(b *testing.B) {
+		items := map[string]json.RawMessage{}
+		for i := 0; i < tasks; i += 5 {
+			items[jobs.SliceKey(uid(i/8), i%8)] = jobs.EncodeSlice([]jobs.Task{on(i), on(i + 1), on(i + 2), on(i + 3), on(i + 4)}, 8192)
+		}
+		rebuild(b, items)
+	})
+	b.Run("packs of 400", func(b *testing.B) {
+		items := map[string]json.RawMessage{}
+		for i := 0; i < tasks; i += 400 {
+			items[fmt.Sprint("pack/", i)] = records.Encode(es[i:min(i+400, tasks)])
+		}
+		rebuild(b, items)
+	})
+}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -110,6 +110,12 @@
 	if _, err = operator(t, "scaler {\n  speed = 1\n  steps = 2\n}\n"); err == nil || strings.Count(err.Error(), "operator.hcl:") != 2 {
 		t.Errorf("not every unknown field is named: %v", err)
 	}
+	if op, err = operator(t, "records {\n  packs = \"always\"\n}\n"); err != nil || op.Packs != PacksAlways || DefaultOperator().Packs != PacksScarce {
+		t.Error(op.Packs, err)
+	}
+	if _, err = operator(t, "records {\n  packs = \"often\"\n}\n"); err == nil || !strings.Contains(err.Error(), "records.packs") {
+		t.Error(err)
+	}
 	op, err = operator(t, "pipelines {\n  most_runs = 5\n}\n")
 	if err != nil || op.Pipelines == nil || op.Pipelines.MostRuns != 5 || op.Pipelines.MostSteps != DefaultPipelines().MostSteps {
 		t.Errorf("%+v %v", op.Pipelines, err)
