Packs: a task keeps what is known of it when the pack that it leaves is read first

Cause: since when a task is on its machine, and whether it was seen running, were lost when its pack was taken apart, on every controller that read the old pack before the new. Change: new packs are written first, and what left a pack is taken up again within the same transaction.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -133,6 +133,10 @@
 	// none if not even that is known.
 	aside   map[string][]string
 	reading uint64 // of packs so far
+	// left is the tasks that packs of one transaction no longer hold: another pack of
+	// the same transaction may be read after them.
+	left   map[string]*Task
+	leftAt uint64
 
 	order []*Machine // by name, nil when it must be sorted anew
 	// happened is told of each machine on which something changed.
@@ -146,7 +150,7 @@
 		Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, OnHost: map[string]map[string]*Task{}, Released: map[string]*Task{},
 		Usages: map[string]*Usage{}, Account: quota.NewAccount(tree), Builds: map[string]*jobs.Build{},
 		Queued: map[string]*Job{}, Complete: map[string]*Job{}, Closed: map[string]*Job{}, Reserved: map[string]Reservation{},
-		Images: fleet.Images{}, Packs: map[string]*Slice{}, aside: map[string][]string{}, happened: happened,
+		Images: fleet.Images{}, Packs: map[string]*Slice{}, aside: map[string][]string{}, left: map[string]*Task{}, happened: happened,
 	}
 }
 
--- a/internal/book/packs.go
+++ b/internal/book/packs.go
@@ -18,6 +18,10 @@
 		sl = &Slice{Key: key}
 	}
 	delete(b.aside, key)
+	if stamp != b.leftAt {
+		b.leftAt = stamp
+		clear(b.left)
+	}
 	var es []records.Entry
 	if value != nil {
 		if es, err = records.Decode(value); err != nil {
@@ -38,6 +42,7 @@
 		if t.seen != b.reading && sl.Holds(t) {
 			b.unindex(t)
 			delete(t.Job.Tasks, t.N)
+			b.left[t.Piece] = t
 			t.Job.Free = min(t.Job.Free, t.N)
 			changed[t.Job] = true
 		}
@@ -70,10 +75,16 @@
 	if t != nil {
 		b.unindex(t)
 	}
-	t = &Task{Task: e.Task, Piece: jobs.Piece(e.UID, e.N), N: e.N, Job: j, Slice: sl, Since: b.Now}
+	changed[j] = true
+	piece := jobs.Piece(e.UID, e.N)
+	if moved := b.left[piece]; t == nil && moved != nil && moved.Job == j && moved.Same(&e.Task) {
+		moved.Slice, j.Tasks[e.N] = sl, moved
+		b.index(moved)
+		return moved
+	}
+	t = &Task{Task: e.Task, Piece: piece, N: e.N, Job: j, Slice: sl, Since: b.Now}
 	j.Tasks[e.N] = t
 	b.index(t)
-	changed[j] = true
 	return t
 }
 
--- a/internal/book/packs_test.go
+++ b/internal/book/packs_test.go
@@ -81,6 +81,20 @@
 	if now := b.Jobs["wk-1"].Tasks[0]; now != task || !now.Ran || now.Slice.Key != "pack/b" || len(b.Audit()) != 0 {
 		t.Error(b.Audit())
 	}
+	// Also when the pack that it leaves is read first.
+	rest := records.Entry{UID: "wk-1", N: 1, Task: jobs.Task{State: jobs.Pending, Try: 1}}
+	_, _ = b.PackChanged("pack/b", records.Encode(append(e, rest)), 3)
+	_, _ = b.PackChanged("pack/b", records.Encode([]records.Entry{rest}), 4)
+	_, _ = b.PackChanged("pack/c", records.Encode(e), 4)
+	if now := b.Jobs["wk-1"].Tasks[0]; now != task || !now.Ran || now.Slice.Key != "pack/c" || len(b.Audit()) != 0 {
+		t.Error("forgotten on the way", b.Audit())
+	}
+	// But not by a later transaction: then it was gone.
+	_, _ = b.PackChanged("pack/c", nil, 5)
+	_, _ = b.PackChanged("pack/b", records.Encode(e), 6)
+	if now := b.Jobs["wk-1"].Tasks[0]; now == task || now.Ran {
+		t.Error("kept although it was gone")
+	}
 	// An old version of the pack that it left, read late, does not take it back.
 	_, _ = b.PackChanged("pack/a", records.Encode(e), 1)
 	if now := b.Jobs["wk-1"].Tasks[0]; now.Slice.Key != "pack/b" {
--- a/internal/decide/packs.go
+++ b/internal/decide/packs.go
@@ -73,7 +73,7 @@
 	for _, part := range book.Sorted(b.fresh) {
 		ps = append(ps, packed{entries: b.fresh[part]})
 	}
-	var puts, removes []store.Write
+	var begun, puts, removes []store.Write
 	for _, p := range ps {
 		if len(p.entries) == 0 && p.key == "" {
 			continue
@@ -88,13 +88,14 @@
 		}
 		for _, v := range values {
 			if p.key == "" {
-				p.key = f.NewKey()
+				begun = append(begun, store.Write{Put: f.NewKey(), Value: v})
+			} else {
+				puts = append(puts, store.Write{Put: p.key, Value: v})
 			}
-			puts = append(puts, store.Write{Put: p.key, Value: v})
 			p.key = ""
 		}
 	}
-	return append(puts, removes...)
+	return slices.Concat(begun, puts, removes)
 }
 
 // remaining is a pack's entries with some of its tasks changed, without those that
