Packs: a conflict is settled by the watch, never by reading one pack

After a conflict the key was read by itself, ahead of the watch: a task that another controller had moved from that pack into a new one was then in no pack that this one knew, and the leader gave it away again while it ran. The same between two pages of a listing after the watch was too old. Change: a transaction that conflicted over packs is settled when the watch has come to the epoch of the conflict; after a listing nothing is decided, and no worker answered, before the watch has come to its last page.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,6 +71,7 @@
 
 	busy   map[string]bool // keys under an unfinished transaction
 	packs  uint64          // begun by this process
+	late   []late          // conflicted, to be settled when the watch has come so far
 	ending int             // writes of jobs' ends under way
 
 	front  *front.Front
@@ -133,7 +134,7 @@
 	})
 	n.part = part.New(n.Book, part.Env{
 		Me: set.NodeName, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Queue: n.queue, Rental: n.rental, Call: out.Worker,
-		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.sync.live && !n.member.Unsure() },
+		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.caughtUp() && !n.member.Unsure() },
 		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, OwnerOf: n.owner, Complain: n.sight.Complain,
 		Busy: n.isBusy, Spare: n.client.Spare, Commit: n.commit,
 	})
@@ -179,7 +180,8 @@
 		return
 	}
 	n.dirty, n.lastPass = false, n.Now
-	if !n.sync.live || !n.member.Sure() {
+	if !n.caughtUp() || !n.member.Sure() {
+		n.dirty = n.sync.live
 		return
 	}
 	if n.mirror.Epoch < n.mirror.Stamp(members.ViewKey) {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -40,6 +40,7 @@
 	prefix    int
 	rows      []store.Item
 	since     uint64 // where the watch starts
+	until     uint64 // what was listed is as late as this, in part
 	pageEpoch uint64
 }
 
@@ -57,6 +58,11 @@
 	}
 }
 
+// caughtUp tells whether the mirror shows one epoch: pages are listed one after the
+// other, and a task that moved meanwhile from a pack of a later page to one of an
+// earlier is in neither until the watch has come to the last page.
+func (n *Node) caughtUp() bool { return n.sync.live && n.mirror.Epoch >= n.sync.until }
+
 func (n *Node) listPage(since string) {
 	prefix := n.prefixes()[n.sync.prefix]
 	n.client.List(store.Urgent, prefix, since, func(p store.Page, err error) {
@@ -70,6 +76,7 @@
 		if since == "" {
 			n.sync.rows, n.sync.pageEpoch = nil, p.Epoch
 		}
+		n.sync.until = max(n.sync.until, p.Epoch)
 		n.sync.rows = append(n.sync.rows, p.Rows...)
 		if p.HasNext && len(p.Rows) > 0 {
 			n.listPage(p.Rows[len(p.Rows)-1].Key)
@@ -114,6 +121,7 @@
 			n.sync.next = n.Now.Add(tuning.SyncAgain)
 		default:
 			n.mirror.Follow(epoch, events)
+			n.settleLate()
 			n.sync.next = n.Now.Add(n.followGap())
 			n.member.KeepCertain()
 			n.front.AnswerPolls()
@@ -208,6 +216,10 @@
 		if errors.Is(err, store.ErrConflict) {
 			n.log.Debug("conflict", "keys", fmt.Sprint(failed))
 			// The mirror is behind: what it lacks is already in the store.
+			if packed(failed) || packed(writeKeys(t.Writes)) {
+				n.settleBy(epoch, t.Writes, b.Decisions)
+				return
+			}
 			n.settleKeys(failed, t.Writes, b.Decisions)
 			return
 		}
@@ -228,15 +240,59 @@
 	})
 }
 
+// late is a transaction that conflicted over a pack, which is settled once the watch
+// has come to an epoch.
+type late struct {
+	until  uint64
+	writes []store.Write
+	batch  []decide.Decision
+}
+
+// settleBy settles a transaction when the watch has come to the epoch at which it
+// conflicted. A pack is never read by itself: of two packs between which a task has
+// moved, the one alone shows the task nowhere, and it would be given away once more
+// while it runs (docs/incidents/packs-ran-twice.md).
+func (n *Node) settleBy(epoch uint64, writes []store.Write, batch []decide.Decision) {
+	n.late = append(n.late, late{epoch, writes, batch})
+	n.settleLate()
+	n.followNow()
+}
+
+// settleLate settles what the watch has come to by now.
+func (n *Node) settleLate() {
+	var left []late
+	for _, l := range n.late {
+		if n.mirror.Epoch >= l.until {
+			n.finish(l.writes, l.batch, false)
+		} else {
+			left = append(left, l)
+		}
+	}
+	n.late = left
+}
+
+// packed tells whether any of some keys is a pack's.
+func packed(keys []string) bool {
+	return slices.ContainsFunc(keys, func(k string) bool { return hasPrefix(k, records.Prefix) })
+}
+
+func writeKeys(writes []store.Write) []string {
+	var out []string
+	for _, w := range writes {
+		out = append(out, decide.Key(w))
+	}
+	return out
+}
+
 // settleKeys reads records again before they may be decided on once more.
 func (n *Node) settleKeys(extra []string, writes []store.Write, batch []decide.Decision) {
 	keys := map[string]bool{}
-	for _, k := range extra {
-		keys[k] = true
-	}
 	if len(extra) == 0 {
-		for _, w := range writes {
-			keys[decide.Key(w)] = true
+		extra = writeKeys(writes)
+	}
+	for _, k := range extra {
+		if !hasPrefix(k, records.Prefix) { // see settleBy; without an answer the fence has all wait
+			keys[k] = true
 		}
 	}
 	left := len(keys)
--- /dev/null
+++ b/internal/scenario/packs_test.go
@@ -0,0 +1,69 @@
+package scenario
+
+import (
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standin"
+)
+
+// TestPacksUnderConflict has five controllers write the same packs for twenty minutes:
+// controllers end and come back, so that machines pass from owner to owner and packs
+// are taken apart, machines are taken so that the leader gives tasks away again, and the
+// state service is slow to tell of changes. After each transaction every task is in one
+// record at most, no try falls, and nothing runs twice (standin.World).
+func TestPacksUnderConflict(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			w := standin.NewWorld(seed, slog.New(slog.DiscardHandler))
+			s := &script{t: t, line: "packs", w: w, vars: map[string]string{}, applied: map[string]int{}}
+			w.WatchTasks()
+			s.set = baseSettings(w)
+			s.set.Cluster.Size = 5
+			s.set.Cluster.State.WriteRPS = 60
+			s.set.Cluster.Teams = []settings.Team{{Name: "team"}}
+			s.set.Operator.Packs = settings.PacksAlways
+			w.Store.RPS, w.Store.WPS = s.set.Cluster.State.RPS, s.set.Cluster.State.WriteRPS
+			w.Store.Slow = 60 * time.Millisecond
+			w.Cloud.Limit = 40
+			for range 40 {
+				w.Cloud.AddRunning("g4", "a", false)
+			}
+			w.AddNodes(5, s.set)
+			rng := rand.New(rand.NewPCG(seed, 1))
+			n := 0
+			for at := 5; at < 1200; at++ {
+				w.RunUntil(time.Duration(at) * time.Second)
+				if at < 1000 && at%3 == 0 {
+					n++
+					s.submit([]string{fmt.Sprintf("wk-%06d", n), "sweep", "owner=team", fmt.Sprint("pieces=", 4+rng.IntN(20)), fmt.Sprint("run=", 3+rng.IntN(25)), "cores=1"})
+				}
+				switch at % 40 {
+				case 20:
+					w.Nodes[w.Order[at/40%5]].Crash()
+				case 23:
+					w.Nodes[w.Order[at/40%5]].Boot()
+				}
+			}
+			w.RunUntil(1400 * time.Second)
+			for _, b := range w.Broken {
+				t.Error(b)
+			}
+			done := 0
+			for _, j := range w.Jobs {
+				if j.Told == "done" {
+					done++
+				}
+			}
+			if done != len(w.Jobs) || done < 300 {
+				t.Errorf("%d of %d jobs are done", done, len(w.Jobs))
+			}
+			t.Logf("%d jobs, %d changes", done, w.Store.Writes)
+		})
+	}
+}
