--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -287,26 +287,8 @@
 		if err := n.part.QuietChanged(key[len(fleet.QuietPrefix):], value); err != nil {
 			n.log.Error("unreadable list of machines set aside", "key", key, "error", err)
 		}
-	case hasPrefix(key, jobs.TaskPrefix):
-		uid, err := n.SliceChanged(key, value)
-		if err != nil {
-			n.log.Error("unreadable slice set aside", "key", key, "error", err)
-		}
-		n.front.RunSees(uid)
-	case hasPrefix(key, records.Prefix):
-		uids, err := n.PackChanged(key, value, stamp)
-		if err != nil {
-			n.log.Error("unreadable pack set aside", "key", key, "error", err)
-		}
-		for _, uid := range uids {
-			n.front.RunSees(uid)
-		}
-	case hasPrefix(key, jobs.JobPrefix):
-		uid := key[len(jobs.JobPrefix):]
-		if err := n.JobChanged(uid, value); err != nil {
-			n.log.Error("unreadable job record set aside", "job", uid, "error", err)
-		}
-		n.front.RunSees(uid)
+	case hasPrefix(key, jobs.TaskPrefix), hasPrefix(key, records.Prefix), hasPrefix(key, jobs.JobPrefix):
+		n.workChanged(key, value, stamp)
 	case hasPrefix(key, fleet.HostPrefix):
 		n.hostChanged(key[len(fleet.HostPrefix):], value)
 	case hasPrefix(key, rental.BuildPrefix):
@@ -332,6 +314,28 @@
 	}
 }
 
+// workChanged takes the record of a job or of tasks in.
+func (n *Node) workChanged(key string, value json.RawMessage, stamp uint64) {
+	var uids []string
+	var err error
+	switch {
+	case hasPrefix(key, records.Prefix):
+		uids, err = n.PackChanged(key, value, stamp)
+	case hasPrefix(key, jobs.TaskPrefix):
+		uids = []string{""}
+		uids[0], err = n.SliceChanged(key, value)
+	default:
+		uids = []string{key[len(jobs.JobPrefix):]}
+		err = n.JobChanged(uids[0], value)
+	}
+	if err != nil {
+		n.log.Error("unreadable record set aside", "key", key, "error", err)
+	}
+	for _, uid := range uids {
+		n.front.RunSees(uid)
+	}
+}
+
 // hostChanged takes a machine's record in.
 func (n *Node) hostChanged(name string, value json.RawMessage) {
 	n.part.Touch(name)
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -288,6 +288,19 @@
 	}}}
 }
 
+// gathers tells whether ends wait for others: while writes are short, and with packs,
+// many tasks of a record end soon after one another, and all of them are one write.
+func (pt *Part) gathers() bool {
+	gap := tuning.GatherFor
+	if pt.Spare() {
+		gap = 0
+		if pt.Queue.Packing() {
+			gap = tuning.PackEvery
+		}
+	}
+	return pt.Now.Sub(pt.lastEnds) < gap
+}
+
 // Pass does what an owner does for its part: it looks at the machines
 // that something has happened to, and from time to time at those that need
 // looking after without it.
@@ -314,16 +327,7 @@
 		clear(pt.revisit)
 		ds = append(ds, pt.tellQuiet(unheard)...)
 	}
-	// Ends are gathered while writes are short: many tasks of a slice end soon
-	// after one another, and all of them are one write.
-	gap := tuning.GatherFor
-	if pt.Spare() {
-		gap = 0
-		if pt.Queue.Packing() {
-			gap = tuning.PackEvery
-		}
-	}
-	gather := pt.Now.Sub(pt.lastEnds) < gap
+	gather := pt.gathers()
 	if !gather {
 		for host := range pt.held {
 			pt.touched[host] = true
