Read again: one place for compressors, releases, a task that is over, and asking with patience

Dead: Batch.alone. Asked once a look instead of once a task: whether an unreadable pack may hold a job's tasks.

--- a/internal/book/packs.go
+++ b/internal/book/packs.go
@@ -113,9 +113,12 @@
 	return false
 }
 
-// Over tells whether a task's record in a pack is of no more use: its job's record is
-// gone and it is on no machine. That a job is unknown proves that it is over only
+// Over tells whether a task's record in a pack is of no more use, as it is.
+func (t *Task) Over(known uint64) bool { return t.OverAs(&t.Task, known) }
+
+// OverAs tells whether a record of a task in a pack would be of no more use: its job's
+// record is gone and it is on no machine. That a job is unknown proves that it is over only
 // where all is known up to the pack's own stamp, for its record came before.
-func (t *Task) Over(known uint64) bool {
-	return t.Job.Rec == nil && !t.Job.Doubted && !t.On() && t.State != Unreadable && t.Slice.Stamp <= known
+func (t *Task) OverAs(rec *jobs.Task, known uint64) bool {
+	return t.Job.Rec == nil && !t.Job.Doubted && !rec.On() && rec.State != Unreadable && t.Slice.Stamp <= known
 }
--- a/internal/cli/state.go
+++ b/internal/cli/state.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/url"
 	"os"
 	"strings"
 	"text/tabwriter"
@@ -15,6 +14,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/client"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/snapshot"
@@ -32,57 +32,50 @@
 
 // stateSource reads the state service, paced.
 type stateSource struct {
-	do       func(target string, wait time.Duration) (*wire.Message, error)
-	limit    *rate.Limiter
-	patience time.Duration
-	note     func(string)
+	*client.Client
+	limit *rate.Limiter
+}
+
+// newStateSource is a source over real sockets.
+func newStateSource(address string, rps float64, note func(string)) *stateSource {
+	c := client.New([]string{address}, tuning.SnapshotPatience)
+	conn := &wire.Client{Addr: address, MaxIdle: 1, MaxBody: tuning.SnapshotBlock}
+	c.Do = func(_, method, target string, body []byte) (*wire.Message, error) {
+		return conn.Do(method, target, body, tuning.StateTimeout)
+	}
+	c.Note = note
+	return &stateSource{c, rate.NewLimiter(rate.Limit(rps), 1)}
 }
 
 // get asks until there is an answer that counts, and decodes it.
-func (s *stateSource) get(target string, wait time.Duration, v any) error {
-	end := time.Now().Add(s.patience)
-	for {
-		if err := s.limit.Wait(context.Background()); err != nil {
-			return err
-		}
-		m, err := s.do(target, wait)
-		switch {
-		case err != nil:
-		case m.Status == 200:
-			return json.Unmarshal(m.Body, v)
-		case m.Status == 410:
-			return store.ErrGone
-		case m.Status != 429 && m.Status != 503:
-			return fmt.Errorf("the state service answered %d", m.Status)
-		default:
-			err = fmt.Errorf("answered %d", m.Status)
-		}
-		if time.Now().After(end) {
-			return &Exit{ExitUnreachable, fmt.Sprintf("the state service gave nothing for %g s (%v); run the same command again to go on", s.patience.Seconds(), err)}
-		}
-		s.note(fmt.Sprintf("state service: %v; trying again", err))
-		time.Sleep(tuning.ClientPause)
+func (s *stateSource) get(target string, v any) error {
+	if err := s.limit.Wait(context.Background()); err != nil {
+		return err
 	}
+	ans, err := s.Call("GET", target, nil)
+	switch {
+	case errors.Is(err, client.ErrUnreachable):
+		return &Exit{ExitUnreachable, fmt.Sprintf("the state service at %s gave nothing for %g s; run the same command again to go on", s.Servers[0], s.Patience.Seconds())}
+	case err != nil:
+		return err
+	case ans.Status == 410:
+		return store.ErrGone
+	case ans.Status != 200:
+		return fmt.Errorf("the state service answered %d", ans.Status)
+	}
+	return json.Unmarshal(ans.Body, v)
 }
 
 // List is a page of all keys.
-func (s *stateSource) List(after string) (store.Page, error) {
-	target := fmt.Sprintf("/store?prefix=&limit=%d", tuning.ListPage)
-	if after != "" {
-		target += "&since=" + url.QueryEscape(after)
-	}
-	var p store.Page
-	err := s.get(target, tuning.StateTimeout, &p)
+func (s *stateSource) List(after string) (p store.Page, err error) {
+	err = s.get(store.ListTarget("", after), &p)
 	return p, err
 }
 
 // Changes is what the service remembers since an epoch; it waits for none.
 func (s *stateSource) Changes(since uint64) (uint64, []store.Event, error) {
-	var answer struct {
-		Epoch  uint64        `json:"epoch"`
-		Events []store.Event `json:"events"`
-	}
-	err := s.get(fmt.Sprintf("/follow?prefix=&since=%d&hold_ms=0", since), tuning.StateTimeout, &answer)
+	var answer store.Followed
+	err := s.get(store.FollowTarget(since, 0), &answer)
 	return answer.Epoch, answer.Events, err
 }
 
@@ -107,13 +100,8 @@
 				}
 				address = set.Outside.State
 			}
-			conn := &wire.Client{Addr: address, MaxIdle: 1, MaxBody: tuning.SnapshotBlock}
-			src := &stateSource{limit: rate.NewLimiter(rate.Limit(rps), 1), patience: tuning.SnapshotPatience,
-				do: func(target string, wait time.Duration) (*wire.Message, error) {
-					return conn.Do("GET", target, nil, wait)
-				},
-				note: func(what string) { fmt.Fprintln(a.note, "harrierreel:", what) }}
-			epoch, err := snapshot.Take(src, args[0], time.Now(), src.note)
+			note := func(what string) { fmt.Fprintln(a.note, "harrierreel:", what) }
+			epoch, err := snapshot.Take(newStateSource(address, rps, note), args[0], time.Now(), note)
 			if err != nil {
 				return err
 			}
--- a/internal/decide/pack.go
+++ b/internal/decide/pack.go
@@ -21,7 +21,6 @@
 	order  []string                         // the slices, as they came
 	fresh  map[string][]records.Entry       // part to the tasks of its new pack
 	size   int                              // bytes, at least
-	alone  bool                             // it writes a pack that others write too
 }
 
 // Form is what the records that a batch writes hang on.
@@ -128,7 +127,7 @@
 		b = nil
 	}
 	if b == nil {
-		b = &Batch{edits: map[string]map[*book.Task]Change{}, Conds: map[string]bool{}, fresh: map[string][]records.Entry{}, alone: alone}
+		b = &Batch{edits: map[string]map[*book.Task]Change{}, Conds: map[string]bool{}, fresh: map[string][]records.Entry{}}
 		p.all = append(p.all, b)
 		if !alone {
 			p.last = b
--- a/internal/decide/packs.go
+++ b/internal/decide/packs.go
@@ -103,13 +103,13 @@
 func remaining(sl *book.Slice, edits map[*book.Task]Change, known uint64) []records.Entry {
 	var out []records.Entry
 	for _, t := range sl.Tasks {
+		rec := t.Task
 		c, edited := edits[t]
-		switch {
-		case !sl.Holds(t) || c.Leaves:
-		case edited && !(t.Job.Rec == nil && !t.Job.Doubted && !c.Next.On() && sl.Stamp <= known):
-			out = append(out, records.Entry{UID: t.Job.UID, N: t.N, Task: c.Next})
-		case !edited && !t.Over(known):
-			out = append(out, records.Entry{UID: t.Job.UID, N: t.N, Task: t.Task})
+		if edited {
+			rec = c.Next
+		}
+		if sl.Holds(t) && !c.Leaves && !t.OverAs(&rec, known) {
+			out = append(out, records.Entry{UID: t.Job.UID, N: t.N, Task: rec})
 		}
 	}
 	return out
--- a/internal/pipelines/record.go
+++ b/internal/pipelines/record.go
@@ -9,13 +9,12 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
 
-	"github.com/klauspost/compress/zstd"
 	"lukechampine.com/blake3"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/zcoder"
 )
 
 // Key prefixes in the state service. A run's record moves from the first to the
@@ -89,19 +88,7 @@
 	return fmt.Sprintf("wk-%018d", binary.BigEndian.Uint64(h.Sum(nil))%1_000_000_000_000_000_000)
 }
 
-// coder holds the compressor; both its halves are safe for concurrent use of
-// their All functions and need no memory until used.
-var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(64<<10), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(true))
-	if err != nil {
-		panic(err) // constant options
-	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(tuning.MostUnpacked))
-	if err != nil {
-		panic(err)
-	}
-	return enc, dec
-})
+var coder = zcoder.New(tuning.MostUnpacked, zcoder.Small...)
 
 // pack gives JSON that holds b: b itself if it is JSON and not longer than a
 // text with its compressed form.
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -124,12 +124,11 @@
 			}
 			add(d)
 		default:
-			next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host})
+			next, ok := q.released(o.t, m)
 			if !ok {
 				one.Done(false)
 				return one, false
 			}
-			q.Reserve(o.t, o.host, m.Site)
 			piece := o.t.Piece
 			add(decide.Decision{Changes: decide.Become(o.t, next), Done: func(bool) { q.Unreserve(piece) }})
 		}
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -113,7 +113,10 @@
 		j.Free++
 	}
 	// Where a slice cannot be read, nobody knows which tasks it holds.
-	for i := j.Free; i < j.Rec.Spec.Pieces && len(out) < most && !j.Unreadable && !q.MayHold(j.UID); i++ {
+	if j.Unreadable || q.MayHold(j.UID) {
+		return out[:min(len(out), most)]
+	}
+	for i := j.Free; i < j.Rec.Spec.Pieces && len(out) < most; i++ {
 		if j.Tasks[i] != nil {
 			continue
 		}
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -323,8 +323,8 @@
 	if q.ours(o.t, m) {
 		d.Seen = append(d.Seen, fleet.HostPrefix+o.host)
 		next, ok = q.placed(o.t, o.host, m.Site, o.t.Try+1)
-	} else if next, ok = jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host}); ok {
-		q.Reserve(o.t, o.host, m.Site)
+	} else {
+		next, ok = q.released(o.t, m)
 	}
 	if !ok {
 		return d, false
@@ -338,17 +338,26 @@
 	return d, true
 }
 
+// released is a task's record given to the part of a machine that the leader has room
+// in mind on; it books the place.
+func (q *Queue) released(t *book.Task, m *book.Machine) (jobs.Task, bool) {
+	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: m.Name})
+	if ok {
+		q.Reserve(t, m.Name, m.Site)
+	}
+	return next, ok
+}
+
 // releaseOld gives a task to a part once more.
 func (q *Queue) releaseOld(o offer) (decide.Decision, bool) {
 	m := q.Machines[o.host]
 	if q.ours(o.t, m) {
 		return q.placing(o.t, o.host, m.Site, o.t.Try+1)
 	}
-	next, ok := jobs.NextTask(o.t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: o.host})
+	next, ok := q.released(o.t, m)
 	if !ok {
 		return decide.Decision{}, false
 	}
-	q.Reserve(o.t, o.host, m.Site)
 	piece := o.t.Piece
 	return decide.Decision{
 		Changes: decide.Become(o.t, next),
@@ -372,8 +381,7 @@
 			}
 			continue
 		}
-		records[i], _ = jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.Release, Part: m.Owner, Site: m.Site, Want: hosts[i]})
-		q.Reserve(t, hosts[i], m.Site)
+		records[i], _ = q.released(t, m)
 	}
 	d.Writes = []store.Write{{Put: jobs.SliceKey(j.UID, tasks[0].N), Value: jobs.EncodeSlice(records, q.SliceLimit)}}
 	d.Done = func(bool) {
--- a/internal/records/records.go
+++ b/internal/records/records.go
@@ -13,13 +13,13 @@
 	"fmt"
 	"slices"
 	"strings"
-	"sync"
 
 	"github.com/klauspost/compress/zstd"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/zcoder"
 )
 
 // Prefix is that of packs' keys in the state service. They are listed after jobs.
@@ -65,19 +65,7 @@
 // states numbers the states in packs; new ones are added at the end.
 var states = []jobs.TaskState{jobs.Pending, jobs.Released, jobs.Placed, jobs.Stopping, jobs.Finished}
 
-// coder holds the compressor; both halves are safe for concurrent use of their All
-// functions.
-var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(64<<10), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(true))
-	if err != nil {
-		panic(err) // constant options
-	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(tuning.MostUnpacked))
-	if err != nil {
-		panic(err)
-	}
-	return enc, dec
-})
+var coder = zcoder.New(tuning.MostUnpacked, append(slices.Clone(zcoder.Small), zstd.WithEncoderLevel(zstd.SpeedFastest))...)
 
 // names is a table of names as it grows.
 type names struct {
@@ -159,8 +147,8 @@
 	return b
 }
 
-// Lean leaves out of entries what only helps to choose machines or to explain.
-func Lean(es []Entry) []Entry {
+// lean leaves out of entries what only helps to choose machines or to explain.
+func lean(es []Entry) []Entry {
 	es = slices.Clone(es)
 	for i := range es {
 		es[i].Task.Bad, es[i].Task.Why = nil, ""
@@ -176,7 +164,7 @@
 	if len(v) <= limit || len(es) <= 1 {
 		return []json.RawMessage{v}
 	}
-	if v = Encode(Lean(es)); len(v) <= limit {
+	if v = Encode(lean(es)); len(v) <= limit {
 		return []json.RawMessage{v}
 	}
 	es = slices.Clone(es)
--- a/internal/snapshot/file.go
+++ b/internal/snapshot/file.go
@@ -12,13 +12,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 
-	"github.com/klauspost/compress/zstd"
 	"lukechampine.com/blake3"
 
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/zcoder"
 )
 
 // magic is the first line of a file.
@@ -53,17 +52,7 @@
 // ErrDamaged: a block is not what was written.
 var ErrDamaged = errors.New("the file is damaged")
 
-var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
-	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1))
-	if err != nil {
-		panic(err) // constant options
-	}
-	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderMaxMemory(tuning.SnapshotBlock))
-	if err != nil {
-		panic(err)
-	}
-	return enc, dec
-})
+var coder = zcoder.New(tuning.SnapshotBlock)
 
 // chain is the hash of all blocks so far: each block's own covers those before it, so
 // that none can be missing, doubled or moved.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -316,13 +316,30 @@
 	Epoch   uint64 `json:"epoch"`
 }
 
-// List reads a page of keys with a prefix.
-func (c *Client) List(p Priority, prefix, since string, done func(Page, error)) {
+// ListTarget is the request for a page of keys with a prefix, after since.
+func ListTarget(prefix, since string) string {
 	target := fmt.Sprintf("/store?prefix=%s&limit=%d", url.QueryEscape(prefix), tuning.ListPage)
 	if since != "" {
 		target += "&since=" + url.QueryEscape(since)
 	}
-	c.enqueue(p, pending{method: "GET", target: target, done: func(status int, body []byte, err error) {
+	return target
+}
+
+// FollowTarget is the request for what has changed since an epoch, held so long while
+// nothing has.
+func FollowTarget(since uint64, hold time.Duration) string {
+	return fmt.Sprintf("/follow?prefix=&since=%d&hold_ms=%d", since, hold.Milliseconds())
+}
+
+// Followed is the answer to it.
+type Followed struct {
+	Epoch  uint64  `json:"epoch"`
+	Events []Event `json:"events"`
+}
+
+// List reads a page of keys with a prefix.
+func (c *Client) List(p Priority, prefix, since string, done func(Page, error)) {
+	c.enqueue(p, pending{method: "GET", target: ListTarget(prefix, since), done: func(status int, body []byte, err error) {
 		var page Page
 		if err = c.outcome(status, err); err == nil {
 			if jerr := json.Unmarshal(body, &page); jerr != nil {
@@ -393,17 +410,13 @@
 // Follow waits for changes after since.
 func (c *Client) Follow(since uint64, done func(epoch uint64, events []Event, err error)) {
 	c.tokens--
-	target := fmt.Sprintf("/follow?prefix=&since=%d&hold_ms=%d", since, tuning.FollowHold.Milliseconds())
-	c.watch("GET", target, nil, tuning.FollowHold+tuning.FollowSlack, func(status int, body []byte, err error) {
+	c.watch("GET", FollowTarget(since, tuning.FollowHold), nil, tuning.FollowHold+tuning.FollowSlack, func(status int, body []byte, err error) {
 		if err != nil {
 			// A held watch that gets no answer says nothing about the service.
 			done(0, nil, ErrUnknown)
 			return
 		}
-		var answer struct {
-			Epoch  uint64  `json:"epoch"`
-			Events []Event `json:"events"`
-		}
+		var answer Followed
 		if err = c.outcome(status, err); err == nil {
 			if jerr := json.Unmarshal(body, &answer); jerr != nil {
 				err = ErrUnknown
