--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/parts"
 	"github.com/harrierreel/harrierreel/internal/peer"
+	"github.com/harrierreel/harrierreel/internal/pipelines"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/store"
@@ -173,6 +174,7 @@
 	polls   polls
 
 	lead leader
+	runs *pipelines.Keeper // nil unless pipelines are turned on
 
 	dirty       bool
 	lastPass    time.Time
@@ -223,7 +225,10 @@
 	}
 	n.client = store.New(out.State, out.Watch)
 	n.mirror = store.NewMirror(n.changed)
-	n.mirror.Passing = func(key string) bool { return hasPrefix(key, jobs.FinalPrefix) }
+	n.mirror.Passing = func(key string) bool {
+		return hasPrefix(key, jobs.FinalPrefix) || hasPrefix(key, pipelines.RanPrefix)
+	}
+	n.newRuns()
 	n.fence.key = fencePrefix + set.NodeName
 	n.lead.reset()
 	n.budget()
@@ -281,6 +286,7 @@
 	} else {
 		n.dirty = n.dirty || n.role == members.Leader
 	}
+	n.runsPass()
 	n.client.Pump(n.now)
 }
 
@@ -399,6 +405,11 @@
 		var f jobs.Final
 		if json.Unmarshal(value, &f) == nil {
 			n.finals.Put(key[len(jobs.FinalPrefix):], f)
+			n.runSees(key[len(jobs.FinalPrefix):])
+		}
+	case n.runs != nil && hasPrefix(key, pipelines.RunPrefix):
+		if err := n.runs.Changed(key[len(pipelines.RunPrefix):], value); err != nil {
+			n.log.Error("unreadable run set aside", "key", key, "error", err)
 		}
 	}
 }
@@ -441,6 +452,7 @@
 		n.touch(t)
 	}
 	n.refile(j)
+	n.runSees(uid)
 }
 
 // refile enters a job in the lists that passes go by.
@@ -511,6 +523,7 @@
 		delete(j.slices, from)
 	}
 	n.refile(j)
+	n.runSees(uid)
 }
 
 // unreadable marks a task whose record cannot be read.
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -10,6 +10,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/pipelines"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -23,6 +24,15 @@
 // livePrefixes are read whole at a start. Jobs come before their tasks.
 var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, fleet.HostPrefix, fleet.QuietPrefix, buildPrefix, fencePrefix, members.MemberPrefix, members.ViewKey, summaryKey}
 
+// prefixes are the live prefixes of this node's duties. Runs come last: a run
+// that names a job must not be met before the job.
+func (n *Node) prefixes() []string {
+	if n.runs == nil {
+		return livePrefixes
+	}
+	return append(slices.Clone(livePrefixes), pipelines.RunPrefix)
+}
+
 // syncState is how far the mirror has got.
 type syncState struct {
 	live      bool // every prefix was listed and the watch runs
@@ -50,7 +60,7 @@
 }
 
 func (n *Node) listPage(since string) {
-	prefix := livePrefixes[n.sync.prefix]
+	prefix := n.prefixes()[n.sync.prefix]
 	n.client.List(store.Urgent, prefix, since, func(p store.Page, err error) {
 		if err != nil {
 			n.sync = syncState{next: n.now.Add(tuning.SyncAgain)}
@@ -70,7 +80,7 @@
 		// Keys that the listing lacks are gone as of its first page.
 		n.mirror.Listed(prefix, n.sync.rows, n.sync.pageEpoch)
 		n.sync.rows = nil
-		if n.sync.prefix++; n.sync.prefix < len(livePrefixes) {
+		if n.sync.prefix++; n.sync.prefix < len(n.prefixes()) {
 			n.listPage("")
 			return
 		}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -44,6 +44,8 @@
 		if method(m, "GET", respond) {
 			n.query(uid, respond)
 		}
+	case isPipelines(path):
+		n.pipelineRequest(m, path, respond)
 	default:
 		respond(wire.Reply{Status: 404, Body: errorBody("no such path")})
 	}
@@ -51,7 +53,7 @@
 
 // isUsers tells a user's request from a worker's or the load balancer's.
 func isUsers(m *wire.Message) bool {
-	return m.Target == "/work" || strings.HasPrefix(m.Target, "/work/") || strings.HasPrefix(m.Target, "/work?")
+	return m.Target == "/work" || strings.HasPrefix(m.Target, "/work/") || strings.HasPrefix(m.Target, "/work?") || isPipelines(m.Target)
 }
 
 func method(m *wire.Message, want string, respond func(wire.Reply)) bool {
@@ -196,8 +198,8 @@
 }
 
 type poll struct {
-	uid     string
-	respond func(wire.Reply)
+	answer  func()
+	respond func(wire.Reply) // refuses it instead
 	at      time.Time
 }
 
@@ -212,11 +214,17 @@
 		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, f, true)})
 		return
 	}
+	n.afterEpoch(respond, func() { n.answerPoll(uid, respond) })
+}
+
+// afterEpoch has a question answered once the mirror has got to an epoch that
+// was read after it came; otherwise it is refused.
+func (n *Node) afterEpoch(respond func(wire.Reply), answer func()) {
 	if n.client.Down() || !n.sync.live || len(n.polls.waiting) >= tuning.MostPolls {
 		respond(refuse("state unavailable"))
 		return
 	}
-	n.polls.waiting = append(n.polls.waiting, poll{uid, respond, n.now})
+	n.polls.waiting = append(n.polls.waiting, poll{answer, respond, n.now})
 	n.keepPolls()
 }
 
@@ -264,25 +272,25 @@
 		done := p.rounds[0].polls
 		p.rounds = p.rounds[1:]
 		for _, q := range done {
-			n.answerPoll(q)
+			q.answer()
 		}
 	}
 }
 
-func (n *Node) answerPoll(q poll) {
-	if j := n.jobs[q.uid]; j != nil && j.rec != nil {
-		q.respond(wire.Reply{Status: 200, Body: n.statusOf(q.uid, jobs.Final{State: j.rec.State, Done: j.rec.Done}, true)})
+func (n *Node) answerPoll(uid string, respond func(wire.Reply)) {
+	if j := n.jobs[uid]; j != nil && j.rec != nil {
+		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, jobs.Final{State: j.rec.State, Done: j.rec.Done}, true)})
 		return
 	}
 	// Unknown here, so it has ended or was never accepted.
-	n.read(q.uid, func(s jobs.Final, err error) {
+	n.read(uid, func(s jobs.Final, err error) {
 		switch {
 		case errors.Is(err, errNoJob):
-			q.respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
+			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
 		case err != nil:
-			q.respond(refuse("state unavailable"))
+			respond(refuse("state unavailable"))
 		default:
-			q.respond(wire.Reply{Status: 200, Body: n.statusOf(q.uid, s, true)})
+			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, true)})
 		}
 	})
 }
@@ -300,7 +308,7 @@
 		known(s)
 		return
 	}
-	if n.client.Down() || !n.sync.live || n.role == members.Outside || n.certain.Standing != members.Sure {
+	if !n.able() {
 		respond(refuse("not able to accept"))
 		return
 	}
@@ -336,9 +344,14 @@
 	n.accept(spec, known, respond)
 }
 
+// acceptance is the record of a job as accepted, a user's or a step's of a run.
+// It is conditional on its own key and on the one that it returns being absent.
+func (n *Node) acceptance(spec *jobs.Spec) (w store.Write, absent string) {
+	return put(jobs.JobPrefix+spec.UID, jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: *spec}), jobs.FinalPrefix + spec.UID
+}
+
 func (n *Node) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
-	rec := jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: *spec}
-	w := put(jobs.JobPrefix+spec.UID, rec)
+	w, final := n.acceptance(spec)
 	if len(w.Value) > int(n.set.Cluster.State.ValueKB*1024) {
 		respond(wire.Reply{Status: 400, Body: errorBody("description too long")})
 		return
@@ -347,7 +360,7 @@
 		If: []store.Cond{
 			{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)},
 			{Key: jobs.JobPrefix + spec.UID, Stamp: 0},
-			{Key: jobs.FinalPrefix + spec.UID, Stamp: 0},
+			{Key: final, Stamp: 0},
 		},
 		Writes: []store.Write{w},
 	}
@@ -386,7 +399,7 @@
 		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
 		return
 	}
-	if n.client.Down() || !n.sync.live || n.role == members.Outside || n.certain.Standing != members.Sure {
+	if !n.able() {
 		respond(refuse("not able to cancel"))
 		return
 	}
@@ -419,14 +432,20 @@
 	})
 }
 
-// close commits a job's final state, for its tasks to act on and for users to
-// read for ever.
-func (n *Node) close(j *job, state jobs.JobState, p store.Priority, done func(bool)) {
+// endingWrites is the records of a job that ends, its live one among them: its tasks
+// are yet to act on it.
+func (n *Node) endingWrites(j *job, state jobs.JobState) []store.Write {
 	rec := *j.rec
 	rec.State, rec.EndMs, rec.Done = state, n.ms(), j.done
 	if state == jobs.Done {
 		rec.Done = rec.Spec.Pieces // of a gang, one done means all are
 	}
+	return []store.Write{put(jobs.JobPrefix+j.uid, rec), put(jobs.FinalPrefix+j.uid, jobs.Final{State: state, Done: rec.Done})}
+}
+
+// close commits a job's final state, for its tasks to act on and for users to
+// read for ever.
+func (n *Node) close(j *job, state jobs.JobState, p store.Priority, done func(bool)) {
 	key, final := jobs.JobPrefix+j.uid, jobs.FinalPrefix+j.uid
 	t := store.Txn{
 		If: []store.Cond{
@@ -434,7 +453,7 @@
 			{Key: key, Stamp: n.mirror.Stamp(key)},
 			{Key: final, Stamp: 0},
 		},
-		Writes: []store.Write{put(key, rec), put(final, jobs.Final{State: state, Done: rec.Done})},
+		Writes: n.endingWrites(j, state),
 	}
 	n.client.Multi(p, t, func(epoch uint64, _ []string, err error) {
 		if err == nil {
--- /dev/null
+++ b/internal/pipelines/record.go
@@ -0,0 +1,261 @@
+package pipelines
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/klauspost/compress/zstd"
+	"lukechampine.com/blake3"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Key prefixes in the state service. A run's record moves from the first to the
+// second when it ends, so that a start reads only what lives.
+const (
+	RunPrefix = "run/"
+	RanPrefix = "ran/"
+)
+
+// ValidID tells whether an id has the form of runs' ids: run- and 1 to 40 lower
+// case letters, digits or dashes.
+func ValidID(id string) bool {
+	rest, ok := strings.CutPrefix(id, "run-")
+	if !ok || len(rest) == 0 || len(rest) > 40 {
+		return false
+	}
+	for _, c := range []byte(rest) {
+		if (c < '0' || c > '9') && (c < 'a' || c > 'z') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// Record is a run as stored.
+type Record struct {
+	State RunState
+	AtMs  int64  // acceptance, time of day
+	EndMs int64  // 0 while it lives
+	Sum   string // of the document: a repeated submission must have the same
+	Salt  string // by chance; enters the uids of its jobs, so that nobody takes one before
+	Doc   []byte // the document's JSON
+	Steps []StepRun
+
+	docPack json.RawMessage // the document as stored; it never changes
+}
+
+// recordVersion is the form in which runs are stored.
+const recordVersion = 1
+
+// stored is a run's record as JSON. Document and steps are packed.
+type stored struct {
+	Version int             `json:"v"`
+	State   RunState        `json:"s"`
+	AtMs    int64           `json:"at"`
+	EndMs   int64           `json:"end,omitempty"`
+	Sum     string          `json:"sum"`
+	Salt    string          `json:"salt"`
+	Doc     json.RawMessage `json:"doc"`
+	Steps   string          `json:"t"`
+}
+
+// Sum is what tells one document from another: BLAKE3 of its JSON, whose fields
+// encoding/json has put in order.
+func Sum(doc []byte) string {
+	sum := blake3.Sum256(doc)
+	return hex.EncodeToString(sum[:16])
+}
+
+// uidContext separates these uids from any other use of the hash.
+const uidContext = "harrierreel 2026-12-01 uid of a pipeline step's job"
+
+// UID is the uid of a step's job: a MAC over run, step and repeat, keyed from
+// the run's salt, in the form of job ids with 18 digits. Whoever submits the
+// step derives the same, so that it is accepted once.
+func UID(id, salt, step string, repeat int) string {
+	var key [32]byte
+	blake3.DeriveKey(key[:], uidContext, []byte(salt))
+	h := blake3.New(8, key[:])
+	fmt.Fprintf(h, "%d:%s%d:%s%d", len(id), id, len(step), step, repeat)
+	return fmt.Sprintf("wk-%018d", binary.BigEndian.Uint64(h.Sum(nil))%1_000_000_000_000_000_000)
+}
+
+// coder holds the compressor; both its halves are safe for concurrent use of
+// their All functions and need no memory until used.
+var coder = sync.OnceValues(func() (*zstd.Encoder, *zstd.Decoder) {
+	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithWindowSize(64<<10), zstd.WithLowerEncoderMem(true), zstd.WithEncoderCRC(true))
+	if err != nil {
+		panic(err) // constant options
+	}
+	dec, err := zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(tuning.MostUnpacked))
+	if err != nil {
+		panic(err)
+	}
+	return enc, dec
+})
+
+// pack gives JSON that holds b: b itself if it is JSON and not longer than a
+// text with its compressed form.
+func pack(b []byte) json.RawMessage {
+	enc, _ := coder()
+	z := base64.StdEncoding.EncodeToString(enc.EncodeAll(b, nil))
+	if len(z)+2 >= len(b) {
+		return b
+	}
+	return json.RawMessage(`"` + z + `"`)
+}
+
+func unpack(v json.RawMessage) ([]byte, error) {
+	if len(v) == 0 || v[0] != '"' {
+		return v, nil
+	}
+	var text string
+	if err := json.Unmarshal(v, &text); err != nil {
+		return nil, err
+	}
+	return unpackText(text)
+}
+
+func unpackText(text string) ([]byte, error) {
+	z, err := base64.StdEncoding.DecodeString(text)
+	if err != nil {
+		return nil, err
+	}
+	_, dec := coder()
+	return dec.DecodeAll(z, nil)
+}
+
+// stepStates numbers the states in records; new ones are added at the end.
+var stepStates = []StepState{Waiting, Ready, Submitted, Running, Succeeded, Failed, Skipped, Cancelling, Cancelled}
+
+// packSteps writes the steps' states as numbers, times counted from the run's
+// acceptance in ms.
+func packSteps(steps []StepRun, atMs int64) string {
+	var b []byte
+	since := func(t, from int64) uint64 {
+		if t == 0 {
+			return 0
+		}
+		return uint64(max(t-from, 0)) + 1
+	}
+	for _, s := range steps {
+		b = append(b, byte(slices.Index(stepStates, s.State)), byte(slices.Index(whys, s.Why)))
+		b = binary.AppendUvarint(b, uint64(s.Repeat))
+		b = binary.AppendUvarint(b, since(s.AtMs, atMs))
+		b = binary.AppendUvarint(b, since(s.EndMs, max(s.AtMs, atMs)))
+		b = binary.AppendUvarint(b, since(s.DoubtMs, max(s.AtMs, atMs)))
+	}
+	enc, _ := coder()
+	return base64.StdEncoding.EncodeToString(enc.EncodeAll(b, nil))
+}
+
+var errSteps = errors.New("steps of a run can't be read")
+
+func unpackSteps(text string, atMs int64) ([]StepRun, error) {
+	b, err := unpackText(text)
+	if err != nil {
+		return nil, err
+	}
+	var out []StepRun
+	for len(b) > 0 {
+		if len(b) < 2 || int(b[0]) >= len(stepStates) || int(b[1]) >= len(whys) {
+			return nil, errSteps
+		}
+		s := StepRun{State: stepStates[b[0]], Why: whys[b[1]]}
+		b = b[2:]
+		var v [4]uint64
+		for i := range v {
+			n := 0
+			if v[i], n = binary.Uvarint(b); n <= 0 || v[i] > 1<<50 {
+				return nil, errSteps
+			}
+			b = b[n:]
+		}
+		then := func(v uint64, from int64) int64 {
+			if v == 0 {
+				return 0
+			}
+			return from + int64(v) - 1
+		}
+		s.Repeat = int(v[0])
+		s.AtMs = then(v[1], atMs)
+		s.EndMs = then(v[2], max(s.AtMs, atMs))
+		s.DoubtMs = then(v[3], max(s.AtMs, atMs))
+		if len(out) == tuning.MostSteps {
+			return nil, errSteps
+		}
+		out = append(out, s)
+	}
+	return out, nil
+}
+
+// Encode writes a run's record.
+func (r *Record) Encode() json.RawMessage {
+	if r.docPack == nil {
+		r.docPack = pack(r.Doc)
+	}
+	return jobs.Encode(stored{recordVersion, r.State, r.AtMs, r.EndMs, r.Sum, r.Salt, r.docPack, packSteps(r.Steps, r.AtMs)})
+}
+
+// Decode reads a run's record and checks it. Unknown fields are ignored; a
+// version that is not known is an error, and the record is left alone.
+func Decode(b []byte) (*Record, error) {
+	var s stored
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, err
+	}
+	if s.Version != recordVersion {
+		return nil, fmt.Errorf("unknown version %d of a run", s.Version)
+	}
+	switch s.State {
+	case RunLive, RunCancelling, RunSucceeded, RunFailed, RunCancelled:
+	default:
+		return nil, fmt.Errorf("unknown state %q of a run", s.State)
+	}
+	doc, err := unpack(s.Doc)
+	if err != nil {
+		return nil, fmt.Errorf("document: %w", err)
+	}
+	steps, err := unpackSteps(s.Steps, s.AtMs)
+	if err != nil {
+		return nil, err
+	}
+	return &Record{State: s.State, AtMs: s.AtMs, EndMs: s.EndMs, Sum: s.Sum, Salt: s.Salt, Doc: doc, Steps: steps, docPack: s.Doc}, nil
+}
+
+// NewRecord is the record of a run as accepted.
+func NewRecord(p *Plan, doc []byte, salt string, nowMs int64) *Record {
+	r := &Record{State: RunLive, AtMs: nowMs, Sum: Sum(doc), Salt: salt, Doc: doc, Steps: make([]StepRun, len(p.Steps))}
+	for i := range r.Steps {
+		r.Steps[i].State = Waiting
+	}
+	return r
+}
+
+// MostBytes is the most that a run's record may come to take.
+func (r *Record) MostBytes() int {
+	if r.docPack == nil {
+		r.docPack = pack(r.Doc)
+	}
+	return len(r.docPack) + len(r.Steps)*tuning.StepStateBytes + tuning.RunHeadBytes
+}
+
+// open counts the steps that have not ended.
+func (r *Record) open() int {
+	n := 0
+	for i := range r.Steps {
+		if !r.Steps[i].State.Over() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/pipefile"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/standin"
 )
@@ -140,6 +141,11 @@
 	case "lease": // lease SECONDS of the workers
 		s.w.LeaseS = s.number(words[1])
 		s.set.Cluster.Workers.LeaseS = s.w.LeaseS
+	case "pipelines": // pipelines [MOST_RUNS]: turned on
+		s.set.Operator.Pipelines = settings.DefaultPipelines()
+		if len(words) > 1 {
+			s.set.Operator.Pipelines.MostRuns = int(s.number(words[1]))
+		}
 	case "never": // never COUNT: the next machines never come up
 		s.w.Cloud.Never = int(s.number(words[1]))
 	default:
@@ -183,6 +189,19 @@
 		w.Store.SetDown(args[0] == "down")
 	case "slow": // slow SECONDS: the state service answers so much later
 		w.Store.Slow = time.Duration(s.number(args[0]) * float64(time.Second))
+	case "run": // run RUN FILE: a pipeline file of testdata/pipelines
+		w.SubmitRun(&standin.Run{ID: args[0], Body: s.pipeline(args[0], args[1])})
+	case "run-many": // run-many FIRST COUNT EVERY FILE: one each EVERY seconds
+		first, every := int(s.number(args[0])), s.number(args[2])
+		for i := range int(s.number(args[1])) {
+			id := standin.RunID(first + i)
+			body := s.pipeline(id, args[3])
+			w.After(time.Duration(float64(i)*every*float64(time.Second)), func() { w.SubmitRun(&standin.Run{ID: id, Body: body}) })
+		}
+	case "run-again": // run-again RUN FILE: the submission is repeated
+		w.AgainRun(s.runOf(args[0]), s.pipeline(args[0], args[1]))
+	case "cancel-run":
+		w.AbortRun(s.runOf(args[0]))
 	case "submit-many": // submit-many FIRST COUNT EVERY SHAPE [key=value ...]: one each EVERY seconds
 		first, every := int(s.number(args[0])), s.number(args[2])
 		for i := range int(s.number(args[1])) {
@@ -252,6 +271,8 @@
 			return h
 		}
 		s.fatal("%s is on no machine", args[1])
+	case "owner-of": // the controller that moves a run
+		return s.w.OwnerOf(args[1])
 	case "leader":
 		return s.leader()
 	case "follower":
@@ -301,6 +322,23 @@
 	return j
 }
 
+func (s *script) runOf(id string) *standin.Run {
+	r := s.w.Runs[id]
+	if r == nil {
+		s.fatal("no run %s", id)
+	}
+	return r
+}
+
+// pipeline is the submission of a file under a run's id.
+func (s *script) pipeline(id, name string) []byte {
+	f, faults := pipefile.Load(filepath.Join("testdata", "pipelines", name+".yaml"))
+	if len(faults) > 0 {
+		s.fatal("%v", faults)
+	}
+	return f.Submission(id)
+}
+
 // submit UID SHAPE [key=value ...]
 func (s *script) submit(args []string) {
 	j := &standin.Job{UID: args[0], Shape: args[1], Pieces: 1, Accel: 1, RunS: 10, PullS: 1, Owner: "team"}
@@ -410,6 +448,35 @@
 		if raw := s.w.Store.Value("view"); json.Unmarshal(raw, &v) != nil || v.Epoch > int(s.number(args[1])) {
 			s.fatal("the view is %s, with an epoch above %s", raw, args[1])
 		}
+	case "run": // expect run RUN STATE
+		if got := s.runOf(args[1]).Told; got != args[2] {
+			s.fatal("%s is %q, not %q: %+v", args[1], got, args[2], s.runOf(args[1]).Status.Steps)
+		}
+	case "answer": // expect answer RUN STATUS: to its last submission
+		if got := s.runOf(args[1]).Answer; got != int(s.number(args[2])) {
+			s.fatal("the submission of %s was answered %d, not %s", args[1], got, args[2])
+		}
+	case "runs": // expect runs FIRST COUNT STATE
+		first := int(s.number(args[1]))
+		for i := range int(s.number(args[2])) {
+			if r := s.runOf(standin.RunID(first + i)); r.Told != args[3] {
+				s.fatal("%s is %q, not %q: %+v", r.ID, r.Told, args[3], r.Status.Steps)
+			}
+		}
+	case "step": // expect step RUN STEP STATE [REPEAT]
+		found := false
+		for _, step := range s.runOf(args[1]).Status.Steps {
+			if step.Name != args[2] {
+				continue
+			}
+			found = true
+			if string(step.Status) != args[3] || len(args) > 4 && strconv.Itoa(step.Repeat) != args[4] {
+				s.fatal("%s of %s is %s at repeat %d (%s), not %v", step.Name, args[1], step.Status, step.Repeat, step.Why, args[3:])
+			}
+		}
+		if !found {
+			s.fatal("%s has no step %s", args[1], args[2])
+		}
 	case "leader":
 		s.leader()
 	case "keys":
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -21,6 +21,14 @@
 	ReviveSteps int
 	MemberTTLS  float64
 	FinalCache  int
+	Pipelines   *Pipelines // nil: turned off
+}
+
+// Pipelines holds the limits on runs of pipeline files.
+type Pipelines struct {
+	MostRuns     int     // live at once
+	MostSteps    int     // of them, not ended
+	ChangesShare float64 // of a node's changes a second
 }
 
 // operatorFile is the file's form.
@@ -43,6 +51,11 @@
 	Users *struct {
 		FinalCache *int `hcl:"final_cache,optional"`
 	} `hcl:"users,block"`
+	Pipelines *struct {
+		MostRuns     *int     `hcl:"most_runs,optional"`
+		MostSteps    *int     `hcl:"most_steps,optional"`
+		ChangesShare *float64 `hcl:"changes_share,optional"`
+	} `hcl:"pipelines,block"`
 }
 
 // DefaultOperator is what holds without a file.
@@ -90,9 +103,20 @@
 	if u := f.Users; u != nil {
 		set(c, "users.final_cache", &op.FinalCache, u.FinalCache, 100, 1000000)
 	}
+	if p := f.Pipelines; p != nil {
+		op.Pipelines = DefaultPipelines()
+		set(c, "pipelines.most_runs", &op.Pipelines.MostRuns, p.MostRuns, 1, 100000)
+		set(c, "pipelines.most_steps", &op.Pipelines.MostSteps, p.MostSteps, 1, 1000000)
+		set(c, "pipelines.changes_share", &op.Pipelines.ChangesShare, p.ChangesShare, 0.01, 1)
+	}
 	return op, c.errs
 }
 
+// DefaultPipelines are the limits on runs where the file names none.
+func DefaultPipelines() *Pipelines {
+	return &Pipelines{MostRuns: tuning.MostRuns, MostSteps: tuning.MostRunSteps, ChangesShare: tuning.RunChanges}
+}
+
 // set takes a value from the file if it is there and within its bounds.
 func set[T int | float64](c *check, field string, to, from *T, low, high T) {
 	if from == nil {
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -294,16 +294,21 @@
 		}
 		w.told(j, b)
 		if j.Told == "cancelled" && !j.Cancelled {
-			j.Cancelled, j.CancelledAt = true, w.Now
-			w.After(time.Duration(w.CancelS*float64(time.Second))+time.Millisecond, func() {
-				for _, wk := range w.Workers {
-					for _, p := range wk.pieces {
-						if p.job == j && p.on() {
-							w.checkCancelled(wk, p)
-						}
-					}
+			w.cancelled(j)
+		}
+	})
+}
+
+// cancelled notes that a user was told so, and checks that all is gone in time.
+func (w *World) cancelled(j *Job) {
+	j.Cancelled, j.CancelledAt = true, w.Now
+	w.After(time.Duration(w.CancelS*float64(time.Second))+time.Millisecond, func() {
+		for _, wk := range w.Workers {
+			for _, p := range wk.pieces {
+				if p.job == j && p.on() {
+					w.checkCancelled(wk, p)
 				}
-			})
+			}
 		}
 	})
 }
--- /dev/null
+++ b/internal/standin/runs.go
@@ -0,0 +1,165 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/parts"
+	"github.com/harrierreel/harrierreel/internal/pipelines"
+)
+
+// Run is what a user knows of a run.
+type Run struct {
+	ID, Told   string
+	Status     pipelines.Status // newest that was told
+	Body       []byte
+	Answer     int // status of the last answer to its submission
+	Accepted   bool
+	AbortAsked bool
+	steps      map[string]*Job // jobs that its steps had, by uid
+}
+
+// SubmitRun hands in a run until it is accepted or refused for good, then polls
+// it until it is over.
+func (w *World) SubmitRun(r *Run) {
+	w.Runs[r.ID] = r
+	r.steps = map[string]*Job{}
+	var try func()
+	try = func() {
+		w.ask("POST", "/pipelines", r.Body, func(status int, b []byte, err error) {
+			if err != nil || status == 429 || status == 503 {
+				w.After(time.Second, try)
+				return
+			}
+			r.Answer = status
+			if status == 200 || status == 201 {
+				r.Accepted = true
+				w.toldRun(r, b)
+				w.pollRun(r)
+			}
+		})
+	}
+	try()
+}
+
+// AgainRun repeats a run's submission, perhaps with another body.
+func (w *World) AgainRun(r *Run, body []byte) {
+	w.ask("POST", "/pipelines", body, func(status int, b []byte, err error) {
+		if err != nil {
+			return
+		}
+		if r.Answer = status; status == 201 {
+			w.Break("run accepted twice: %s", r.ID)
+		}
+		if status == 200 {
+			w.toldRun(r, b)
+		}
+	})
+}
+
+func (w *World) pollRun(r *Run) {
+	w.ask("GET", "/pipelines/"+r.ID, nil, func(status int, b []byte, err error) {
+		if err == nil && status == 404 {
+			w.Break("forgotten: %s gets 404", r.ID)
+		}
+		if err == nil && status == 200 {
+			w.toldRun(r, b)
+		}
+		if !pipelines.RunState(r.Told).Over() {
+			w.After(2*time.Second, func() { w.pollRun(r) })
+		}
+	})
+}
+
+// AbortRun cancels a run, repeating until it is answered.
+func (w *World) AbortRun(r *Run) {
+	r.AbortAsked = true
+	w.ask("POST", "/pipelines/"+r.ID+"/abort", nil, func(status int, b []byte, err error) {
+		if err != nil || status != 200 {
+			w.After(time.Second, func() { w.AbortRun(r) })
+			return
+		}
+		w.toldRun(r, b)
+	})
+}
+
+// toldRun checks what a user is told of a run against what was told before, and
+// against what the workers did.
+func (w *World) toldRun(r *Run, body []byte) {
+	var s pipelines.Status
+	for _, line := range strings.Split(string(body), "\n") {
+		if len(line) > 64<<10 {
+			w.Break("a line of %d bytes", len(line))
+		}
+	}
+	if json.Unmarshal(body, &s) != nil || s.ID != r.ID {
+		w.Break("unreadable answer %s", body)
+		return
+	}
+	if pipelines.RunState(r.Told).Over() && string(s.Status) != r.Told {
+		w.Break("went_back: %s was %s, is %s", r.ID, r.Told, s.Status)
+	}
+	if s.Status == pipelines.RunCancelled && !r.AbortAsked {
+		w.Break("went_back: %s is cancelled by nobody", r.ID)
+	}
+	ends := map[string]time.Time{}
+	for i, step := range s.Steps {
+		if i < len(r.Status.Steps) {
+			was := r.Status.Steps[i]
+			if was.Status.Over() && was.Status != step.Status {
+				w.Break("went_back: %s of %s was %s, is %s", step.Name, r.ID, was.Status, step.Status)
+			}
+		}
+		j := w.Jobs[step.Job]
+		if j == nil {
+			if step.Status == pipelines.Succeeded {
+				w.Break("not_done: %s of %s never ran", step.Name, r.ID)
+			}
+			continue
+		}
+		r.steps[step.Job] = j
+		if step.Status == pipelines.Succeeded && len(j.Done) < j.Pieces {
+			w.Break("not_done: %s of %s has %d of %d", step.Name, r.ID, len(j.Done), j.Pieces)
+		}
+		name, _, _ := strings.Cut(step.Name, "[")
+		if step.Status.Over() && j.LastDone.After(ends[name]) {
+			ends[name] = j.LastDone
+		}
+	}
+	for _, step := range s.Steps {
+		j := w.Jobs[step.Job]
+		for _, need := range step.Needs {
+			if j != nil && !j.FirstStart.IsZero() && j.FirstStart.Before(ends[need]) {
+				w.Break("out of order: %s of %s started before %s had ended", step.Name, r.ID, need)
+			}
+		}
+	}
+	r.Status, r.Told = s, string(s.Status)
+	if s.Status == pipelines.RunCancelled {
+		w.cancelledRun(r)
+	}
+}
+
+// cancelledRun checks, as for jobs, that all is gone in time.
+func (w *World) cancelledRun(r *Run) {
+	for _, step := range r.Status.Steps {
+		if j := w.Jobs[step.Job]; j != nil && !j.Cancelled && step.Status == pipelines.Cancelled {
+			w.cancelled(j)
+		}
+	}
+}
+
+// OwnerOf is the controller that a run belongs to, by the view in the store.
+func (w *World) OwnerOf(id string) string {
+	v, ok := members.Decode(w.Store.Value(members.ViewKey))
+	if !ok {
+		return ""
+	}
+	return parts.Owner(id, v.Names())
+}
+
+// RunID is the id of a run by number.
+func RunID(n int) string { return fmt.Sprintf("run-%06d", n) }
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -30,6 +30,7 @@
 	Cloud   *Cloud
 	Workers map[string]*Worker
 	Jobs    map[string]*Job
+	Runs    map[string]*Run
 	Nodes   map[string]*Node
 	Order   []string // node names
 
@@ -82,14 +83,16 @@
 	Told                string // newest status told
 	AbortAsked          bool
 	Starts              int // of its tasks
-	LastOK              time.Time
+	FirstStart,
+	LastDone time.Time
+	LastOK time.Time
 }
 
 // NewWorld makes an empty world.
 func NewWorld(seed uint64, log *slog.Logger) *World {
 	w := &World{
 		Start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), RNG: rand.New(rand.NewPCG(seed, 1)), Log: log,
-		cuts: map[string]cutMode{}, held: map[string][]func(){}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{},
+		cuts: map[string]cutMode{}, held: map[string][]func(){}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
 		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{},
 	}
 	w.Now = w.Start
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -396,3 +396,74 @@
 	// machine is given up and deleted.
 	SilentDelete = 0.3
 )
+
+// Pipelines.
+const (
+	// MostPipelineBytes, bytes: a pipeline file; a request body may have no more.
+	MostPipelineBytes = 64 << 10
+	// MostSteps: steps of a run once its matrices are expanded; their states fit
+	// into one value of the state service beside the document.
+	MostSteps = 500
+	// MostRepeats: times that a step may be tried anew.
+	MostRepeats = 20
+	// MostFaults: faults of one file that are told.
+	MostFaults = 100
+	// MostMatrixText, bytes: a value of a matrix, which becomes part of a name.
+	MostMatrixText = 64
+	// MostWhen, bytes, and MostWhenNodes: a condition; hand-written ones have a
+	// tenth of that.
+	MostWhen      = 1 << 10
+	MostWhenNodes = 200
+	// TryOutcomes: with so many steps above it, a condition is tried on all of
+	// their outcomes (4 to the 5th) to see whether it can ever hold.
+	TryOutcomes = 5
+	// StepDoubt: how long a step's job may fail on every machine before it is
+	// called failed, unless its file says otherwise; probing tries a machine
+	// about every ten seconds at first.
+	StepDoubt = 120 * time.Second
+	// StepStateBytes, bytes: what a step takes of its run's record at most:
+	// state, repeat, three times, cause, and a third for the text form.
+	StepStateBytes = 20
+	// RunHeadBytes, bytes: what a run's record takes besides document and steps.
+	RunHeadBytes = 300
+	// MostRuns, MostRunSteps: runs live at once, and their steps that have not
+	// ended, before new ones are refused; 1,000 runs were measured.
+	MostRuns     = 2000
+	MostRunSteps = 20000
+	// RunChanges: share of a node's changes a second that runs may take, after
+	// what the rules need.
+	RunChanges = 0.3
+	// RunSweep: how often every owned run is looked at for its times; events
+	// are looked at at once.
+	RunSweep = time.Second
+	// RunRead: pause before a step's job that is in no list is read again.
+	RunRead = 2 * time.Second
+	// RunReads: such reads under way at once, for a controller that takes over
+	// many runs.
+	RunReads = 20
+	// RunsPerPass: runs looked at in one pass; a look at a run of a few steps takes
+	// some 10 microseconds, one that must be compiled first some hundred.
+	RunsPerPass = 100
+	// JobRecordBytes, bytes: a job's record without its longer texts, with the
+	// conditions of its change.
+	JobRecordBytes = 700
+	// CancelFirst: for so long after a user asked to cancel a run, its owner makes
+	// no other change of it; the user comes back after a second.
+	CancelFirst = 3 * time.Second
+	// AbortTries: how often a cancellation is tried on newer records of its run
+	// before the user is sent away; the owner's change comes between at most once
+	// or twice.
+	AbortTries = 3
+	// PlanCache: compiled plans kept of runs that this node does not move.
+	PlanCache = 64
+	// MostUnpacked, bytes: what a packed record may grow to.
+	MostUnpacked = 1 << 20
+)
+
+// Pipeline files and the command line.
+const (
+	// MostNodes, MostDepth: of a pipeline file once its aliases are followed; one
+	// of 64 KiB without aliases has at most some 30,000.
+	MostNodes = 100_000
+	MostDepth = 64
+)
