--- a/internal/node/cloud.go
+++ b/internal/node/cloud.go
@@ -169,7 +169,13 @@
 			told := *b
 			told.Hourly, told.LowPrice = 0, 0
 			if old := n.Builds[b.Name]; old == nil || string(jobs.Encode(old)) != string(jobs.Encode(told)) {
-				ds = append(ds, decision{writes: []store.Write{put(buildPrefix+b.Name, told)}, urgent: true})
+				// A type that could not be told is read again soon: until it is known
+				// no job that needs it is accepted.
+				ds = append(ds, decision{writes: []store.Write{put(buildPrefix+b.Name, told)}, urgent: true, done: func(ok bool) {
+					if !ok {
+						c.catalogAt = n.Now.Add(tuning.CatalogAgain - tuning.CatalogEvery)
+					}
+				}})
 			}
 		}
 		n.commit(ds)
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -14,6 +14,7 @@
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/parts"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/reclaim"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -67,6 +68,7 @@
 	if n.client.Down() {
 		return
 	}
+	n.quotaPass()
 	n.dropClaims()
 	// Where the budget does not allow all, each gets its turn.
 	duties := []func(){n.closeJobs, n.condemnPass, n.takeBack, n.releasePass}
@@ -84,6 +86,9 @@
 	if n.scarce() {
 		least = tuning.BatchLeast
 	}
+	if !n.quotaSettled() {
+		return
+	}
 	if n.client.Allows(0, least) || n.Now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
 		n.lead.releasedAt = n.Now
 		n.release()
@@ -491,6 +496,7 @@
 			// What the team has left waits for this task to fit; smaller ones
 			// behind it would take it away for ever.
 			p.full[leaf] = true
+			n.giveBack(j, p)
 			break
 		}
 		within := p.account.Entitled(leaf, spec.Amount(), 1)
@@ -530,6 +536,31 @@
 	return looked
 }
 
+// giveBack stops what others borrowed, where that alone keeps a job out of what it is
+// guaranteed: in a tree the limit that it meets may be one that it shares.
+func (n *Node) giveBack(j *book.Job, p *pass) {
+	spec := &j.Rec.Spec
+	entitled := p.account.Entitled(n.Leaf(spec), spec.Amount(), 1)
+	if entitled < 0 || !p.account.Tree().Shaped() || n.Now.Before(n.lead.preempted[j.UID].until) {
+		return
+	}
+	count := 0
+	for try := p.account.Clone(); count < min(n.unstarted(j), tuning.GiveBackEach) && try.Entitled(n.Leaf(spec), spec.Amount(), 1) >= 0; count++ {
+		try.Charge(spec.Key(), spec.Amount(), 1)
+	}
+	for _, s := range reclaim.For(n.Book, p.account, entitled, spec, count) {
+		kind := jobs.Stop
+		if s.Task.State == jobs.Released {
+			kind = jobs.TakeBack
+		}
+		if next, ok := jobs.NextTask(s.Task.Task, jobs.TaskEvent{Kind: kind, Why: "gives back of " + s.Path + " what " + j.UID + " is guaranteed"}); ok && !p.stopping[s.Task] && !n.busy[s.Task.Slice.Key] {
+			p.ds = append(p.ds, decision{changes: []change{{s.Task, next}}})
+			p.stopping[s.Task] = true
+			n.lead.preempted[j.UID] = making{until: n.Now.Add(tuning.ReclaimEvery)}
+		}
+	}
+}
+
 // probe is the one task that a job in doubt may try next, if any: the one that
 // has failed most, whose pause is the longest.
 func (n *Node) probe(j *book.Job) []*book.Task {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -142,6 +142,7 @@
 	n.mirror.Passing = func(key string) bool {
 		return hasPrefix(key, jobs.FinalPrefix) || hasPrefix(key, pipelines.RanPrefix)
 	}
+	n.quotas.on = set.Operator.Quotas != nil
 	n.newRuns()
 	n.fence.key = fencePrefix + set.NodeName
 	n.lead.reset()
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -2,8 +2,16 @@
 
 import (
 	"encoding/json"
+	"errors"
+	"time"
 
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/reclaim"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/wire"
 )
 
 // quotas is what a node knows of the tree of quotas.
@@ -11,7 +19,8 @@
 	teams map[string]quota.Team // the platform's
 	// on: the operators turned the tree on, and decisions carry its stamp.
 	on     bool
-	stored *quota.Stored // nil until one was read
+	stored *quota.Stored // nil until one was read that fits
+	lookAt time.Time     // last look at what is over a limit
 }
 
 // quotaChanged takes a tree in. One that can't be read, or that doesn't fit the
@@ -36,3 +45,130 @@
 	n.Account.Rebase(tree)
 	n.log.Info("quotas in force", "number", s.Number, "nodes", len(tree.Paths()))
 }
+
+// quotaPass keeps the tree: the first leader writes the operators' file, and what
+// is over a limit after a change is stopped once its grace is over.
+func (n *Node) quotaPass() {
+	q := &n.quotas
+	if !q.on {
+		return
+	}
+	if n.mirror.Stamp(quota.StoreKey) == 0 {
+		if !n.busy[quota.StoreKey] {
+			n.commit([]decision{{urgent: true, writes: []store.Write{put(quota.StoreKey, quota.NewStored(1, n.ms(), *n.set.Operator.Quotas))}}})
+		}
+		return
+	}
+	if q.stored == nil || n.Now.Sub(q.lookAt) < tuning.ReclaimEvery || float64(n.ms()-q.stored.AtMs) < q.stored.Doc.Grace()*1000 {
+		return
+	}
+	q.lookAt = n.Now
+	var ds []decision
+	for _, s := range reclaim.Plan(n.Book, n.Account, tuning.ReclaimMost) {
+		kind := jobs.Stop
+		if s.Task.State == jobs.Released {
+			kind = jobs.TakeBack
+		}
+		why := "quota of " + s.Path + " was lowered"
+		next, ok := jobs.NextTask(s.Task.Task, jobs.TaskEvent{Kind: kind, Why: why})
+		if !ok || n.busy[s.Task.Slice.Key] {
+			continue
+		}
+		piece := s.Task.Piece
+		ds = append(ds, decision{changes: []change{{s.Task, next}}, done: func(ok bool) {
+			if ok {
+				n.log.Info("stops", "task", piece, "why", why)
+			}
+		}})
+	}
+	n.commit(ds)
+}
+
+// quotaSettled tells whether the tree is known that the next decisions go by.
+func (n *Node) quotaSettled() bool {
+	return !n.quotas.on || n.mirror.Stamp(quota.StoreKey) != 0
+}
+
+const quotaPath = "/quota"
+
+// quotaRequest shows the tree or takes another one.
+func (n *Node) quotaRequest(m *wire.Message, respond func(wire.Reply)) {
+	switch {
+	case !n.quotas.on:
+		respond(wire.Reply{Status: 404, Body: errorBody("no such path")})
+	case m.Method == "GET":
+		n.afterEpoch(respond, func() {
+			respond(wire.Reply{Status: 200, Body: quota.EncodeTree(n.quotaNumber(), n.Account.Show(n.waitingByLeaf()))})
+		})
+	case method(m, "POST", respond):
+		n.applyQuota(m.Body, respond)
+	}
+}
+
+func (n *Node) quotaNumber() int {
+	if n.quotas.stored == nil {
+		return 0
+	}
+	return n.quotas.stored.Number
+}
+
+// waitingByLeaf counts the tasks that wait.
+func (n *Node) waitingByLeaf() map[int]int {
+	out := map[int]int{}
+	for _, j := range n.Queued {
+		out[n.Leaf(&j.Rec.Spec)] += j.Rec.Spec.Pieces - j.Done - len(j.Active)
+	}
+	return out
+}
+
+// applyQuota puts another tree in force, or says what it would mean. The same
+// document sent again, because the answer was lost, is answered as the first time.
+func (n *Node) applyQuota(body []byte, respond func(wire.Reply)) {
+	a, tree, refusal := quota.ParseApply(body, n.quotas.teams, n.set.Classes())
+	if refusal != nil {
+		respond(wire.Reply{Status: 400, Body: jobs.Encode(refusal)})
+		return
+	}
+	if !n.able() || n.quotas.stored == nil {
+		respond(refuse("not able to decide"))
+		return
+	}
+	if a.DryRun {
+		account := n.Account.On(tree)
+		out := quota.Preview{Number: n.quotaNumber(), Over: account.Excesses()}
+		for _, s := range reclaim.Plan(n.Book, account, tuning.MostFaults) {
+			out.Stops = append(out.Stops, quota.PreviewStop{Task: s.Task.Piece, Path: s.Path})
+		}
+		respond(wire.Reply{Status: 200, Body: jobs.Encode(out)})
+		return
+	}
+	n.afterEpoch(respond, func() {
+		stored := n.quotas.stored
+		same := string(jobs.Encode(stored.Doc)) == string(jobs.Encode(a.Quotas))
+		if same || a.Base != stored.Number {
+			status := 409
+			if same {
+				status = 200
+			}
+			respond(wire.Reply{Status: status, Body: jobs.Encode(quota.Preview{Number: stored.Number})})
+			return
+		}
+		w := put(quota.StoreKey, quota.NewStored(stored.Number+1, n.ms(), a.Quotas))
+		if len(w.Value) > n.sliceLimit() {
+			respond(wire.Reply{Status: 413, Body: errorBody("the tree does not fit into one value of the state service")})
+			return
+		}
+		t := store.Txn{If: []store.Cond{{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)}, {Key: quota.StoreKey, Stamp: n.mirror.Stamp(quota.StoreKey)}}, Writes: []store.Write{w}}
+		n.client.Multi(store.User, t, func(epoch uint64, _ []string, err error) {
+			switch {
+			case err == nil:
+				n.mirror.Commit(t.Writes, epoch)
+				respond(wire.Reply{Status: 200, Body: jobs.Encode(quota.Preview{Number: n.quotaNumber()})})
+			case errors.Is(err, store.ErrConflict):
+				respond(refuse("another change came first; try again"))
+			default:
+				respond(refuse("state unavailable"))
+			}
+		})
+	})
+}
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -45,6 +45,8 @@
 		if method(m, "GET", respond) {
 			n.query(uid, respond)
 		}
+	case path == quotaPath:
+		n.quotaRequest(m, respond)
 	case isPipelines(path):
 		n.pipelineRequest(m, path, respond)
 	default:
@@ -54,7 +56,7 @@
 
 // isUsers tells a user's request from a worker's or the load balancer's.
 func isUsers(m *wire.Message) bool {
-	return m.Target == "/work" || strings.HasPrefix(m.Target, "/work/") || strings.HasPrefix(m.Target, "/work?") || isPipelines(m.Target)
+	return m.Target == "/work" || strings.HasPrefix(m.Target, "/work/") || strings.HasPrefix(m.Target, "/work?") || m.Target == quotaPath || isPipelines(m.Target)
 }
 
 func method(m *wire.Message, want string, respond func(wire.Reply)) bool {
--- a/internal/quota/amount.go
+++ b/internal/quota/amount.go
@@ -75,6 +75,9 @@
 		(limit.MemoryGB == 0 || a.MemoryGB <= limit.MemoryGB)
 }
 
+// Covers tells whether an amount is at least as large as o in every resource.
+func (a Amount) Covers(o Amount) bool { return a.covers(o) }
+
 // covers tells whether an amount is at least as large as o in every resource.
 func (a Amount) covers(o Amount) bool {
 	return a.Cores >= o.Cores && a.Accelerators >= o.Accelerators && a.MemoryGB >= o.MemoryGB
--- a/internal/quota/document.go
+++ b/internal/quota/document.go
@@ -317,18 +317,28 @@
 // Full names the lowest node at whose limit a leaf is for one more task of
 // amount a, and why; "" if there is room.
 func (c *Account) Full(leaf int, a Amount) string {
-	why, below := "", -1
-	c.tree.up(leaf, func(i int, n *Node) bool {
-		if !c.used[i].Add(a, 1).inside(c.room(i, below, n)) {
-			where := c.tree.Path(i)
-			if where == "" {
-				where = "the whole"
-			}
-			why = fmt.Sprintf("%s uses %s of %s", where, c.used[i], c.room(i, below, n))
+	i := c.FullAt(leaf, a, 1)
+	if i < 0 {
+		return ""
+	}
+	where := c.tree.Path(i)
+	if where == "" {
+		where = "the whole"
+	}
+	return fmt.Sprintf("%s uses %s of %s", where, c.used[i], c.tree.nodes[i].top())
+}
+
+// FullAt is the lowest node, from a leaf upward, whose limit n more tasks of amount
+// a would pass; -1 if there is none.
+func (c *Account) FullAt(leaf int, a Amount, n int) int {
+	full, below := -1, -1
+	c.tree.up(leaf, func(i int, node *Node) bool {
+		if !c.used[i].Add(a, n).inside(c.room(i, below, node)) {
+			full = i
 			return false
 		}
 		below = i
 		return true
 	})
-	return why
+	return full
 }
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -180,6 +180,14 @@
 	return &Account{tree: c.tree, used: slices.Clone(c.used)}
 }
 
+// On is a copy of the account on another tree.
+func (c *Account) On(t *Tree) *Account {
+	out := &Account{by: c.by}
+	out.Rebase(t)
+	out.by = nil
+	return out
+}
+
 // Used is a node's present use.
 func (c *Account) Used(i int) Amount { return c.used[i] }
 
@@ -194,13 +202,7 @@
 // Allows tells whether n more tasks of amount a are inside the limits of a leaf
 // and of all nodes above it.
 func (c *Account) Allows(leaf int, a Amount, n int) bool {
-	ok, below := true, -1
-	c.tree.up(leaf, func(i int, node *Node) bool {
-		ok = c.used[i].Add(a, n).inside(c.room(i, below, node))
-		below = i
-		return ok
-	})
-	return ok
+	return c.FullAt(leaf, a, n) < 0
 }
 
 // Ever tells whether n tasks of amount a would be inside all limits if nothing
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -1,13 +1,15 @@
 package settings
 
 import (
-	"errors"
 	"fmt"
 	"math"
+	"strings"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/hclsimple"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
 
+	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
@@ -23,7 +25,8 @@
 	ReviveSteps int
 	MemberTTLS  float64
 	FinalCache  int
-	Pipelines   *Pipelines // nil: turned off
+	Pipelines   *Pipelines      // nil: turned off
+	Quotas      *quota.Document // nil: the platform's teams alone
 }
 
 // Pipelines holds the limits on runs of pipeline files.
@@ -53,6 +56,7 @@
 	Users *struct {
 		FinalCache *int `hcl:"final_cache,optional"`
 	} `hcl:"users,block"`
+	Quotas    *quota.Document `hcl:"quotas,block"`
 	Pipelines *struct {
 		MostRuns     *int     `hcl:"most_runs,optional"`
 		MostSteps    *int     `hcl:"most_steps,optional"`
@@ -76,17 +80,26 @@
 	}
 }
 
-func loadOperator(file string) (Operator, []error) {
+// loadOperator reads the operators' files, named one behind the other with commas
+// between: each may turn something on. Every fault is told.
+func loadOperator(files string) (Operator, []error) {
 	op := DefaultOperator()
-	if file == "" {
+	if files == "" {
 		return op, nil
 	}
-	var f operatorFile
-	if err := hclsimple.DecodeFile(file, nil, &f); err != nil {
-		var all hcl.Diagnostics
-		if !errors.As(err, &all) {
-			return op, []error{err}
+	p := hclparse.NewParser()
+	var parsed []*hcl.File
+	var all hcl.Diagnostics
+	for _, name := range strings.Split(files, ",") {
+		f, diags := p.ParseHCLFile(strings.TrimSpace(name))
+		all = append(all, diags...)
+		if f != nil {
+			parsed = append(parsed, f)
 		}
+	}
+	var f operatorFile
+	all = append(all, gohcl.DecodeBody(hcl.MergeFiles(parsed), nil, &f)...)
+	if all.HasErrors() {
 		var errs []error
 		for _, d := range all {
 			errs = append(errs, d)
@@ -113,6 +126,7 @@
 	if u := f.Users; u != nil {
 		set(c, "users.final_cache", &op.FinalCache, u.FinalCache, 100, 1000000)
 	}
+	op.Quotas = f.Quotas
 	if p := f.Pipelines; p != nil {
 		op.Pipelines = DefaultPipelines()
 		set(c, "pipelines.most_runs", &op.Pipelines.MostRuns, p.MostRuns, 1, 100000)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -101,16 +101,22 @@
 	FdLimit  int     `toml:"fd_limit"`
 }
 
-// Load reads and checks the settings. operatorFile may be empty. The error
-// joins every fault found.
-func Load(file, operatorFile string) (*Settings, error) {
+// Load reads and checks the settings. operatorFiles may be empty, or name several
+// files with commas between. The error joins every fault found.
+func Load(file, operatorFiles string) (*Settings, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
 	s, errs := Parse(b)
-	op, opErrs := loadOperator(operatorFile)
+	op, opErrs := loadOperator(operatorFiles)
 	s.Operator = op
+	if op.Quotas != nil && len(errs) == 0 {
+		_, faults := quota.Build(op.Quotas, s.TeamMap(), s.Classes())
+		for _, f := range faults {
+			opErrs = append(opErrs, errors.New("quotas: "+f))
+		}
+	}
 	return s, errors.Join(append(errs, opErrs...)...)
 }
 
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -114,6 +114,13 @@
 	if err != nil || op.Pipelines == nil || op.Pipelines.MostRuns != 5 || op.Pipelines.MostSteps != DefaultPipelines().MostSteps {
 		t.Errorf("%+v %v", op.Pipelines, err)
 	}
+	one, two := filepath.Join(t.TempDir(), "one.hcl"), filepath.Join(t.TempDir(), "two.hcl")
+	if os.WriteFile(one, []byte("pipelines {}\n"), 0o600) != nil || os.WriteFile(two, []byte("quotas {\n  organisation \"o\" {\n    weight = 2\n    team \"t\" {}\n  }\n}\n"), 0o600) != nil {
+		t.Fatal("no files")
+	}
+	if op, errs := loadOperator(one + "," + two); len(errs) > 0 || op.Pipelines == nil || op.Quotas == nil || op.Quotas.Organisations[0].Teams[0].Name != "t" {
+		t.Errorf("%v %+v", errs, op)
+	}
 	if _, err = operator(t, "pipelines {\n  changes_share = 2\n}\n"); err == nil || !strings.Contains(err.Error(), "pipelines.changes_share") {
 		t.Errorf("%v", err)
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -511,6 +511,8 @@
 	MostGrace = 24 * time.Hour
 	// ReclaimEvery: how often what is over a limit is looked at.
 	ReclaimEvery = time.Second
+	// GiveBackEach: tasks of a job for which borrowed room is asked back at a look.
+	GiveBackEach = 8
 	// ReclaimMost: tasks stopped at a look, so that a large shrink does not take
 	// all changes.
 	ReclaimMost = 50
