--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -1,12 +1,10 @@
 package node
 
 import (
-	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
-	"maps"
-	"slices"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
@@ -75,7 +73,7 @@
 		if !ok {
 			continue
 		}
-		if d, whole := n.closeWhole(j, next); whole {
+		if d, whole := ending.Whole(j, next, n.set.Cluster.State.TxnOps, n.isBusy); whole {
 			n.commit([]decide.Decision{d})
 			continue
 		}
@@ -88,61 +86,11 @@
 		if len(ds) >= n.set.Cluster.State.TxnOps || !n.client.Spare() {
 			break
 		}
-		ds = append(ds, n.clear(n.Closed[uid])...)
+		ds = append(ds, ending.Clear(n.Closed[uid], n.set.Cluster.State.TxnOps, n.isBusy)...)
 	}
 	n.commit(ds)
 }
 
-// closeWhole is the urgent decision that writes a job's final state and removes
-// its live records in one, when none of its tasks may be on a machine any more and
-// one transaction holds it all.
-func (n *Node) closeWhole(j *book.Job, state jobs.JobState) (decide.Decision, bool) {
-	if len(j.Active) > 0 || len(j.Slices)+2 > n.set.Cluster.State.TxnOps {
-		return decide.Decision{}, false
-	}
-	for _, sl := range j.Slices {
-		if n.busy[sl.Key] {
-			return decide.Decision{}, false
-		}
-	}
-	return n.finalWrites(j, state), true
-}
-
-// finalWrites is the decision that writes a job's final state in place of its
-// live records. Urgent: users wait for it, the records do not change any more,
-// and as a large decision it would never find the budget that small ones leave.
-func (n *Node) finalWrites(j *book.Job, state jobs.JobState) decide.Decision {
-	d := decide.Decision{Urgent: true, Writes: []store.Write{
-		decide.Put(jobs.FinalPrefix+j.UID, jobs.Final{State: state, Done: j.Rec.Spec.Pieces}),
-		decide.Remove(jobs.JobPrefix + j.UID),
-	}}
-	for _, from := range slices.Sorted(maps.Keys(j.Slices)) {
-		d.Writes = append(d.Writes, decide.Remove(j.Slices[from].Key))
-	}
-	d.Ends = true
-	return d
-}
-
-// clear removes the records of a closed job: those of slices without a task on
-// a machine, and the job's own once no slice is left.
-func (n *Node) clear(j *book.Job) []decide.Decision {
-	if len(j.Slices) == 0 {
-		return []decide.Decision{{Writes: []store.Write{decide.Remove(jobs.JobPrefix + j.UID)}}}
-	}
-	var ds []decide.Decision
-	for _, from := range slices.Sorted(maps.Keys(j.Slices)) {
-		sl := j.Slices[from]
-		rest := true
-		for _, t := range sl.Tasks {
-			rest = rest && !t.On() && t.State != book.Unreadable
-		}
-		if rest && !n.busy[sl.Key] && len(ds) < n.set.Cluster.State.TxnOps {
-			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Remove(sl.Key)}})
-		}
-	}
-	return ds
-}
-
 // takeBack withdraws tasks that their part did not place.
 func (n *Node) takeBack() {
 	var ds []decide.Decision
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -11,7 +11,6 @@
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
-	"github.com/harrierreel/harrierreel/internal/workers"
 )
 
 func (n *Node) memberTTL() time.Duration { return seconds(n.set.Operator.MemberTTLS) }
@@ -46,9 +45,7 @@
 // What runs out by itself, such as a cancelled task's time, runs on.
 func (n *Node) stoodStill(gap time.Duration) {
 	n.log.Info("stood still", "for_ms", gap.Milliseconds())
-	for _, s := range n.sessions {
-		s.StoodStill(gap)
-	}
+	n.part.StoodStill(gap)
 	n.complaints = members.Complaints{}
 	n.rental.Since = n.Now
 	if gap < n.memberTTL()-tuning.MemberRenew-tuning.Standstill/2 {
@@ -215,21 +212,8 @@
 	if role == members.Outside {
 		return
 	}
-	for host, s := range n.sessions {
-		if n.owner(host) != n.set.NodeName {
-			delete(n.sessions, host)
-			continue
-		}
-		s.NewEpoch(epoch)
-		s.LastCall = time.Time{}
-	}
-	for _, m := range n.Machines {
-		if m.Owner == n.set.NodeName {
-			n.keepSession(m)
-		}
-	}
+	n.part.NewView()
 	n.complaints = members.Complaints{}
-	n.lastSweep = time.Time{}
 }
 
 // complain notes a report by a worker that was sent to its owner.
@@ -308,23 +292,3 @@
 		})
 	}
 }
-
-// keepSession makes sure that a machine of ours has a session.
-func (n *Node) keepSession(m *book.Machine) {
-	if s := n.session(m.Name); s != nil && s.Endpoint == "" {
-		s.Endpoint, s.Build, s.Site, s.Loaner = m.Endpoint, m.Build, m.Site, m.Loaner
-	}
-}
-
-// session returns the session of a machine of ours, starting it if need be.
-func (n *Node) session(host string) *workers.Session {
-	s := n.sessions[host]
-	if s == nil {
-		if len(n.sessions) >= tuning.MaxSessions {
-			return nil
-		}
-		s = workers.NewSession(host, n.roleEpoch, n.Now)
-		n.sessions[host] = s
-	}
-	return s
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"fmt"
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"log/slog"
 	"maps"
 	"math/rand/v2"
@@ -23,6 +24,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/part"
 	"github.com/harrierreel/harrierreel/internal/parts"
 	"github.com/harrierreel/harrierreel/internal/peer"
 	"github.com/harrierreel/harrierreel/internal/pipelines"
@@ -32,8 +34,6 @@
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
-	"github.com/harrierreel/harrierreel/internal/wire"
-	"github.com/harrierreel/harrierreel/internal/workers"
 )
 
 // Outside is everything a node can reach. Answers come back on the loop,
@@ -59,14 +59,11 @@
 	sync   syncState
 	fence  fence
 
-	*book.Book                        // what is known from the records
-	keys       map[string]uint64      // member keys: name to incarnation
-	quiet      map[string]fleet.Quiet // owner to machines that it does not hear
+	*book.Book                   // what is known from the records
+	keys       map[string]uint64 // member keys: name to incarnation
 	view       *members.View
 
 	// What changed since a pass last looked at it.
-	touched map[string]bool // machines to review
-	revisit map[string]bool // machines to review again before long
 
 	hold        uint64
 	renewedAt   time.Time
@@ -87,11 +84,8 @@
 	lastHint    time.Time
 	hintedEpoch uint64
 
-	busy     map[string]bool // keys under an unfinished transaction
-	ending   int             // writes of jobs' ends under way
-	sessions map[string]*workers.Session
-	health   map[string]*fleet.Health
-	calls    int // direct calls to workers under way
+	busy   map[string]bool // keys under an unfinished transaction
+	ending int             // writes of jobs' ends under way
 
 	finals  *jobs.Finals
 	readers map[string]*reader
@@ -100,14 +94,13 @@
 	lead   leader
 	queue  *queue.Queue
 	rental *rental.Rental
+	part   *part.Part
 	runs   *pipelines.Keeper // nil unless pipelines are turned on
 
 	dirty       bool
 	lastPass    time.Time
 	lastChanges time.Time
 	lastLead    time.Time
-	lastSweep   time.Time
-	lastEnds    time.Time // when ended tasks were last committed
 }
 
 type peerState struct {
@@ -126,18 +119,16 @@
 func New(set *settings.Settings, out Outside, log *slog.Logger, rng *rand.Rand) *Node {
 	n := &Node{
 		set: set, out: out, log: log, rng: rng,
-		keys: map[string]uint64{}, quiet: map[string]fleet.Quiet{},
-		touched: map[string]bool{}, revisit: map[string]bool{},
+		keys: map[string]uint64{},
 		role: members.Outside, certain: members.Certainty{Standing: members.Sure},
 		outUntil: map[string]votedOut{}, complaints: members.Complaints{},
 		heard: map[string]time.Time{}, peersState: map[string]peerState{},
-		busy:     map[string]bool{},
-		sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{},
+		busy:   map[string]bool{},
 		finals: jobs.NewFinals(set.Operator.FinalCache), readers: map[string]*reader{},
 	}
 	n.quotas.teams = set.TeamMap()
 	n.Book = book.New(quota.Flat(n.quotas.teams), func(host string) {
-		n.touched[host] = true
+		n.part.Touch(host)
 		n.dirty = true
 	})
 	n.client = store.New(out.State, out.Watch)
@@ -150,17 +141,31 @@
 	n.fence.key = fencePrefix + set.NodeName
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
-		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: func(key string) bool { return n.busy[key] },
-		Allows: n.client.Allows, Spare: n.client.Spare, Ready: n.ready, CanPlace: n.canPlace, Commit: n.commit,
+		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.isBusy,
+		Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit,
+		Ready:    func(m *book.Machine) bool { return n.part.Ready(m) },
+		CanPlace: func(t *book.Task, m *book.Machine) bool { return n.part.CanPlace(t, m) },
 	})
 	n.rental = rental.New(n.Book, rental.Env{
 		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
 		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch },
 		Wake:  func() { n.dirty = true },
-		Busy:  func(key string) bool { return n.busy[key] }, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
-		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commit, Gone: n.gone, Moving: n.moving,
-		InUse: n.inUse, QuietSince: n.quietSince, Heard: func(host string) time.Time { return n.heard[host] },
-		HasSession: func(host string) bool { return n.sessions[host] != nil },
+		Busy:  n.isBusy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
+		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commit,
+		Gone: func(t *book.Task, k jobs.TaskEventKind, pause time.Duration) decide.Decision {
+			return n.part.Gone(t, k, pause)
+		},
+		Moving:     func(host string, e fleet.Event, why string) []decide.Decision { return n.part.Moving(host, e, why) },
+		InUse:      func(m *book.Machine) bool { return n.part.InUse(m) },
+		QuietSince: func(m *book.Machine) (time.Time, bool) { return n.part.QuietSince(m) },
+		Heard:      func(host string) time.Time { return n.heard[host] },
+		HasSession: func(host string) bool { return n.part.HasSession(host) },
+	})
+	n.part = part.New(n.Book, part.Env{
+		Me: set.NodeName, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Queue: n.queue, Rental: n.rental, Call: out.Worker,
+		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.sync.live && !n.unsure() },
+		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, OwnerOf: n.owner, Complain: n.complain,
+		Busy: n.isBusy, Spare: n.client.Spare, Commit: n.commit,
 	})
 	n.lead.reset()
 	n.budget()
@@ -210,7 +215,7 @@
 		return
 	}
 	n.updateRole()
-	n.ownerPass()
+	n.part.Pass()
 	// The leader's pass looks at every machine, so its pace follows their number.
 	if gap := tuning.PassGap + time.Duration(len(n.Machines))*tuning.LeadGapEach; n.Now.Sub(n.lastLead) >= gap {
 		n.lastLead = n.Now
@@ -305,12 +310,7 @@
 			n.keys[members.NameOfKey(key)] = inc
 		}
 	case hasPrefix(key, fleet.QuietPrefix):
-		owner := key[len(fleet.QuietPrefix):]
-		if value == nil {
-			delete(n.quiet, owner)
-		} else if q, err := fleet.DecodeQuiet(value, n.quiet[owner], n.Now); err == nil {
-			n.quiet[owner] = q
-		} else {
+		if err := n.part.QuietChanged(key[len(fleet.QuietPrefix):], value); err != nil {
 			n.log.Error("unreadable list of machines set aside", "key", key, "error", err)
 		}
 	case hasPrefix(key, jobs.TaskPrefix):
@@ -357,16 +357,13 @@
 
 // hostChanged takes a machine's record in.
 func (n *Node) hostChanged(name string, value json.RawMessage) {
-	n.touched[name] = true
+	n.part.Touch(name)
 	if err := n.HostChanged(name, n.owner(name), value); err != nil {
 		n.log.Error("unreadable machine record set aside", "machine", name, "error", err)
 	}
 	if value == nil {
-		delete(n.health, name)
 		delete(n.heard, name)
-		// The machine is gone: its session must not bring the record back.
-		// Should the worker report after all, it is met as a new one.
-		delete(n.sessions, name)
+		n.part.HostGone(name)
 	}
 }
 
@@ -378,10 +375,13 @@
 
 func hasPrefix(s, p string) bool { return len(s) > len(p) && s[:len(p)] == p }
 
+// isBusy tells whether a record is under a transaction.
+func (n *Node) isBusy(key string) bool { return n.busy[key] }
+
 // touch has a task's machine reviewed.
 func (n *Node) touch(t *book.Task) {
 	if t.Host != "" {
-		n.touched[t.Host] = true
+		n.part.Touch(t.Host)
 		n.dirty = true
 	}
 }
@@ -397,16 +397,3 @@
 func (n *Node) ms() int64 { return n.Now.UnixMilli() }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// refuse answers 503 at once and says when to come back.
-func refuse(why string) wire.Reply {
-	return wire.Reply{Status: 503, Body: errorBody(why), RetryAfter: tuning.RetryAfter}
-}
-
-func errorBody(why string) []byte {
-	b, err := json.Marshal(map[string]string{"error": why})
-	if err != nil {
-		return []byte("{}")
-	}
-	return b
-}
--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -96,7 +96,7 @@
 func (n *Node) quotaRequest(m *wire.Message, respond func(wire.Reply)) {
 	switch {
 	case !n.quotas.on:
-		respond(wire.Reply{Status: 404, Body: errorBody("no such path")})
+		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such path")})
 	case m.Method == "GET":
 		n.afterEpoch(respond, func() {
 			respond(wire.Reply{Status: 200, Body: quota.EncodeTree(n.quotaNumber(), n.Account.Show(n.waitingByLeaf()))})
@@ -131,7 +131,7 @@
 		return
 	}
 	if !n.able() || n.quotas.stored == nil {
-		respond(refuse("not able to decide"))
+		respond(wire.Refuse("not able to decide"))
 		return
 	}
 	if a.DryRun {
@@ -156,7 +156,7 @@
 		}
 		w := decide.Put(quota.StoreKey, quota.NewStored(stored.Number+1, n.ms(), a.Quotas))
 		if len(w.Value) > n.sliceLimit() {
-			respond(wire.Reply{Status: 413, Body: errorBody("the tree does not fit into one value of the state service")})
+			respond(wire.Reply{Status: 413, Body: wire.ErrorBody("the tree does not fit into one value of the state service")})
 			return
 		}
 		t := store.Txn{If: []store.Cond{{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)}, {Key: quota.StoreKey, Stamp: n.mirror.Stamp(quota.StoreKey)}}, Writes: []store.Write{w}}
@@ -166,9 +166,9 @@
 				n.mirror.Commit(t.Writes, epoch)
 				respond(wire.Reply{Status: 200, Body: jobs.Encode(quota.Preview{Number: n.quotaNumber()})})
 			case errors.Is(err, store.ErrConflict):
-				respond(refuse("another change came first; try again"))
+				respond(wire.Refuse("another change came first; try again"))
 			default:
-				respond(refuse("state unavailable"))
+				respond(wire.Refuse("state unavailable"))
 			}
 		})
 	})
--- a/internal/node/runs.go
+++ b/internal/node/runs.go
@@ -6,6 +6,7 @@
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"strings"
 
+	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/parts"
@@ -93,7 +94,7 @@
 	}
 	for _, uid := range c.Cancel {
 		if j := n.Jobs[uid]; j != nil && j.Rec != nil {
-			d.Writes = append(d.Writes, n.endingWrites(j, jobs.Cancelled)...)
+			d.Writes = append(d.Writes, ending.Writes(j, jobs.Cancelled, n.ms())...)
 		}
 	}
 	for _, uid := range c.Absent {
@@ -144,7 +145,7 @@
 // pipelineRequest takes a user's request about runs.
 func (n *Node) pipelineRequest(m *wire.Message, path string, respond func(wire.Reply)) {
 	if n.runs == nil {
-		respond(wire.Reply{Status: 404, Body: errorBody("no such path")})
+		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such path")})
 		return
 	}
 	if path == pipelinesPath {
@@ -156,7 +157,7 @@
 	id, verb, _ := strings.Cut(strings.TrimPrefix(path, pipelinesPath+"/"), "/")
 	switch {
 	case !pipelines.ValidID(id):
-		respond(wire.Reply{Status: 404, Body: errorBody("no such run")})
+		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such run")})
 	case verb == "" || verb == "explain":
 		if method(m, "GET", respond) {
 			n.showRun(id, 200, verb != "", "", respond)
@@ -166,7 +167,7 @@
 			n.abortRun(id, tuning.AbortTries, respond)
 		}
 	default:
-		respond(wire.Reply{Status: 404, Body: errorBody("no such path")})
+		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such path")})
 	}
 }
 
@@ -182,9 +183,9 @@
 		n.client.Get(store.User, pipelines.RanPrefix+id, nil, func(it *store.Item, err error) {
 			switch {
 			case err != nil:
-				respond(refuse("state unavailable"))
+				respond(wire.Refuse("state unavailable"))
 			case it == nil:
-				respond(wire.Reply{Status: 404, Body: errorBody("no such run")})
+				respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such run")})
 			default:
 				rec, _ := pipelines.Decode(it.Value)
 				n.answerRun(id, rec, status, explain, sum, respond)
@@ -195,7 +196,7 @@
 
 func (n *Node) answerRun(id string, rec *pipelines.Record, status int, explain bool, sum string, respond func(wire.Reply)) {
 	if rec != nil && sum != "" && rec.Sum != sum {
-		respond(wire.Reply{Status: 409, Body: errorBody("another pipeline has this id")})
+		respond(wire.Reply{Status: 409, Body: wire.ErrorBody("another pipeline has this id")})
 		return
 	}
 	if rec != nil {
@@ -204,7 +205,7 @@
 			return
 		}
 	}
-	respond(refuse("this run's record can't be read by this version"))
+	respond(wire.Refuse("this run's record can't be read by this version"))
 }
 
 // able tells whether this node may decide for users.
@@ -220,7 +221,7 @@
 		return
 	}
 	if !n.able() || len(n.Builds) == 0 {
-		respond(refuse("not able to accept"))
+		respond(wire.Refuse("not able to accept"))
 		return
 	}
 	sum := pipelines.Sum(q.Doc)
@@ -235,7 +236,7 @@
 		n.client.Get(store.User, pipelines.RanPrefix+q.ID, nil, func(it *store.Item, gerr error) {
 			switch {
 			case gerr != nil:
-				respond(refuse("state unavailable"))
+				respond(wire.Refuse("state unavailable"))
 			case it != nil:
 				known()
 			default:
@@ -244,7 +245,7 @@
 		})
 	}
 	if err != nil {
-		unknown(wire.Reply{Status: 413, Body: errorBody(err.Error())})
+		unknown(wire.Reply{Status: 413, Body: wire.ErrorBody(err.Error())})
 		return
 	}
 	if faults := q.Plan.Judge(runWorld{n}.Judge); len(faults) > 0 {
@@ -252,7 +253,7 @@
 		return
 	}
 	if !n.runs.Room(len(q.Plan.Steps)) {
-		unknown(wire.Reply{Status: 429, Body: errorBody("too many runs are live"), RetryAfter: tuning.RetryAfter})
+		unknown(wire.Reply{Status: 429, Body: wire.ErrorBody("too many runs are live"), RetryAfter: tuning.RetryAfter})
 		return
 	}
 	d := n.runDecision(c, nil)
@@ -271,7 +272,7 @@
 			known()
 		default:
 			// Unknown counts as not accepted; a repeat finds out.
-			respond(refuse("try again"))
+			respond(wire.Refuse("try again"))
 		}
 	})
 }
@@ -280,7 +281,7 @@
 // this fail; then it is tried again from the newer record.
 func (n *Node) abortRun(id string, tries int, respond func(wire.Reply)) {
 	if !n.able() {
-		respond(refuse("not able to cancel"))
+		respond(wire.Refuse("not able to cancel"))
 		return
 	}
 	c := n.runs.CancelRun(id, n.Now, n.ms(), runWorld{n})
@@ -295,7 +296,7 @@
 		case tries > 1 && !n.busy[pipelines.RunPrefix+id]:
 			n.abortRun(id, tries-1, respond)
 		default:
-			respond(refuse("try again"))
+			respond(wire.Refuse("try again"))
 		}
 	})})
 }
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -64,7 +64,7 @@
 			select {
 			case events <- func() { n.Request(m, respond) }:
 			default:
-				respond(refuse("too busy")) // the loop is far behind
+				respond(wire.Refuse("too busy")) // the loop is far behind
 			}
 		},
 		Line: func(line []byte) {
--- a/internal/node/users.go
+++ b/internal/node/users.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/store"
@@ -21,7 +22,7 @@
 	switch {
 	case path == "/agent/beat":
 		if method(m, "POST", respond) {
-			n.beat(m.Body, respond)
+			n.part.Beat(m.Body, respond)
 		}
 	case path == "/up":
 		if method(m, "GET", respond) {
@@ -34,7 +35,7 @@
 	case strings.HasPrefix(path, "/work/"):
 		uid, abort := strings.CutSuffix(path[len("/work/"):], "/abort")
 		if !jobs.ValidUID(uid) {
-			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
+			respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such job")})
 			return
 		}
 		if abort {
@@ -51,7 +52,7 @@
 	case isPipelines(path):
 		n.pipelineRequest(m, path, respond)
 	default:
-		respond(wire.Reply{Status: 404, Body: errorBody("no such path")})
+		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such path")})
 	}
 }
 
@@ -62,7 +63,7 @@
 
 func method(m *wire.Message, want string, respond func(wire.Reply)) bool {
 	if m.Method != want {
-		respond(wire.Reply{Status: 405, Body: errorBody("use " + want)})
+		respond(wire.Reply{Status: 405, Body: wire.ErrorBody("use " + want)})
 		return false
 	}
 	return true
@@ -81,7 +82,7 @@
 		}
 	}
 	if !ok {
-		respond(refuse("not ready"))
+		respond(wire.Refuse("not ready"))
 		return
 	}
 	respond(wire.Reply{Status: 200, Body: []byte(`{"up":true}`)})
@@ -225,7 +226,7 @@
 // was read after it came; otherwise it is refused.
 func (n *Node) afterEpoch(respond func(wire.Reply), answer func()) {
 	if n.client.Down() || !n.sync.live || len(n.polls.waiting) >= tuning.MostPolls {
-		respond(refuse("state unavailable"))
+		respond(wire.Refuse("state unavailable"))
 		return
 	}
 	n.polls.waiting = append(n.polls.waiting, poll{answer, respond, n.Now})
@@ -265,7 +266,7 @@
 
 func (n *Node) refusePolls(ps []poll) {
 	for _, p := range ps {
-		p.respond(refuse("state unavailable"))
+		p.respond(wire.Refuse("state unavailable"))
 	}
 }
 
@@ -290,9 +291,9 @@
 	n.read(uid, func(s jobs.Final, err error) {
 		switch {
 		case errors.Is(err, errNoJob):
-			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
+			respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such job")})
 		case err != nil:
-			respond(refuse("state unavailable"))
+			respond(wire.Refuse("state unavailable"))
 		default:
 			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, true)})
 		}
@@ -302,7 +303,7 @@
 func (n *Node) submit(body []byte, respond func(wire.Reply)) {
 	spec, err := jobs.ParseSpec(body)
 	if err != nil {
-		respond(wire.Reply{Status: 400, Body: errorBody(err.Error())})
+		respond(wire.Reply{Status: 400, Body: wire.ErrorBody(err.Error())})
 		return
 	}
 	known := func(s jobs.Final) {
@@ -313,7 +314,7 @@
 		return
 	}
 	if !n.able() {
-		respond(refuse("not able to accept"))
+		respond(wire.Refuse("not able to accept"))
 		return
 	}
 	// A job that is known already is answered by a read; only an unknown one
@@ -321,7 +322,7 @@
 	if n.Jobs[spec.UID] != nil {
 		n.read(spec.UID, func(s jobs.Final, err error) {
 			if err != nil {
-				respond(refuse("state unavailable"))
+				respond(wire.Refuse("state unavailable"))
 				return
 			}
 			known(s)
@@ -329,7 +330,7 @@
 		return
 	}
 	if len(n.Builds) == 0 {
-		respond(refuse("machine types not known yet"))
+		respond(wire.Refuse("machine types not known yet"))
 		return
 	}
 	if why := jobs.CanEverRun(spec, n.Account.Tree(), n.Builds); why != "" {
@@ -338,9 +339,9 @@
 			case err == nil:
 				known(s)
 			case errors.Is(err, errNoJob):
-				respond(wire.Reply{Status: 422, Body: errorBody(why)})
+				respond(wire.Reply{Status: 422, Body: wire.ErrorBody(why)})
 			default:
-				respond(refuse("state unavailable"))
+				respond(wire.Refuse("state unavailable"))
 			}
 		})
 		return
@@ -357,7 +358,7 @@
 func (n *Node) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
 	w, final := n.acceptance(spec)
 	if len(w.Value) > int(n.set.Cluster.State.ValueKB*1024) {
-		respond(wire.Reply{Status: 400, Body: errorBody("description too long")})
+		respond(wire.Reply{Status: 400, Body: wire.ErrorBody("description too long")})
 		return
 	}
 	t := store.Txn{
@@ -376,14 +377,14 @@
 		case errors.Is(err, store.ErrConflict):
 			n.read(spec.UID, func(s jobs.Final, err error) {
 				if err != nil {
-					respond(refuse("try again")) // only the view had changed
+					respond(wire.Refuse("try again")) // only the view had changed
 					return
 				}
 				known(s)
 			})
 		default:
 			// Unknown counts as not accepted; a repeat finds out.
-			respond(refuse("state unavailable"))
+			respond(wire.Refuse("state unavailable"))
 		}
 	})
 }
@@ -404,16 +405,16 @@
 		return
 	}
 	if !n.able() {
-		respond(refuse("not able to cancel"))
+		respond(wire.Refuse("not able to cancel"))
 		return
 	}
 	n.find(uid, func(s jobs.Final, err error) {
 		switch {
 		case errors.Is(err, errNoJob):
-			respond(wire.Reply{Status: 404, Body: errorBody("no such job")})
+			respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such job")})
 			return
 		case err != nil:
-			respond(refuse("state unavailable"))
+			respond(wire.Refuse("state unavailable"))
 			return
 		}
 		j := n.Jobs[uid]
@@ -423,12 +424,12 @@
 			return
 		}
 		if j == nil || j.Rec == nil {
-			respond(refuse("try again"))
+			respond(wire.Refuse("try again"))
 			return
 		}
 		n.close(j, next, store.User, func(ok bool) {
 			if !ok {
-				respond(refuse("try again"))
+				respond(wire.Refuse("try again"))
 				return
 			}
 			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, jobs.Final{State: next}, false)})
@@ -436,17 +437,6 @@
 	})
 }
 
-// endingWrites is the records of a job that ends, its live one among them: its tasks
-// are yet to act on it.
-func (n *Node) endingWrites(j *book.Job, state jobs.JobState) []store.Write {
-	rec := *j.Rec
-	rec.State, rec.EndMs, rec.Done = state, n.ms(), j.Done
-	if state == jobs.Done {
-		rec.Done = rec.Spec.Pieces // of a gang, one done means all are
-	}
-	return []store.Write{decide.Put(jobs.JobPrefix+j.UID, rec), decide.Put(jobs.FinalPrefix+j.UID, jobs.Final{State: state, Done: rec.Done})}
-}
-
 // close commits a job's final state, for its tasks to act on and for users to
 // read for ever.
 func (n *Node) close(j *book.Job, state jobs.JobState, p store.Priority, done func(bool)) {
@@ -457,7 +447,7 @@
 			{Key: key, Stamp: n.mirror.Stamp(key)},
 			{Key: final, Stamp: 0},
 		},
-		Writes: n.endingWrites(j, state),
+		Writes: ending.Writes(j, state, n.ms()),
 	}
 	n.client.Multi(p, t, func(epoch uint64, _ []string, err error) {
 		if err == nil {
--- /dev/null
+++ b/internal/part/health.go
@@ -0,0 +1,91 @@
+package part
+
+import (
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/workers"
+)
+
+// watchHealth keeps a machine's record in step with what its owner hears, and
+// notes in unheard whether it does not.
+func (pt *Part) watchHealth(s *workers.Session, unheard map[string]bool) []decide.Decision {
+	m := pt.Machines[s.Host]
+	if m == nil {
+		if s.State == workers.Known {
+			rec := fleet.Host{State: fleet.Up, Endpoint: s.Endpoint, Build: s.Build, Site: s.Site, Loaner: s.Loaner, SinceMs: pt.ms()}
+			return []decide.Decision{{Writes: []store.Write{decide.Put(fleet.HostPrefix+s.Host, rec)}}}
+		}
+		if pt.Now.Sub(s.LastReport) > tuning.ForgetSession {
+			delete(pt.sessions, s.Host)
+		}
+		return nil
+	}
+	quiet := pt.Now.Sub(s.LastReport)
+	report := pt.Cluster.Workers.ReportS
+	switch {
+	case quiet > seconds(report*tuning.SilentReports) || s.CallFails >= tuning.SilentCalls && quiet > seconds(report*tuning.ReportLate):
+		unheard[s.Host] = true
+	case s.State != workers.Known:
+	case s.Warning != nil && m.State != fleet.Warned:
+		return pt.Moving(s.Host, fleet.Notice, "the cloud will take it")
+	case m.State == fleet.Silent: // written by an earlier version
+		return pt.Moving(s.Host, fleet.Heard, "reports again")
+	}
+	return nil
+}
+
+// tellQuiet is the decision that writes which of this part's machines are not
+// heard, when that has changed.
+func (pt *Part) tellQuiet(unheard map[string]bool) []decide.Decision {
+	key := fleet.QuietPrefix + pt.Me
+	told := pt.quiet[pt.Me]
+	same := len(told) == len(unheard)
+	for h := range unheard {
+		_, was := told[h]
+		same = same && was
+	}
+	if same || pt.Busy(key) {
+		return nil
+	}
+	hosts := sorted(unheard)
+	w := decide.Put(key, hosts)
+	for len(w.Value) > pt.SliceLimit {
+		hosts = hosts[:len(hosts)*9/10] // those that fit; the rest follow as these end
+		w = decide.Put(key, hosts)
+	}
+	return []decide.Decision{{Writes: []store.Write{w}, Done: func(ok bool) {
+		if ok {
+			pt.Log.Info("machines not heard", "machines", len(hosts))
+		}
+	}}}
+}
+
+// QuietSince tells since when a machine's owner has not heard it.
+func (pt *Part) QuietSince(m *book.Machine) (time.Time, bool) {
+	if m.State == fleet.Silent {
+		return m.Since, true
+	}
+	since, quiet := pt.quiet[m.Owner][m.Name]
+	return since, quiet
+}
+
+// InUse tells whether a machine is up and heard.
+func (pt *Part) InUse(m *book.Machine) bool {
+	if m.State != fleet.Up {
+		return false
+	}
+	_, quiet := pt.quiet[m.Owner][m.Name]
+	return !quiet && !pt.Rental.GivenUp(m.Name)
+}
+
+// overdue tells whether a machine should have reported by now. It is then
+// asked directly: where reports are seldom, waiting for the next would leave
+// its tasks dead for long.
+func (pt *Part) overdue(s *workers.Session) bool {
+	return pt.Now.Sub(s.LastReport) > seconds(pt.Cluster.Workers.ReportS*tuning.ReportLate)
+}
--- /dev/null
+++ b/internal/part/part.go
@@ -0,0 +1,135 @@
+// Package part is the slice of an owner: the machines that a controller owns under
+// the view, the sessions with their workers, what their reports mean for the
+// records, what is commanded, and which machines are not heard. Decisions, answers
+// and calls come out; it has no IO and no clock.
+package part
+
+import (
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/queue"
+	"github.com/harrierreel/harrierreel/internal/rental"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/workers"
+)
+
+// Env is what an owner is told from outside: settings, and what others know.
+type Env struct {
+	Me         string
+	Cluster    settings.Cluster
+	SliceLimit int // bytes of a record
+	Log        *slog.Logger
+	Queue      *queue.Queue
+	Rental     *rental.Rental
+
+	// Call sends a request to a worker; its answer comes back on the loop.
+	Call func(endpoint, method, target string, body []byte, timeout time.Duration, done func(status int, body []byte, err error))
+	// Wake has the loop look again.
+	Wake func()
+	// Speaks tells whether this node may answer workers, Outside whether it is
+	// outside the view.
+	Speaks, Outside func() bool
+	// Epoch is the view's.
+	Epoch func() uint64
+	// OwnerOf is the controller that a machine belongs to; Complain notes that a
+	// worker came here although it was sent there.
+	OwnerOf  func(host string) string
+	Complain func(owner, host string, here bool)
+	// Busy tells whether a record is under a transaction.
+	Busy func(key string) bool
+	// Spare tells whether there is budget to spare.
+	Spare func() bool
+	// Commit takes decisions.
+	Commit func([]decide.Decision)
+}
+
+// Part is what an owner keeps of its machines.
+type Part struct {
+	*book.Book
+	Env
+
+	sessions map[string]*workers.Session
+	health   map[string]*fleet.Health
+	quiet    map[string]fleet.Quiet // owner to machines that it does not hear
+
+	// What changed since a pass last looked at it.
+	touched map[string]bool // machines to review
+	revisit map[string]bool // machines to review again before long
+
+	calls     int // to workers under way
+	lastSweep time.Time
+	lastEnds  time.Time // when ended tasks were last committed
+}
+
+// New makes the part of an owner over a book.
+func New(b *book.Book, env Env) *Part {
+	return &Part{Book: b, Env: env, sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{}, quiet: map[string]fleet.Quiet{},
+		touched: map[string]bool{}, revisit: map[string]bool{}}
+}
+
+// Touch has a machine reviewed.
+func (pt *Part) Touch(host string) { pt.touched[host] = true }
+
+// HasSession tells whether a machine has a session here.
+func (pt *Part) HasSession(host string) bool { return pt.sessions[host] != nil }
+
+// StoodStill discounts time in which this node did not listen.
+func (pt *Part) StoodStill(gap time.Duration) {
+	for _, s := range pt.sessions {
+		s.StoodStill(gap)
+	}
+}
+
+// NewView begins every session anew under the view's epoch, and ends those of
+// machines that are another owner's now.
+func (pt *Part) NewView() {
+	for host, s := range pt.sessions {
+		if pt.OwnerOf(host) != pt.Me {
+			delete(pt.sessions, host)
+			continue
+		}
+		s.NewEpoch(pt.Epoch())
+		s.LastCall = time.Time{}
+	}
+	for _, m := range pt.Machines {
+		if m.Owner == pt.Me {
+			pt.keepSession(m)
+		}
+	}
+	pt.lastSweep = time.Time{}
+}
+
+// QuietChanged takes in which machines an owner does not hear.
+func (pt *Part) QuietChanged(owner string, value json.RawMessage) error {
+	if value == nil {
+		delete(pt.quiet, owner)
+		return nil
+	}
+	q, err := fleet.DecodeQuiet(value, pt.quiet[owner], pt.Now)
+	if err == nil {
+		pt.quiet[owner] = q
+	}
+	return err
+}
+
+// HostGone forgets a machine. Its session must not bring the record back; should
+// the worker report after all, it is met as a new one.
+func (pt *Part) HostGone(host string) {
+	delete(pt.health, host)
+	delete(pt.sessions, host)
+}
+
+func (pt *Part) ms() int64 { return pt.Now.UnixMilli() }
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// sorted lists a map's keys in order: what a pass does must not hang on the order
+// that a map happens to have.
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/part/review.go
@@ -0,0 +1,344 @@
+package part
+
+import (
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/ending"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/wire"
+	"github.com/harrierreel/harrierreel/internal/workers"
+)
+
+func (pt *Part) healthOf(host string) *fleet.Health {
+	h := pt.health[host]
+	if h == nil {
+		h = &fleet.Health{}
+		pt.health[host] = h
+	}
+	return h
+}
+
+// Beat answers a worker's report.
+func (pt *Part) Beat(body []byte, respond func(wire.Reply)) {
+	var r workers.Report
+	if err := json.Unmarshal(body, &r); err != nil || r.Host == "" || len(r.Host) > tuning.MaxHostName {
+		respond(wire.Reply{Status: 400, Body: wire.ErrorBody("not a report")})
+		return
+	}
+	if !pt.Speaks() {
+		respond(wire.Refuse("not in the view"))
+		return
+	}
+	owner := ""
+	if m := pt.Machines[r.Host]; m != nil {
+		owner = m.Owner
+	} else {
+		owner = pt.OwnerOf(r.Host)
+	}
+	if owner != pt.Me {
+		if pt.Machines[r.Host] != nil {
+			pt.Complain(owner, r.Host, true)
+		}
+		respond(misdirected(owner))
+		return
+	}
+	s := pt.session(r.Host)
+	if s == nil {
+		respond(wire.Refuse("too many machines"))
+		return
+	}
+	if r.Baton > s.Baton() {
+		// Another controller holds a later baton: this one is behind, and a
+		// 200 would only keep the worker here while its lease runs out.
+		respond(misdirected(owner))
+		return
+	}
+	s.LastBeat = pt.Now
+	if s.Accept(&r, pt.Now, pt.placedOn(r.Host)) {
+		pt.touched[r.Host] = true
+		pt.Wake()
+	}
+	orders := []workers.Order{}
+	if s.State == workers.Known && !s.Busy && r.Tenure == s.Tenure && r.Tick == s.Tick {
+		// Only orders that may be repeated go this way; launches are sent to
+		// the worker directly, so that there is one place where the answer
+		// tells whether they were executed.
+		for _, o := range pt.review(s).orders {
+			if o.Verb != workers.Launch {
+				orders = append(orders, o)
+			}
+		}
+	}
+	respond(wire.Reply{Status: 200, Body: jobs.Encode(struct {
+		Baton  uint64          `json:"baton"`
+		Orders []workers.Order `json:"orders"`
+	}{s.Baton(), limitOrders(orders)})})
+}
+
+func limitOrders(o []workers.Order) []workers.Order {
+	if len(o) > tuning.MaxOrders {
+		return o[:tuning.MaxOrders]
+	}
+	return o
+}
+
+func misdirected(owner string) wire.Reply {
+	if owner == "" {
+		return wire.Reply{Status: 421, Body: []byte("{}")}
+	}
+	return wire.Reply{Status: 421, Body: jobs.Encode(map[string]string{"reports_to": owner})}
+}
+
+func (pt *Part) placedOn(host string) map[string]uint64 {
+	out := map[string]uint64{}
+	for piece, t := range pt.OnHost[host] {
+		out[piece] = t.Try
+	}
+	return out
+}
+
+// reviewed is what a look at a machine calls for.
+type reviewed struct {
+	orders    []workers.Order
+	decisions []decide.Decision
+}
+
+// review compares a machine's records with its reports.
+func (pt *Part) review(s *workers.Session) reviewed {
+	var out reviewed
+	for _, piece := range sorted(pt.OnHost[s.Host]) {
+		t := pt.OnHost[s.Host][piece]
+		if pt.Busy(t.Slice.Key) {
+			continue // its end is touched again
+		}
+		over := t.Job.Rec == nil || t.Job.Rec.State != jobs.Live
+		verdict, p := s.Judge(piece, t.Try)
+		switch verdict {
+		case workers.ToLaunch:
+			m := pt.Machines[s.Host]
+			if over || t.State == jobs.Stopping || m == nil || m.State == fleet.Deleting || m.State == fleet.Deleted {
+				out.decisions = append(out.decisions, pt.Gone(t, jobs.Gone, 0))
+				continue
+			}
+			out.orders = append(out.orders, workers.Order{Verb: workers.Launch, Piece: piece, Try: t.Try})
+		case workers.OnIt:
+			if p.Status == workers.Running && !t.Ran {
+				t.Ran = true
+				if t.Job.Rec != nil {
+					pt.Log.Debug("runs", "task", piece, "class", t.Job.Rec.Spec.Class, "machine", s.Host, "try", t.Try, "since_accepted_ms", pt.ms()-t.Job.Rec.AtMs, "since_placed_ms", pt.Now.Sub(t.Since).Milliseconds())
+				}
+			}
+			if over || t.State == jobs.Stopping || pt.saveNow(s, t, p) {
+				out.orders = append(out.orders, pt.stopOrder(t, over))
+			}
+		case workers.Over:
+			out.decisions = append(out.decisions, pt.ended(s, t, p))
+		case workers.Missing:
+			out.decisions = append(out.decisions, pt.Gone(t, jobs.Gone, 0))
+		case workers.Unclear, workers.Sent:
+		}
+	}
+	if s.State != workers.Known {
+		return out
+	}
+	for _, piece := range sorted(s.Pieces) {
+		p, t := s.Pieces[piece], pt.OnHost[s.Host][piece]
+		if t != nil && t.Try == p.Try || pt.writing(piece) {
+			continue // recorded here, or its record is being written
+		}
+		if p.Status == workers.Ended {
+			// Reaped only now: its end is committed, for no record names it.
+			out.orders = append(out.orders, workers.Order{Verb: workers.Reap, Piece: piece, Try: p.Try})
+			s.Forget(piece, p.Try)
+			continue
+		}
+		zero := 0.0
+		out.orders = append(out.orders, workers.Order{Verb: workers.Stop, Piece: piece, Try: p.Try, WindDownS: &zero})
+	}
+	return out
+}
+
+// writing tells whether the record of a task is under a transaction.
+func (pt *Part) writing(piece string) bool {
+	if _, booked := pt.Reserved[piece]; booked {
+		return true
+	}
+	uid, num, ok := jobs.SplitPiece(piece)
+	if !ok || pt.Jobs[uid] == nil {
+		return false
+	}
+	t := pt.Jobs[uid].Tasks[num]
+	return t != nil && pt.Busy(t.Slice.Key)
+}
+
+// saveNow tells whether a task should save before its machine is taken.
+func (pt *Part) saveNow(s *workers.Session, t *book.Task, p workers.Piece) bool {
+	if s.Warning == nil || p.Status != workers.Running {
+		return false
+	}
+	spec := &t.Job.Rec.Spec
+	if spec.Shape == jobs.Standing {
+		return true // a replica has nothing to finish: start it elsewhere
+	}
+	left := *s.Warning - pt.Now.Sub(s.LastReport).Seconds()
+	if spec.SnapshotS > 0 {
+		return left <= spec.StashS+tuning.SaveMargin
+	}
+	// What cannot finish in time had better begin elsewhere at once.
+	return spec.ExpectS-pt.Now.Sub(t.Since).Seconds() > left*tuning.NoticeDoubt
+}
+
+func (pt *Part) stopOrder(t *book.Task, over bool) workers.Order {
+	grace := 0.0
+	if !over && t.Job.Rec.Spec.SnapshotS > 0 {
+		grace = t.Job.Rec.Spec.StashS + 1
+	}
+	return workers.Order{Verb: workers.Stop, Piece: t.Piece, Try: t.Try, WindDownS: &grace}
+}
+
+// Gone commits that a task is no longer on its machine.
+func (pt *Part) Gone(t *book.Task, kind jobs.TaskEventKind, pause time.Duration) decide.Decision {
+	if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live {
+		kind = jobs.Gone
+	}
+	next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: kind, AfterMs: pt.ms() + pause.Milliseconds()})
+	if !ok {
+		return decide.Decision{}
+	}
+	return decide.Decision{Changes: decide.Become(t, next), Seen: []string{jobs.JobPrefix + t.Job.UID}}
+}
+
+// ended commits a reported end.
+func (pt *Part) ended(s *workers.Session, t *book.Task, p workers.Piece) decide.Decision {
+	h := pt.healthOf(s.Host)
+	if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live {
+		return pt.Gone(t, jobs.Gone, 0)
+	}
+	switch p.Cause {
+	case workers.CauseDone:
+		h.Succeeded()
+		if t.Job.Rec.Spec.Shape == jobs.Standing {
+			return pt.Gone(t, jobs.Gone, 0)
+		}
+		if d, whole := ending.WithLast(t); whole {
+			return d
+		}
+		return pt.Gone(t, jobs.Complete, 0)
+	case workers.CauseError:
+		d := pt.Gone(t, jobs.Fail, jobs.Backoff(t.Fails))
+		pt.blame(s.Host, h, t)
+		return d
+	case workers.CauseNoSuch:
+		return pt.Gone(t, jobs.Fail, jobs.Backoff(t.Fails))
+	case workers.CauseNoRoom, workers.CauseInUse:
+		h.Rest(pt.Now.Add(tuning.RefusedRest))
+		return pt.Gone(t, jobs.Gone, tuning.Backoff)
+	}
+	return pt.Gone(t, jobs.Gone, 0)
+}
+
+// blame tells a faulty machine from a faulty job. A job that has failed on
+// several machines is itself to blame and costs no machine; a machine on which
+// several blameless jobs fail, or one that others finish elsewhere, is faulty.
+func (pt *Part) blame(host string, h *fleet.Health, t *book.Task) {
+	if pt.Trust(t.Job, host) == jobs.Probing {
+		return
+	}
+	blameless := func(uid string) bool {
+		j := pt.Jobs[uid]
+		return j != nil && j.Rec != nil && j.Rec.State == jobs.Live && pt.Trust(j, "") == jobs.Trusted
+	}
+	if h.Failed(t.Job.UID, pt.Now, t.Job.Done > 0, blameless) {
+		pt.moveMachine(host, fleet.Sick, "tasks fail on it")
+	}
+}
+
+// moveMachine commits an event of a machine's record.
+func (pt *Part) moveMachine(host string, e fleet.Event, why string) {
+	pt.Commit(pt.Moving(host, e, why))
+}
+
+// Moving is the decision that a machine's record changes by an event, if it
+// does.
+func (pt *Part) Moving(host string, e fleet.Event, why string) []decide.Decision {
+	m := pt.Machines[host]
+	if m == nil || pt.Busy(fleet.HostPrefix+host) {
+		return nil
+	}
+	rec := m.Host
+	state, ok := fleet.Next(rec.State, e)
+	if !ok {
+		return nil
+	}
+	from := rec.State
+	rec.State, rec.Why, rec.SinceMs = state, why, pt.ms()
+	return []decide.Decision{{Writes: []store.Write{decide.Put(fleet.HostPrefix+host, rec)}, Done: func(ok bool) {
+		if ok {
+			pt.Log.Info("machine", "machine", host, "from", string(from), "to", string(state), "why", why)
+		}
+	}}}
+}
+
+// Pass does what an owner does for its part: it looks at the machines
+// that something has happened to, and from time to time at those that need
+// looking after without it.
+func (pt *Part) Pass() {
+	if pt.Outside() {
+		clear(pt.touched)
+		return
+	}
+	ds := pt.Queue.Place()
+	sweep := pt.Now.Sub(pt.lastSweep) >= tuning.SweepEvery
+	if sweep {
+		pt.lastSweep = pt.Now
+		unheard := map[string]bool{}
+		for _, host := range sorted(pt.sessions) {
+			s := pt.sessions[host]
+			ds = append(ds, pt.watchHealth(s, unheard)...)
+			if s.State != workers.Known || s.Warning != nil || pt.overdue(s) {
+				pt.touched[host] = true
+			}
+		}
+		for host := range pt.revisit {
+			pt.touched[host] = true
+		}
+		clear(pt.revisit)
+		ds = append(ds, pt.tellQuiet(unheard)...)
+	}
+	// Ends are gathered while writes are short: many tasks of a slice end soon
+	// after one another, and all of them are one write.
+	gather := !pt.Spare() && pt.Now.Sub(pt.lastEnds) < tuning.GatherFor
+	if !gather {
+		pt.lastEnds = pt.Now
+	}
+	for _, host := range sorted(pt.touched) {
+		s := pt.sessions[host]
+		if m := pt.Machines[host]; s == nil && m != nil && m.Owner == pt.Me && m.State != fleet.Deleted {
+			pt.keepSession(m)
+			s = pt.sessions[host]
+		}
+		if s == nil {
+			continue
+		}
+		rv := pt.review(s)
+		if len(rv.decisions) > 0 || len(rv.orders) > 0 {
+			pt.revisit[host] = true
+		}
+		if !gather {
+			ds = append(ds, rv.decisions...)
+		}
+		pt.command(s, rv.orders)
+	}
+	clear(pt.touched)
+	// Where the budget does not allow all, a guest's thousands of ends must not
+	// stand before those that others wait for.
+	sort.SliceStable(ds, func(a, b int) bool { return ds[a].Rank() < ds[b].Rank() })
+	pt.Commit(ds)
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"log/slog"
 	"sync"
@@ -21,6 +22,20 @@
 	Close      bool
 }
 
+// Refuse answers 503 at once and says when to come back.
+func Refuse(why string) Reply {
+	return Reply{Status: 503, Body: ErrorBody(why), RetryAfter: tuning.RetryAfter}
+}
+
+// ErrorBody is an answer that says what is wrong.
+func ErrorBody(why string) []byte {
+	b, err := json.Marshal(map[string]string{"error": why})
+	if err != nil {
+		return []byte("{}")
+	}
+	return b
+}
+
 // Server listens for HTTP on one address and for JSON lines on another.
 type Server struct {
 	Front, Peer string
