--- a/internal/node/users.go
+++ b/internal/front/jobs.go
@@ -1,13 +1,13 @@
-package node
+package front
 
 import (
 	"encoding/json"
 	"errors"
-	"github.com/harrierreel/harrierreel/internal/book"
-	"github.com/harrierreel/harrierreel/internal/decide"
 	"strings"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
@@ -17,20 +17,20 @@
 )
 
 // Request takes a request from the front door. respond is called exactly once.
-func (n *Node) Request(m *wire.Message, respond func(wire.Reply)) {
+func (fr *Front) Request(m *wire.Message, respond func(wire.Reply)) {
 	path, _, _ := strings.Cut(m.Target, "?")
 	switch {
 	case path == "/agent/beat":
 		if method(m, "POST", respond) {
-			n.part.Beat(m.Body, respond)
+			fr.Beat(m.Body, respond)
 		}
 	case path == "/up":
 		if method(m, "GET", respond) {
-			n.up(respond)
+			fr.up(respond)
 		}
 	case path == "/work":
 		if method(m, "POST", respond) {
-			n.submit(m.Body, respond)
+			fr.submit(m.Body, respond)
 		}
 	case strings.HasPrefix(path, "/work/"):
 		uid, abort := strings.CutSuffix(path[len("/work/"):], "/abort")
@@ -40,24 +40,24 @@
 		}
 		if abort {
 			if method(m, "POST", respond) {
-				n.abort(uid, respond)
+				fr.abort(uid, respond)
 			}
 			return
 		}
 		if method(m, "GET", respond) {
-			n.query(uid, respond)
+			fr.query(uid, respond)
 		}
 	case path == quotaPath:
-		n.quotaRequest(m, respond)
+		fr.quotaRequest(m, respond)
 	case isPipelines(path):
-		n.pipelineRequest(m, path, respond)
+		fr.pipelineRequest(m, path, respond)
 	default:
 		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such path")})
 	}
 }
 
-// isUsers tells a user's request from a worker's or the load balancer's.
-func isUsers(m *wire.Message) bool {
+// IsUsers tells a user's request from a worker's or the load balancer's.
+func IsUsers(m *wire.Message) bool {
 	return m.Target == "/work" || strings.HasPrefix(m.Target, "/work/") || strings.HasPrefix(m.Target, "/work?") || m.Target == quotaPath || isPipelines(m.Target)
 }
 
@@ -69,19 +69,9 @@
 	return true
 }
 
-// up tells the load balancer whether to send users here. During an outage of
-// the state service every node stays up and refuses at once; a node that alone
-// is refused, as its peers' hints show, steps aside.
-func (n *Node) up(respond func(wire.Reply)) {
-	ok := n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure
-	if n.client.Down() {
-		for _, p := range n.peersState {
-			if p.stateOK && n.Now.Sub(p.at) < tuning.PeerFresh {
-				ok = false
-			}
-		}
-	}
-	if !ok {
+// up tells the load balancer whether to send users here.
+func (fr *Front) up(respond func(wire.Reply)) {
+	if !fr.Up() {
 		respond(wire.Refuse("not ready"))
 		return
 	}
@@ -97,11 +87,11 @@
 
 // statusOf is the answer about a job. The counts are for display; those of a
 // live job come from memory.
-func (n *Node) statusOf(uid string, f jobs.Final, counts bool) []byte {
+func (fr *Front) statusOf(uid string, f jobs.Final, counts bool) []byte {
 	out := status{UID: uid, Status: string(f.State)}
 	done, on := f.Done, 0
 	if f.State == jobs.Live {
-		if j := n.Jobs[uid]; j != nil {
+		if j := fr.Jobs[uid]; j != nil {
 			done, on = j.Done, j.On
 		}
 		out.Status = "pending"
@@ -126,24 +116,24 @@
 
 // read finds a job's state in the state service. Only final states are
 // answered from memory.
-func (n *Node) read(uid string, done func(jobs.Final, error)) {
-	if s, ok := n.finals.Get(uid); ok {
+func (fr *Front) read(uid string, done func(jobs.Final, error)) {
+	if s, ok := fr.finals.Get(uid); ok {
 		done(s, nil)
 		return
 	}
-	if n.client.Down() {
+	if fr.Client.Down() {
 		done(jobs.Final{}, store.ErrDown)
 		return
 	}
-	if r := n.readers[uid]; r != nil {
+	if r := fr.readers[uid]; r != nil {
 		r.waiting = append(r.waiting, done)
 		return
 	}
 	r := &reader{waiting: []func(jobs.Final, error){done}}
-	n.readers[uid] = r
+	fr.readers[uid] = r
 	left := func() {
-		if n.readers[uid] == r {
-			delete(n.readers, uid)
+		if fr.readers[uid] == r {
+			delete(fr.readers, uid)
 		}
 	}
 	finish := func(s jobs.Final, err error) {
@@ -152,26 +142,26 @@
 			w(s, err)
 		}
 	}
-	n.client.Get(store.User, jobs.JobPrefix+uid, left, func(it *store.Item, err error) {
+	fr.Client.Get(store.User, jobs.JobPrefix+uid, left, func(it *store.Item, err error) {
 		if err != nil {
 			finish(jobs.Final{}, err)
 			return
 		}
 		if it != nil {
-			n.mirror.Put(it.Key, it.Value, it.Stamp)
+			fr.Mirror.Put(it.Key, it.Value, it.Stamp)
 			rec, derr := jobs.DecodeRecord(uid, it.Value)
 			if derr != nil {
 				finish(jobs.Final{}, derr)
 				return
 			}
 			f := jobs.Final{State: rec.State, Done: rec.Done}
-			n.finals.Put(uid, f)
+			fr.finals.Put(uid, f)
 			finish(f, nil)
 			return
 		}
 		// A live record leaves only after the final one has come, so reading
 		// in this order misses neither.
-		n.client.Get(store.User, jobs.FinalPrefix+uid, nil, func(it *store.Item, err error) {
+		fr.Client.Get(store.User, jobs.FinalPrefix+uid, nil, func(it *store.Item, err error) {
 			if err != nil {
 				finish(jobs.Final{}, err)
 				return
@@ -185,7 +175,7 @@
 				finish(jobs.Final{}, jerr)
 				return
 			}
-			n.finals.Put(uid, f)
+			fr.finals.Put(uid, f)
 			finish(f, nil)
 		})
 	})
@@ -214,66 +204,66 @@
 	epoch uint64
 }
 
-func (n *Node) query(uid string, respond func(wire.Reply)) {
-	if f, ok := n.finals.Get(uid); ok {
-		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, f, true)})
+func (fr *Front) query(uid string, respond func(wire.Reply)) {
+	if f, ok := fr.finals.Get(uid); ok {
+		respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, f, true)})
 		return
 	}
-	n.afterEpoch(respond, func() { n.answerPoll(uid, respond) })
+	fr.afterEpoch(respond, func() { fr.answerPoll(uid, respond) })
 }
 
 // afterEpoch has a question answered once the mirror has got to an epoch that
 // was read after it came; otherwise it is refused.
-func (n *Node) afterEpoch(respond func(wire.Reply), answer func()) {
-	if n.client.Down() || !n.sync.live || len(n.polls.waiting) >= tuning.MostPolls {
+func (fr *Front) afterEpoch(respond func(wire.Reply), answer func()) {
+	if fr.Client.Down() || !fr.Live() || len(fr.polls.waiting) >= tuning.MostPolls {
 		respond(wire.Refuse("state unavailable"))
 		return
 	}
-	n.polls.waiting = append(n.polls.waiting, poll{answer, respond, n.Now})
-	n.keepPolls()
+	fr.polls.waiting = append(fr.polls.waiting, poll{answer, respond, fr.Now})
+	fr.KeepPolls()
 }
 
-// keepPolls reads the epoch for the polls that wait, and gives up those that
+// KeepPolls reads the epoch for the polls that wait, and gives up those that
 // have waited for too long.
-func (n *Node) keepPolls() {
-	p := &n.polls
-	for len(p.rounds) > 0 && n.Now.Sub(p.rounds[0].polls[0].at) > tuning.PollWait {
-		n.refusePolls(p.rounds[0].polls)
+func (fr *Front) KeepPolls() {
+	p := &fr.polls
+	for len(p.rounds) > 0 && fr.Now.Sub(p.rounds[0].polls[0].at) > tuning.PollWait {
+		fr.refusePolls(p.rounds[0].polls)
 		p.rounds = p.rounds[1:]
 	}
-	if len(p.waiting) > 0 && n.Now.Sub(p.waiting[0].at) > tuning.PollWait {
-		n.refusePolls(p.waiting)
+	if len(p.waiting) > 0 && fr.Now.Sub(p.waiting[0].at) > tuning.PollWait {
+		fr.refusePolls(p.waiting)
 		p.waiting = nil
 	}
-	if len(p.waiting) == 0 || p.asking || n.Now.Sub(p.askedAt) < tuning.PollGap {
+	if len(p.waiting) == 0 || p.asking || fr.Now.Sub(p.askedAt) < tuning.PollGap {
 		return
 	}
 	asked := p.waiting
-	p.waiting, p.asking, p.askedAt = nil, true, n.Now
-	n.client.Epoch(store.Poll, func(epoch uint64, err error) {
+	p.waiting, p.asking, p.askedAt = nil, true, fr.Now
+	fr.Client.Epoch(store.Poll, func(epoch uint64, err error) {
 		p.asking = false
 		if err != nil {
-			n.refusePolls(asked)
+			fr.refusePolls(asked)
 			return
 		}
 		p.rounds = append(p.rounds, pollRound{asked, epoch})
-		n.answerPolls()
+		fr.AnswerPolls()
 		if len(p.rounds) > 0 {
-			n.followNow()
+			fr.Follow()
 		}
 	})
 }
 
-func (n *Node) refusePolls(ps []poll) {
+func (fr *Front) refusePolls(ps []poll) {
 	for _, p := range ps {
 		p.respond(wire.Refuse("state unavailable"))
 	}
 }
 
-// answerPolls answers the polls whose epoch the mirror has reached.
-func (n *Node) answerPolls() {
-	p := &n.polls
-	for len(p.rounds) > 0 && p.rounds[0].epoch <= n.mirror.Epoch {
+// AnswerPolls answers the polls whose epoch the mirror has reached.
+func (fr *Front) AnswerPolls() {
+	p := &fr.polls
+	for len(p.rounds) > 0 && p.rounds[0].epoch <= fr.Mirror.Epoch {
 		done := p.rounds[0].polls
 		p.rounds = p.rounds[1:]
 		for _, q := range done {
@@ -282,45 +272,45 @@
 	}
 }
 
-func (n *Node) answerPoll(uid string, respond func(wire.Reply)) {
-	if j := n.Jobs[uid]; j != nil && j.Rec != nil {
-		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, jobs.Final{State: j.Rec.State, Done: j.Rec.Done}, true)})
+func (fr *Front) answerPoll(uid string, respond func(wire.Reply)) {
+	if j := fr.Jobs[uid]; j != nil && j.Rec != nil {
+		respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, jobs.Final{State: j.Rec.State, Done: j.Rec.Done}, true)})
 		return
 	}
 	// Unknown here, so it has ended or was never accepted.
-	n.read(uid, func(s jobs.Final, err error) {
+	fr.read(uid, func(s jobs.Final, err error) {
 		switch {
 		case errors.Is(err, errNoJob):
 			respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such job")})
 		case err != nil:
 			respond(wire.Refuse("state unavailable"))
 		default:
-			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, true)})
+			respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, s, true)})
 		}
 	})
 }
 
-func (n *Node) submit(body []byte, respond func(wire.Reply)) {
+func (fr *Front) submit(body []byte, respond func(wire.Reply)) {
 	spec, err := jobs.ParseSpec(body)
 	if err != nil {
 		respond(wire.Reply{Status: 400, Body: wire.ErrorBody(err.Error())})
 		return
 	}
 	known := func(s jobs.Final) {
-		respond(wire.Reply{Status: 200, Body: n.statusOf(spec.UID, s, false)})
+		respond(wire.Reply{Status: 200, Body: fr.statusOf(spec.UID, s, false)})
 	}
-	if s, ok := n.finals.Get(spec.UID); ok {
+	if s, ok := fr.finals.Get(spec.UID); ok {
 		known(s)
 		return
 	}
-	if !n.able() {
+	if !fr.Able() {
 		respond(wire.Refuse("not able to accept"))
 		return
 	}
 	// A job that is known already is answered by a read; only an unknown one
 	// is judged, since what made it acceptable may have changed since.
-	if n.Jobs[spec.UID] != nil {
-		n.read(spec.UID, func(s jobs.Final, err error) {
+	if fr.Jobs[spec.UID] != nil {
+		fr.read(spec.UID, func(s jobs.Final, err error) {
 			if err != nil {
 				respond(wire.Refuse("state unavailable"))
 				return
@@ -329,12 +319,12 @@
 		})
 		return
 	}
-	if len(n.Builds) == 0 {
+	if len(fr.Builds) == 0 {
 		respond(wire.Refuse("machine types not known yet"))
 		return
 	}
-	if why := jobs.CanEverRun(spec, n.Account.Tree(), n.Builds); why != "" {
-		n.read(spec.UID, func(s jobs.Final, err error) {
+	if why := jobs.CanEverRun(spec, fr.Account.Tree(), fr.Builds); why != "" {
+		fr.read(spec.UID, func(s jobs.Final, err error) {
 			switch {
 			case err == nil:
 				known(s)
@@ -346,36 +336,36 @@
 		})
 		return
 	}
-	n.accept(spec, known, respond)
+	fr.accept(spec, known, respond)
 }
 
 // acceptance is the record of a job as accepted, a user's or a step's of a run.
 // It is conditional on its own key and on the one that it returns being absent.
-func (n *Node) acceptance(spec *jobs.Spec) (w store.Write, absent string) {
-	return decide.Put(jobs.JobPrefix+spec.UID, jobs.Record{State: jobs.Live, AtMs: n.ms(), Spec: *spec}), jobs.FinalPrefix + spec.UID
+func (fr *Front) acceptance(spec *jobs.Spec) (w store.Write, absent string) {
+	return decide.Put(jobs.JobPrefix+spec.UID, jobs.Record{State: jobs.Live, AtMs: fr.ms(), Spec: *spec}), jobs.FinalPrefix + spec.UID
 }
 
-func (n *Node) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
-	w, final := n.acceptance(spec)
-	if len(w.Value) > int(n.set.Cluster.State.ValueKB*1024) {
+func (fr *Front) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
+	w, final := fr.acceptance(spec)
+	if len(w.Value) > int(fr.Set.Cluster.State.ValueKB*1024) {
 		respond(wire.Reply{Status: 400, Body: wire.ErrorBody("description too long")})
 		return
 	}
 	t := store.Txn{
 		If: []store.Cond{
-			{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)},
+			{Key: members.ViewKey, Stamp: fr.Mirror.Stamp(members.ViewKey)},
 			{Key: jobs.JobPrefix + spec.UID, Stamp: 0},
 			{Key: final, Stamp: 0},
 		},
 		Writes: []store.Write{w},
 	}
-	n.client.Multi(store.User, t, func(epoch uint64, failed []string, err error) {
+	fr.Client.Multi(store.User, t, func(epoch uint64, failed []string, err error) {
 		switch {
 		case err == nil:
-			n.mirror.Commit(t.Writes, epoch)
-			respond(wire.Reply{Status: 201, Body: n.statusOf(spec.UID, jobs.Final{State: jobs.Live}, false)})
+			fr.Mirror.Commit(t.Writes, epoch)
+			respond(wire.Reply{Status: 201, Body: fr.statusOf(spec.UID, jobs.Final{State: jobs.Live}, false)})
 		case errors.Is(err, store.ErrConflict):
-			n.read(spec.UID, func(s jobs.Final, err error) {
+			fr.read(spec.UID, func(s jobs.Final, err error) {
 				if err != nil {
 					respond(wire.Refuse("try again")) // only the view had changed
 					return
@@ -391,24 +381,24 @@
 
 // find tells a job's state for a decision that is conditional on the job's
 // record and therefore may start from a copy that is behind.
-func (n *Node) find(uid string, done func(jobs.Final, error)) {
-	if j := n.Jobs[uid]; j != nil && j.Rec != nil && j.Rec.State == jobs.Live {
+func (fr *Front) find(uid string, done func(jobs.Final, error)) {
+	if j := fr.Jobs[uid]; j != nil && j.Rec != nil && j.Rec.State == jobs.Live {
 		done(jobs.Final{State: jobs.Live}, nil)
 		return
 	}
-	n.read(uid, done)
+	fr.read(uid, done)
 }
 
-func (n *Node) abort(uid string, respond func(wire.Reply)) {
-	if s, ok := n.finals.Get(uid); ok {
-		respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
+func (fr *Front) abort(uid string, respond func(wire.Reply)) {
+	if s, ok := fr.finals.Get(uid); ok {
+		respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, s, false)})
 		return
 	}
-	if !n.able() {
+	if !fr.Able() {
 		respond(wire.Refuse("not able to cancel"))
 		return
 	}
-	n.find(uid, func(s jobs.Final, err error) {
+	fr.find(uid, func(s jobs.Final, err error) {
 		switch {
 		case errors.Is(err, errNoJob):
 			respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such job")})
@@ -417,43 +407,43 @@
 			respond(wire.Refuse("state unavailable"))
 			return
 		}
-		j := n.Jobs[uid]
+		j := fr.Jobs[uid]
 		next, ok := jobs.NextJob(s.State, jobs.UserCancels)
 		if !ok {
-			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, s, false)})
+			respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, s, false)})
 			return
 		}
 		if j == nil || j.Rec == nil {
 			respond(wire.Refuse("try again"))
 			return
 		}
-		n.close(j, next, store.User, func(ok bool) {
+		fr.Close(j, next, store.User, func(ok bool) {
 			if !ok {
 				respond(wire.Refuse("try again"))
 				return
 			}
-			respond(wire.Reply{Status: 200, Body: n.statusOf(uid, jobs.Final{State: next}, false)})
+			respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, jobs.Final{State: next}, false)})
 		})
 	})
 }
 
-// close commits a job's final state, for its tasks to act on and for users to
+// Close commits a job's final state, for its tasks to act on and for users to
 // read for ever.
-func (n *Node) close(j *book.Job, state jobs.JobState, p store.Priority, done func(bool)) {
+func (fr *Front) Close(j *book.Job, state jobs.JobState, p store.Priority, done func(bool)) {
 	key, final := jobs.JobPrefix+j.UID, jobs.FinalPrefix+j.UID
 	t := store.Txn{
 		If: []store.Cond{
-			{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)},
-			{Key: key, Stamp: n.mirror.Stamp(key)},
+			{Key: members.ViewKey, Stamp: fr.Mirror.Stamp(members.ViewKey)},
+			{Key: key, Stamp: fr.Mirror.Stamp(key)},
 			{Key: final, Stamp: 0},
 		},
-		Writes: ending.Writes(j, state, n.ms()),
+		Writes: ending.Writes(j, state, fr.ms()),
 	}
-	n.client.Multi(p, t, func(epoch uint64, _ []string, err error) {
+	fr.Client.Multi(p, t, func(epoch uint64, _ []string, err error) {
 		if err == nil {
-			n.mirror.Commit(t.Writes, epoch)
+			fr.Mirror.Commit(t.Writes, epoch)
 		}
-		n.dirty = true
+		fr.Wake()
 		done(err == nil)
 	})
 }
--- a/internal/node/quotas.go
+++ b/internal/front/quotas.go
@@ -1,11 +1,11 @@
-package node
+package front
 
 import (
 	"encoding/json"
 	"errors"
-	"github.com/harrierreel/harrierreel/internal/decide"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/quota"
@@ -24,127 +24,127 @@
 	lookAt time.Time     // last look at what is over a limit
 }
 
-// quotaChanged takes a tree in. One that can't be read, or that doesn't fit the
+// QuotaChanged takes a tree in. One that can't be read, or that doesn't fit the
 // platform's teams, is told and the old one kept as a whole.
-func (n *Node) quotaChanged(value json.RawMessage) {
+func (fr *Front) QuotaChanged(value json.RawMessage) {
 	if value == nil {
 		return
 	}
 	s, err := quota.Decode(value)
 	if err != nil {
-		n.log.Error("unreadable quotas set aside, the tree in force is kept", "error", err)
+		fr.Log.Error("unreadable quotas set aside, the tree in force is kept", "error", err)
 		return
 	}
-	tree, faults := quota.Build(&s.Doc, n.quotas.teams, n.set.Classes())
+	tree, faults := quota.Build(&s.Doc, fr.quotas.teams, fr.Set.Classes())
 	for _, f := range faults {
-		n.log.Error("quotas do not fit, the tree in force is kept", "fault", f)
+		fr.Log.Error("quotas do not fit, the tree in force is kept", "fault", f)
 	}
 	if len(faults) > 0 {
 		return
 	}
-	n.quotas.stored = s
-	n.Account.Rebase(tree)
-	n.log.Info("quotas in force", "number", s.Number, "nodes", len(tree.Paths()))
+	fr.quotas.stored = s
+	fr.Account.Rebase(tree)
+	fr.Log.Info("quotas in force", "number", s.Number, "nodes", len(tree.Paths()))
 }
 
-// quotaPass keeps the tree: the first leader writes the operators' file, and what
+// QuotaPass keeps the tree: the first leader writes the operators' file, and what
 // is over a limit after a change is stopped once its grace is over.
-func (n *Node) quotaPass() {
-	q := &n.quotas
+func (fr *Front) QuotaPass() {
+	q := &fr.quotas
 	if !q.on {
 		return
 	}
-	if n.mirror.Stamp(quota.StoreKey) == 0 {
-		if !n.busy[quota.StoreKey] {
-			n.commit([]decide.Decision{{Urgent: true, Writes: []store.Write{decide.Put(quota.StoreKey, quota.NewStored(1, n.ms(), *n.set.Operator.Quotas))}}})
+	if fr.Mirror.Stamp(quota.StoreKey) == 0 {
+		if !fr.Busy(quota.StoreKey) {
+			fr.Commit([]decide.Decision{{Urgent: true, Writes: []store.Write{decide.Put(quota.StoreKey, quota.NewStored(1, fr.ms(), *fr.Set.Operator.Quotas))}}})
 		}
 		return
 	}
-	if q.stored == nil || n.Now.Sub(q.lookAt) < tuning.ReclaimEvery || float64(n.ms()-q.stored.AtMs) < q.stored.Doc.Grace()*1000 {
+	if q.stored == nil || fr.Now.Sub(q.lookAt) < tuning.ReclaimEvery || float64(fr.ms()-q.stored.AtMs) < q.stored.Doc.Grace()*1000 {
 		return
 	}
-	q.lookAt = n.Now
+	q.lookAt = fr.Now
 	var ds []decide.Decision
-	for _, s := range reclaim.Plan(n.Book, n.Account, tuning.ReclaimMost) {
+	for _, s := range reclaim.Plan(fr.Book, fr.Account, tuning.ReclaimMost) {
 		kind := jobs.Stop
 		if s.Task.State == jobs.Released {
 			kind = jobs.TakeBack
 		}
 		why := "quota of " + s.Path + " was lowered"
 		next, ok := jobs.NextTask(s.Task.Task, jobs.TaskEvent{Kind: kind, Why: why})
-		if !ok || n.busy[s.Task.Slice.Key] {
+		if !ok || fr.Busy(s.Task.Slice.Key) {
 			continue
 		}
 		piece := s.Task.Piece
 		ds = append(ds, decide.Decision{Changes: decide.Become(s.Task, next), Done: func(ok bool) {
 			if ok {
-				n.log.Info("stops", "task", piece, "why", why)
+				fr.Log.Info("stops", "task", piece, "why", why)
 			}
 		}})
 	}
-	n.commit(ds)
+	fr.Commit(ds)
 }
 
-// quotaSettled tells whether the tree is known that the next decisions go by.
-func (n *Node) quotaSettled() bool {
-	return !n.quotas.on || n.mirror.Stamp(quota.StoreKey) != 0
+// QuotaSettled tells whether the tree is known that the next decisions go by.
+func (fr *Front) QuotaSettled() bool {
+	return !fr.quotas.on || fr.Mirror.Stamp(quota.StoreKey) != 0
 }
 
 const quotaPath = "/quota"
 
 // quotaRequest shows the tree or takes another one.
-func (n *Node) quotaRequest(m *wire.Message, respond func(wire.Reply)) {
+func (fr *Front) quotaRequest(m *wire.Message, respond func(wire.Reply)) {
 	switch {
-	case !n.quotas.on:
+	case !fr.quotas.on:
 		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such path")})
 	case m.Method == "GET":
-		n.afterEpoch(respond, func() {
-			respond(wire.Reply{Status: 200, Body: quota.EncodeTree(n.quotaNumber(), n.Account.Show(n.waitingByLeaf()))})
+		fr.afterEpoch(respond, func() {
+			respond(wire.Reply{Status: 200, Body: quota.EncodeTree(fr.quotaNumber(), fr.Account.Show(fr.waitingByLeaf()))})
 		})
 	case method(m, "POST", respond):
-		n.applyQuota(m.Body, respond)
+		fr.applyQuota(m.Body, respond)
 	}
 }
 
-func (n *Node) quotaNumber() int {
-	if n.quotas.stored == nil {
+func (fr *Front) quotaNumber() int {
+	if fr.quotas.stored == nil {
 		return 0
 	}
-	return n.quotas.stored.Number
+	return fr.quotas.stored.Number
 }
 
 // waitingByLeaf counts the tasks that wait.
-func (n *Node) waitingByLeaf() map[int]int {
+func (fr *Front) waitingByLeaf() map[int]int {
 	out := map[int]int{}
-	for _, j := range n.Queued {
-		out[n.Leaf(&j.Rec.Spec)] += j.Rec.Spec.Pieces - j.Done - len(j.Active)
+	for _, j := range fr.Queued {
+		out[fr.Leaf(&j.Rec.Spec)] += j.Rec.Spec.Pieces - j.Done - len(j.Active)
 	}
 	return out
 }
 
 // applyQuota puts another tree in force, or says what it would mean. The same
 // document sent again, because the answer was lost, is answered as the first time.
-func (n *Node) applyQuota(body []byte, respond func(wire.Reply)) {
-	a, tree, refusal := quota.ParseApply(body, n.quotas.teams, n.set.Classes())
+func (fr *Front) applyQuota(body []byte, respond func(wire.Reply)) {
+	a, tree, refusal := quota.ParseApply(body, fr.quotas.teams, fr.Set.Classes())
 	if refusal != nil {
 		respond(wire.Reply{Status: 400, Body: jobs.Encode(refusal)})
 		return
 	}
-	if !n.able() || n.quotas.stored == nil {
+	if !fr.Able() || fr.quotas.stored == nil {
 		respond(wire.Refuse("not able to decide"))
 		return
 	}
 	if a.DryRun {
-		account := n.Account.On(tree)
-		out := quota.Preview{Number: n.quotaNumber(), Over: account.Excesses()}
-		for _, s := range reclaim.Plan(n.Book, account, tuning.MostFaults) {
+		account := fr.Account.On(tree)
+		out := quota.Preview{Number: fr.quotaNumber(), Over: account.Excesses()}
+		for _, s := range reclaim.Plan(fr.Book, account, tuning.MostFaults) {
 			out.Stops = append(out.Stops, quota.PreviewStop{Task: s.Task.Piece, Path: s.Path})
 		}
 		respond(wire.Reply{Status: 200, Body: jobs.Encode(out)})
 		return
 	}
-	n.afterEpoch(respond, func() {
-		stored := n.quotas.stored
+	fr.afterEpoch(respond, func() {
+		stored := fr.quotas.stored
 		same := string(jobs.Encode(stored.Doc)) == string(jobs.Encode(a.Quotas))
 		if same || a.Base != stored.Number {
 			status := 409
@@ -154,17 +154,17 @@
 			respond(wire.Reply{Status: status, Body: jobs.Encode(quota.Preview{Number: stored.Number})})
 			return
 		}
-		w := decide.Put(quota.StoreKey, quota.NewStored(stored.Number+1, n.ms(), a.Quotas))
-		if len(w.Value) > n.sliceLimit() {
+		w := decide.Put(quota.StoreKey, quota.NewStored(stored.Number+1, fr.ms(), a.Quotas))
+		if len(w.Value) > fr.sliceLimit() {
 			respond(wire.Reply{Status: 413, Body: wire.ErrorBody("the tree does not fit into one value of the state service")})
 			return
 		}
-		t := store.Txn{If: []store.Cond{{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)}, {Key: quota.StoreKey, Stamp: n.mirror.Stamp(quota.StoreKey)}}, Writes: []store.Write{w}}
-		n.client.Multi(store.User, t, func(epoch uint64, _ []string, err error) {
+		t := store.Txn{If: []store.Cond{{Key: members.ViewKey, Stamp: fr.Mirror.Stamp(members.ViewKey)}, {Key: quota.StoreKey, Stamp: fr.Mirror.Stamp(quota.StoreKey)}}, Writes: []store.Write{w}}
+		fr.Client.Multi(store.User, t, func(epoch uint64, _ []string, err error) {
 			switch {
 			case err == nil:
-				n.mirror.Commit(t.Writes, epoch)
-				respond(wire.Reply{Status: 200, Body: jobs.Encode(quota.Preview{Number: n.quotaNumber()})})
+				fr.Mirror.Commit(t.Writes, epoch)
+				respond(wire.Reply{Status: 200, Body: jobs.Encode(quota.Preview{Number: fr.quotaNumber()})})
 			case errors.Is(err, store.ErrConflict):
 				respond(wire.Refuse("another change came first; try again"))
 			default:
--- a/internal/node/runs.go
+++ b/internal/front/runs.go
@@ -1,11 +1,11 @@
-package node
+package front
 
 import (
 	"errors"
 	"fmt"
-	"github.com/harrierreel/harrierreel/internal/decide"
 	"strings"
 
+	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
@@ -17,68 +17,68 @@
 )
 
 // newRuns makes the keeper of runs, nil unless the operators turned them on.
-func (n *Node) newRuns() {
-	if p := n.set.Operator.Pipelines; p != nil {
-		n.runs = pipelines.NewKeeper(pipelines.Limits{
-			Runs: p.MostRuns, Steps: p.MostSteps, ValueBytes: n.sliceLimit(), TxnOps: n.set.Cluster.State.TxnOps,
+func (fr *Front) newRuns() {
+	if p := fr.Set.Operator.Pipelines; p != nil {
+		fr.runs = pipelines.NewKeeper(pipelines.Limits{
+			Runs: p.MostRuns, Steps: p.MostSteps, ValueBytes: fr.sliceLimit(), TxnOps: fr.Set.Cluster.State.TxnOps,
 		})
 	}
 }
 
-// runBudget gives the runs their share of this node's changes.
-func (n *Node) runBudget() {
-	if n.runs == nil {
+// RunBudget gives the runs their share of this node's changes.
+func (fr *Front) RunBudget() {
+	if fr.runs == nil {
 		return
 	}
-	n.runs.OwnersChanged()
-	size := n.set.Cluster.Size
-	if n.role != members.Outside {
-		size = len(n.view.Members)
+	fr.runs.OwnersChanged()
+	size := fr.Set.Cluster.Size
+	if !fr.Outside() {
+		size = len(fr.Members())
 	}
-	n.runs.SetRate(n.Now, n.set.Cluster.State.WriteRPS*tuning.StateBudget*n.set.Operator.Pipelines.ChangesShare/float64(max(size, 1)))
+	fr.runs.SetRate(fr.Now, fr.Set.Cluster.State.WriteRPS*tuning.StateBudget*fr.Set.Operator.Pipelines.ChangesShare/float64(max(size, 1)))
 }
 
-// runSees tells the runs that something became known of a job.
-func (n *Node) runSees(uid string) {
-	if n.runs != nil {
-		n.runs.JobChanged(uid)
+// RunSees tells the runs that something became known of a job.
+func (fr *Front) RunSees(uid string) {
+	if fr.runs != nil {
+		fr.runs.JobChanged(uid)
 	}
 }
 
-// runsPass moves the runs that this node owns. It comes last: what rules hang on
+// RunsPass moves the runs that this node owns. It comes last: what rules hang on
 // has had its share of the changes.
-func (n *Node) runsPass() {
-	if n.runs == nil || n.role == members.Outside || n.client.Down() || n.fencing() {
+func (fr *Front) RunsPass() {
+	if fr.runs == nil || fr.Outside() || fr.Client.Down() || fr.Fencing() {
 		return
 	}
-	names := n.view.Names()
+	names := fr.Members()
 	owned := func(id string) bool {
-		return !n.busy[pipelines.RunPrefix+id] && parts.Owner(id, names) == n.set.NodeName
+		return !fr.Busy(pipelines.RunPrefix+id) && parts.Owner(id, names) == fr.Set.NodeName
 	}
-	room := func(ops int) bool { return n.client.Allows(0, ops) }
-	changes, ask := n.runs.Pass(n.Now, n.ms(), owned, room, runWorld{n})
+	room := func(ops int) bool { return fr.Client.Allows(0, ops) }
+	changes, ask := fr.runs.Pass(fr.Now, fr.ms(), owned, room, runWorld{fr})
 	for _, uid := range ask {
-		n.read(uid, func(_ jobs.Final, err error) {
+		fr.read(uid, func(_ jobs.Final, err error) {
 			if errors.Is(err, errNoJob) {
-				n.runs.JobMissing(uid)
+				fr.runs.JobMissing(uid)
 			} else {
-				n.runs.JobChanged(uid)
+				fr.runs.JobChanged(uid)
 			}
-			n.dirty = true
+			fr.Wake()
 		})
 	}
 	var ds []decide.Decision
 	for i := range changes {
-		ds = append(ds, n.runDecision(&changes[i], nil))
+		ds = append(ds, fr.runDecision(&changes[i], nil))
 	}
-	n.commit(ds)
+	fr.Commit(ds)
 }
 
 // runDecision is a run's change as a decision: the run's record, its jobs'
 // acceptances and their ends are one transaction.
-func (n *Node) runDecision(c *pipelines.Change, done func(bool)) decide.Decision {
+func (fr *Front) runDecision(c *pipelines.Change, done func(bool)) decide.Decision {
 	d := decide.Decision{Urgent: c.Urgent, Done: func(ok bool) {
-		n.runs.Touch(c.ID)
+		fr.runs.Touch(c.ID)
 		if done != nil {
 			done(ok)
 		}
@@ -89,12 +89,12 @@
 		d.Writes = append(d.Writes, decide.Put(pipelines.RunPrefix+c.ID, c.Record))
 	}
 	for i := range c.Submit {
-		w, seen := n.acceptance(&c.Submit[i])
+		w, seen := fr.acceptance(&c.Submit[i])
 		d.Writes, d.Seen = append(d.Writes, w), append(d.Seen, seen)
 	}
 	for _, uid := range c.Cancel {
-		if j := n.Jobs[uid]; j != nil && j.Rec != nil {
-			d.Writes = append(d.Writes, ending.Writes(j, jobs.Cancelled, n.ms())...)
+		if j := fr.Jobs[uid]; j != nil && j.Rec != nil {
+			d.Writes = append(d.Writes, ending.Writes(j, jobs.Cancelled, fr.ms())...)
 		}
 	}
 	for _, uid := range c.Absent {
@@ -104,22 +104,22 @@
 }
 
 // runWorld is what the runs' keeper may ask.
-type runWorld struct{ n *Node }
+type runWorld struct{ fr *Front }
 
 func (w runWorld) Job(uid string) (pipelines.JobView, bool) {
-	n := w.n
-	j := n.Jobs[uid]
+	fr := w.fr
+	j := fr.Jobs[uid]
 	if j == nil || j.Rec == nil {
 		return pipelines.JobView{}, false
 	}
-	v := pipelines.JobView{State: j.Rec.State, Running: j.On, Done: j.Done, Probing: n.Trust(j, "") == jobs.Probing}
+	v := pipelines.JobView{State: j.Rec.State, Running: j.On, Done: j.Done, Probing: fr.Trust(j, "") == jobs.Probing}
 	spec := &j.Rec.Spec
 	switch waits := spec.Pieces - j.On - j.Done; {
 	case v.Probing:
 		v.Why = "its tasks failed on several machines; one is tried at a time"
 	case waits <= 0:
-	case n.Account.Full(n.Leaf(spec), spec.Amount()) != "":
-		v.Why = fmt.Sprintf("%d tasks wait: %s", waits, n.Account.Full(n.Leaf(spec), spec.Amount()))
+	case fr.Account.Full(fr.Leaf(spec), spec.Amount()) != "":
+		v.Why = fmt.Sprintf("%d tasks wait: %s", waits, fr.Account.Full(fr.Leaf(spec), spec.Amount()))
 	default:
 		v.Why = fmt.Sprintf("%d tasks wait for room on a machine", waits)
 	}
@@ -127,12 +127,12 @@
 }
 
 func (w runWorld) Final(uid string) (jobs.JobState, bool) {
-	f, ok := w.n.finals.Get(uid)
+	f, ok := w.fr.finals.Get(uid)
 	return f.State, ok
 }
 
 func (w runWorld) Judge(spec *jobs.Spec) string {
-	return jobs.CanEverRun(spec, w.n.Account.Tree(), w.n.Builds)
+	return jobs.CanEverRun(spec, w.fr.Account.Tree(), w.fr.Builds)
 }
 
 // pipelinesPath is where users' requests about runs go.
@@ -143,14 +143,14 @@
 }
 
 // pipelineRequest takes a user's request about runs.
-func (n *Node) pipelineRequest(m *wire.Message, path string, respond func(wire.Reply)) {
-	if n.runs == nil {
+func (fr *Front) pipelineRequest(m *wire.Message, path string, respond func(wire.Reply)) {
+	if fr.runs == nil {
 		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such path")})
 		return
 	}
 	if path == pipelinesPath {
 		if method(m, "POST", respond) {
-			n.acceptRun(m.Body, respond)
+			fr.acceptRun(m.Body, respond)
 		}
 		return
 	}
@@ -160,11 +160,11 @@
 		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such run")})
 	case verb == "" || verb == "explain":
 		if method(m, "GET", respond) {
-			n.showRun(id, 200, verb != "", "", respond)
+			fr.showRun(id, 200, verb != "", "", respond)
 		}
 	case verb == "abort":
 		if method(m, "POST", respond) {
-			n.abortRun(id, tuning.AbortTries, respond)
+			fr.abortRun(id, tuning.AbortTries, respond)
 		}
 	default:
 		respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such path")})
@@ -174,13 +174,13 @@
 // showRun answers with a run's state as it is after the request came: like
 // users' polls, it waits for the mirror to get there. sum, if given, is that of
 // the document which the run must have.
-func (n *Node) showRun(id string, status int, explain bool, sum string, respond func(wire.Reply)) {
-	n.afterEpoch(respond, func() {
-		if rec, aside := n.runs.Known(id); rec != nil || aside {
-			n.answerRun(id, rec, status, explain, sum, respond)
+func (fr *Front) showRun(id string, status int, explain bool, sum string, respond func(wire.Reply)) {
+	fr.afterEpoch(respond, func() {
+		if rec, aside := fr.runs.Known(id); rec != nil || aside {
+			fr.answerRun(id, rec, status, explain, sum, respond)
 			return
 		}
-		n.client.Get(store.User, pipelines.RanPrefix+id, nil, func(it *store.Item, err error) {
+		fr.Client.Get(store.User, pipelines.RanPrefix+id, nil, func(it *store.Item, err error) {
 			switch {
 			case err != nil:
 				respond(wire.Refuse("state unavailable"))
@@ -188,19 +188,19 @@
 				respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such run")})
 			default:
 				rec, _ := pipelines.Decode(it.Value)
-				n.answerRun(id, rec, status, explain, sum, respond)
+				fr.answerRun(id, rec, status, explain, sum, respond)
 			}
 		})
 	})
 }
 
-func (n *Node) answerRun(id string, rec *pipelines.Record, status int, explain bool, sum string, respond func(wire.Reply)) {
+func (fr *Front) answerRun(id string, rec *pipelines.Record, status int, explain bool, sum string, respond func(wire.Reply)) {
 	if rec != nil && sum != "" && rec.Sum != sum {
 		respond(wire.Reply{Status: 409, Body: wire.ErrorBody("another pipeline has this id")})
 		return
 	}
 	if rec != nil {
-		if s, ok := n.runs.StatusOf(id, rec, n.ms(), runWorld{n}, explain); ok {
+		if s, ok := fr.runs.StatusOf(id, rec, fr.ms(), runWorld{fr}, explain); ok {
 			respond(wire.Reply{Status: status, Body: s.Encode()})
 			return
 		}
@@ -208,32 +208,27 @@
 	respond(wire.Refuse("this run's record can't be read by this version"))
 }
 
-// able tells whether this node may decide for users.
-func (n *Node) able() bool {
-	return !n.client.Down() && n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure
-}
-
 // acceptRun accepts a run, with the jobs of its first steps.
-func (n *Node) acceptRun(body []byte, respond func(wire.Reply)) {
+func (fr *Front) acceptRun(body []byte, respond func(wire.Reply)) {
 	q, bad := pipelines.ParseRequest(body)
 	if bad != nil {
 		respond(wire.Reply{Status: 400, Body: jobs.Encode(bad)})
 		return
 	}
-	if !n.able() || len(n.Builds) == 0 {
+	if !fr.Able() || len(fr.Builds) == 0 {
 		respond(wire.Refuse("not able to accept"))
 		return
 	}
 	sum := pipelines.Sum(q.Doc)
-	known := func() { n.showRun(q.ID, 200, false, sum, respond) }
-	if rec, aside := n.runs.Known(q.ID); rec != nil || aside {
+	known := func() { fr.showRun(q.ID, 200, false, sum, respond) }
+	if rec, aside := fr.runs.Known(q.ID); rec != nil || aside {
 		known()
 		return
 	}
-	c, err := n.runs.Accept(q, fmt.Sprintf("%016x%016x", n.rng.Uint64(), n.rng.Uint64()), n.ms(), runWorld{n})
+	c, err := fr.runs.Accept(q, fmt.Sprintf("%016x%016x", fr.Chance.Uint64(), fr.Chance.Uint64()), fr.ms(), runWorld{fr})
 	// Only an unknown run is judged: what made it acceptable may have changed since.
 	unknown := func(r wire.Reply) {
-		n.client.Get(store.User, pipelines.RanPrefix+q.ID, nil, func(it *store.Item, gerr error) {
+		fr.Client.Get(store.User, pipelines.RanPrefix+q.ID, nil, func(it *store.Item, gerr error) {
 			switch {
 			case gerr != nil:
 				respond(wire.Refuse("state unavailable"))
@@ -248,26 +243,26 @@
 		unknown(wire.Reply{Status: 413, Body: wire.ErrorBody(err.Error())})
 		return
 	}
-	if faults := q.Plan.Judge(runWorld{n}.Judge); len(faults) > 0 {
+	if faults := q.Plan.Judge(runWorld{fr}.Judge); len(faults) > 0 {
 		unknown(wire.Reply{Status: 422, Body: jobs.Encode(pipelines.Refusal{Error: "steps that can never run", Faults: faults})})
 		return
 	}
-	if !n.runs.Room(len(q.Plan.Steps)) {
+	if !fr.runs.Room(len(q.Plan.Steps)) {
 		unknown(wire.Reply{Status: 429, Body: wire.ErrorBody("too many runs are live"), RetryAfter: tuning.RetryAfter})
 		return
 	}
-	d := n.runDecision(c, nil)
+	d := fr.runDecision(c, nil)
 	t := store.Txn{Writes: d.Writes}
 	for _, k := range append(d.Keys(), d.Seen...) {
 		t.If = append(t.If, store.Cond{Key: k})
 	}
-	t.If = append(t.If, store.Cond{Key: pipelines.RanPrefix + q.ID}, store.Cond{Key: members.ViewKey, Stamp: n.mirror.Stamp(members.ViewKey)})
-	n.client.Multi(store.User, t, func(epoch uint64, failed []string, err error) {
+	t.If = append(t.If, store.Cond{Key: pipelines.RanPrefix + q.ID}, store.Cond{Key: members.ViewKey, Stamp: fr.Mirror.Stamp(members.ViewKey)})
+	fr.Client.Multi(store.User, t, func(epoch uint64, failed []string, err error) {
 		switch {
 		case err == nil:
-			n.mirror.Commit(t.Writes, epoch)
-			rec, _ := n.runs.Known(q.ID)
-			n.answerRun(q.ID, rec, 201, false, "", respond)
+			fr.Mirror.Commit(t.Writes, epoch)
+			rec, _ := fr.runs.Known(q.ID)
+			fr.answerRun(q.ID, rec, 201, false, "", respond)
 		case errors.Is(err, store.ErrConflict) && len(failed) > 0 && failed[0] != members.ViewKey:
 			known()
 		default:
@@ -279,22 +274,22 @@
 
 // abortRun cancels a run. What the run's owner changes meanwhile fails or makes
 // this fail; then it is tried again from the newer record.
-func (n *Node) abortRun(id string, tries int, respond func(wire.Reply)) {
-	if !n.able() {
+func (fr *Front) abortRun(id string, tries int, respond func(wire.Reply)) {
+	if !fr.Able() {
 		respond(wire.Refuse("not able to cancel"))
 		return
 	}
-	c := n.runs.CancelRun(id, n.Now, n.ms(), runWorld{n})
+	c := fr.runs.CancelRun(id, fr.Now, fr.ms(), runWorld{fr})
 	if c == nil { // over, being cancelled, or unknown
-		n.showRun(id, 200, false, "", respond)
+		fr.showRun(id, 200, false, "", respond)
 		return
 	}
-	n.commit([]decide.Decision{n.runDecision(c, func(ok bool) {
+	fr.Commit([]decide.Decision{fr.runDecision(c, func(ok bool) {
 		switch {
 		case ok:
-			n.showRun(id, 200, false, "", respond)
-		case tries > 1 && !n.busy[pipelines.RunPrefix+id]:
-			n.abortRun(id, tries-1, respond)
+			fr.showRun(id, 200, false, "", respond)
+		case tries > 1 && !fr.Busy(pipelines.RunPrefix+id):
+			fr.abortRun(id, tries-1, respond)
 		default:
 			respond(wire.Refuse("try again"))
 		}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -34,7 +34,7 @@
 	if n.client.Down() {
 		return
 	}
-	n.quotaPass()
+	n.front.QuotaPass()
 	n.dropClaims()
 	// Where the budget does not allow all, each gets its turn.
 	duties := []func(){n.closeJobs, n.rental.Condemn, n.takeBack, n.releasePass}
@@ -52,7 +52,7 @@
 	if n.queue.Scarce() {
 		least = tuning.BatchLeast
 	}
-	if !n.quotaSettled() {
+	if !n.front.QuotaSettled() {
 		return
 	}
 	if n.client.Allows(0, least) || n.Now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
@@ -78,7 +78,7 @@
 			continue
 		}
 		n.lead.closing[uid] = true
-		n.close(j, next, store.Decision, func(bool) { delete(n.lead.closing, uid) })
+		n.front.Close(j, next, store.Decision, func(bool) { delete(n.lead.closing, uid) })
 	}
 	// Clearing is in no hurry and must not hold up decisions that are.
 	var ds []decide.Decision
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -34,7 +34,7 @@
 	}
 	limit := n.set.Cluster.State.WriteRPS * tuning.StateBudget
 	n.client.SetBudget(n.set.Cluster.State.RPS*share*tuning.StateBudget, limit*writes, limit)
-	n.runBudget()
+	n.front.RunBudget()
 }
 
 // stoodStill takes note that the loop did not run for so long. What it measured
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/front"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/part"
@@ -34,6 +35,7 @@
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/wire"
 )
 
 // Outside is everything a node can reach. Answers come back on the loop,
@@ -48,11 +50,10 @@
 
 // Node is one controller.
 type Node struct {
-	set    *settings.Settings
-	out    Outside
-	log    *slog.Logger
-	rng    *rand.Rand
-	quotas quotas
+	set *settings.Settings
+	out Outside
+	log *slog.Logger
+	rng *rand.Rand
 
 	client *store.Client
 	mirror *store.Mirror
@@ -63,8 +64,6 @@
 	keys       map[string]uint64 // member keys: name to incarnation
 	view       *members.View
 
-	// What changed since a pass last looked at it.
-
 	hold        uint64
 	renewedAt   time.Time
 	certain     members.Certainty // of its place in the view
@@ -87,15 +86,11 @@
 	busy   map[string]bool // keys under an unfinished transaction
 	ending int             // writes of jobs' ends under way
 
-	finals  *jobs.Finals
-	readers map[string]*reader
-	polls   polls
-
+	front  *front.Front
 	lead   leader
 	queue  *queue.Queue
 	rental *rental.Rental
 	part   *part.Part
-	runs   *pipelines.Keeper // nil unless pipelines are turned on
 
 	dirty       bool
 	lastPass    time.Time
@@ -123,11 +118,9 @@
 		role: members.Outside, certain: members.Certainty{Standing: members.Sure},
 		outUntil: map[string]votedOut{}, complaints: members.Complaints{},
 		heard: map[string]time.Time{}, peersState: map[string]peerState{},
-		busy:   map[string]bool{},
-		finals: jobs.NewFinals(set.Operator.FinalCache), readers: map[string]*reader{},
+		busy: map[string]bool{},
 	}
-	n.quotas.teams = set.TeamMap()
-	n.Book = book.New(quota.Flat(n.quotas.teams), func(host string) {
+	n.Book = book.New(quota.Flat(set.TeamMap()), func(host string) {
 		n.part.Touch(host)
 		n.dirty = true
 	})
@@ -136,8 +129,6 @@
 	n.mirror.Passing = func(key string) bool {
 		return hasPrefix(key, jobs.FinalPrefix) || hasPrefix(key, pipelines.RanPrefix)
 	}
-	n.quotas.on = set.Operator.Quotas != nil
-	n.newRuns()
 	n.fence.key = fencePrefix + set.NodeName
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
@@ -167,6 +158,11 @@
 		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, OwnerOf: n.owner, Complain: n.complain,
 		Busy: n.isBusy, Spare: n.client.Spare, Commit: n.commit,
 	})
+	n.front = front.New(n.Book, front.Env{
+		Set: set, Client: n.client, Mirror: n.mirror, Log: log, Chance: rng, Able: n.able, Up: n.up, Live: func() bool { return n.sync.live },
+		Outside: func() bool { return n.role == members.Outside }, Fencing: n.fencing, Members: func() []string { return n.view.Names() },
+		Busy: n.isBusy, Commit: n.commit, Wake: func() { n.dirty = true }, Follow: n.followNow, Beat: n.part.Beat,
+	})
 	n.lead.reset()
 	n.budget()
 	return n
@@ -191,7 +187,7 @@
 		n.keepSight()
 		n.keepSync()
 		n.sayHints()
-		n.keepPolls()
+		n.front.KeepPolls()
 		n.sayChanges()
 		n.dirty = true
 	})
@@ -223,7 +219,7 @@
 	} else {
 		n.dirty = n.dirty || n.role == members.Leader
 	}
-	n.runsPass()
+	n.front.RunsPass()
 	n.client.Pump(n.Now)
 }
 
@@ -318,13 +314,13 @@
 		if err != nil {
 			n.log.Error("unreadable slice set aside", "key", key, "error", err)
 		}
-		n.runSees(uid)
+		n.front.RunSees(uid)
 	case hasPrefix(key, jobs.JobPrefix):
 		uid := key[len(jobs.JobPrefix):]
 		if err := n.JobChanged(uid, value); err != nil {
 			n.log.Error("unreadable job record set aside", "job", uid, "error", err)
 		}
-		n.runSees(uid)
+		n.front.RunSees(uid)
 	case hasPrefix(key, fleet.HostPrefix):
 		n.hostChanged(key[len(fleet.HostPrefix):], value)
 	case hasPrefix(key, rental.BuildPrefix):
@@ -342,16 +338,11 @@
 			n.rental.Summary = s
 		}
 	case hasPrefix(key, jobs.FinalPrefix):
-		var f jobs.Final
-		if json.Unmarshal(value, &f) == nil {
-			n.finals.Put(key[len(jobs.FinalPrefix):], f)
-		}
-	case n.quotas.on && key == quota.StoreKey:
-		n.quotaChanged(value)
-	case n.runs != nil && hasPrefix(key, pipelines.RunPrefix):
-		if err := n.runs.Changed(key[len(pipelines.RunPrefix):], value); err != nil {
-			n.log.Error("unreadable run set aside", "key", key, "error", err)
-		}
+		n.front.FinalSeen(key[len(jobs.FinalPrefix):], value)
+	case key == quota.StoreKey:
+		n.front.QuotaChanged(value)
+	case hasPrefix(key, pipelines.RunPrefix):
+		n.front.RunChanged(key[len(pipelines.RunPrefix):], value)
 	}
 }
 
@@ -375,6 +366,29 @@
 
 func hasPrefix(s, p string) bool { return len(s) > len(p) && s[:len(p)] == p }
 
+// able tells whether this node may decide for users.
+func (n *Node) able() bool {
+	return !n.client.Down() && n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure
+}
+
+// up tells whether users should be sent here. During an outage of the state
+// service every node stays up and refuses at once; a node that alone is refused, as
+// its peers' hints show, steps aside.
+func (n *Node) up() bool {
+	ok := n.sync.live && n.role != members.Outside && n.certain.Standing == members.Sure
+	if n.client.Down() {
+		for _, p := range n.peersState {
+			if p.stateOK && n.Now.Sub(p.at) < tuning.PeerFresh {
+				ok = false
+			}
+		}
+	}
+	return ok
+}
+
+// Request takes a request from the front door. respond is called exactly once.
+func (n *Node) Request(m *wire.Message, respond func(wire.Reply)) { n.front.Request(m, respond) }
+
 // isBusy tells whether a record is under a transaction.
 func (n *Node) isBusy(key string) bool { return n.busy[key] }
 
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/front"
 	"github.com/harrierreel/harrierreel/internal/peer"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/store"
@@ -59,7 +60,7 @@
 	conns := max(set.Cluster.Limits.FdLimit-tuning.ReservedSockets, set.Cluster.Limits.FdLimit/2)
 	srv := &wire.Server{
 		Front: set.Front, Peer: set.PeerListen, MaxConns: conns,
-		IsGuest: isUsers, MaxGuests: int(float64(conns) * tuning.UserConns),
+		IsGuest: front.IsUsers, MaxGuests: int(float64(conns) * tuning.UserConns),
 		Handle: func(m *wire.Message, respond func(wire.Reply)) {
 			select {
 			case events <- func() { n.Request(m, respond) }:
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -11,8 +11,6 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
-	"github.com/harrierreel/harrierreel/internal/pipelines"
-	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -25,17 +23,9 @@
 // livePrefixes are read whole at a start. Jobs come before their tasks.
 var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, fleet.HostPrefix, fleet.QuietPrefix, rental.BuildPrefix, fencePrefix, members.MemberPrefix, members.ViewKey, rental.SummaryKey}
 
-// prefixes are the live prefixes of this node's duties. Runs come last: a run
-// that names a job must not be met before the job.
+// prefixes are the live prefixes of this node's duties.
 func (n *Node) prefixes() []string {
-	out := slices.Clone(livePrefixes)
-	if n.quotas.on {
-		out = append(out, quota.StoreKey)
-	}
-	if n.runs != nil {
-		out = append(out, pipelines.RunPrefix)
-	}
-	return out
+	return append(slices.Clone(livePrefixes), n.front.Prefixes()...)
 }
 
 // syncState is how far the mirror has got.
@@ -123,7 +113,7 @@
 			n.mirror.Follow(epoch, events)
 			n.sync.next = n.Now.Add(n.followGap())
 			n.keepCertain()
-			n.answerPolls()
+			n.front.AnswerPolls()
 		}
 	})
 }
@@ -162,8 +152,8 @@
 func (n *Node) send(b *decide.Batch) {
 	t := store.Txn{Writes: b.Writes(n.sliceLimit())}
 	b.Conds[members.ViewKey], b.Conds[n.fence.key] = true, true
-	if n.quotas.on {
-		b.Conds[quota.StoreKey] = true // whoever decides by an older tree commits nothing
+	for _, k := range n.front.Conds() {
+		b.Conds[k] = true
 	}
 	for _, k := range sorted(b.Conds) {
 		t.If = append(t.If, store.Cond{Key: k, Stamp: n.mirror.Stamp(k)})
