Transactions are counted as they are sent; a refused one is never made again alike

The packer counted the conditions of the keys that a decision names; the new packs that its transaction begins came only when it was written, each with a condition of its own.

The stand-in for the state service now keeps every limit of POST /multi (changes, conditions, 64 KiB, value_kb, keys, holds that were never given), of lists, watches and leases, and a refusal counts as a broken rule in all scenarios.

Change: the packer makes each transaction whole and holds what is sent against all limits; one that passes a limit is made as two halves. PackSpare, a guess, is gone. A decision that no transaction holds is set aside with its reason, for a pause that doubles. What the service refuses all the same is halved down to the one decision to blame, on the versions that it was first made from.

--- a/internal/decide/decide.go
+++ b/internal/decide/decide.go
@@ -4,7 +4,9 @@
 package decide
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -79,6 +81,27 @@
 	return out
 }
 
+// String names what a decision is about, for the log.
+func (d *Decision) String() string {
+	var what []string
+	for _, c := range d.Changes {
+		what = append(what, c.Task.Piece+" "+string(c.Next.State))
+	}
+	for _, x := range d.Fresh {
+		what = append(what, jobs.Piece(x.Entry.UID, x.Entry.N)+" "+string(x.Entry.Task.State))
+	}
+	for _, w := range d.Writes {
+		what = append(what, Key(w))
+	}
+	if len(what) > mostNamed {
+		what = append(what[:mostNamed], fmt.Sprintf("and %d more", len(what)-mostNamed))
+	}
+	return strings.Join(what, ", ")
+}
+
+// mostNamed: tasks and records that a line of the log names.
+const mostNamed = 4
+
 // Drop ends a decision that is not taken now.
 func (d *Decision) Drop() {
 	if d.Done != nil {
--- a/internal/decide/decide_test.go
+++ b/internal/decide/decide_test.go
@@ -34,7 +34,13 @@
 }
 
 func packer(ops int, budget int) *Packer {
-	return &Packer{MostOps: ops, Busy: func(string) bool { return false }, Allows: func(spent, writes int) bool { return spent+writes <= budget }, Size: func(string) int { return 100 }}
+	return &Packer{Form: formOf(ops), Busy: func(string) bool { return false }, Allows: func(spent, writes int) bool { return spent+writes <= budget },
+		Size: func(string) int { return 100 }, SetAside: func(d *Decision, why string) { panic(d.String() + ": " + why) }}
+}
+
+// formOf is the limits of a state service that takes so many changes at once.
+func formOf(ops int) Form {
+	return Form{Limits: store.Limits{Ops: ops, Conds: 4 * ops, Body: 64 << 10, Value: 8192}, Always: []string{"view", "fence/n0"}, Stamp: func(string) uint64 { return 1 }}
 }
 
 func end(t *book.Task) Decision {
@@ -50,10 +56,10 @@
 		ds = append(ds, end(x))
 	}
 	batches := packer(16, 100).Pack(ds)
-	if len(batches) != 1 || len(batches[0].Writes(Form{Limit: 8192})) != 4 || len(batches[0].Decisions) != 12 {
+	if len(batches) != 1 || len(batches[0].Txn.Writes) != 4 || len(batches[0].Decisions) != 12 {
 		t.Fatalf("%d batches", len(batches))
 	}
-	w := batches[0].Writes(Form{Limit: 8192})[0]
+	w := batches[0].Txn.Writes[0]
 	if records, err := jobs.DecodeSlice(w.Value); err != nil || records[0].State != jobs.Finished || records[2].State != jobs.Finished {
 		t.Errorf("%s %v", w.Value, err)
 	}
@@ -63,7 +69,7 @@
 		t.Error("one task was decided on twice")
 	}
 	tasks[0].Job.Rec.State = jobs.Cancelled
-	if w := packer(16, 100).Pack(ds[:3])[0].Writes(Form{Limit: 8192}); len(w) != 1 || w[0].Remove == "" {
+	if w := packer(16, 100).Pack(ds[:3])[0].Txn.Writes; len(w) != 1 || w[0].Remove == "" {
 		t.Errorf("%+v", w)
 	}
 }
@@ -75,7 +81,7 @@
 	for i, x := range tasks {
 		d := end(x)
 		for k := range i % 5 {
-			d.Seen = append(d.Seen, fmt.Sprint("host/i-", i, k))
+			d.Seen = append(d.Seen, fmt.Sprintf("host/i-%d-%d", i, k))
 		}
 		ds = append(ds, d)
 	}
@@ -87,12 +93,8 @@
 	taken := 0
 	for _, b := range p.Pack(ds) {
 		taken += len(b.Decisions)
-		size := 0
-		for _, w := range b.Writes(Form{Limit: 8192}) {
-			size += len(w.Value)
-		}
-		if len(b.Writes(Form{Limit: 8192})) > 8 || len(b.Conds) > 8*4-condsKept || size > 64<<10 {
-			t.Errorf("%d writes, %d conditions, %d bytes", len(b.Writes(Form{Limit: 8192})), len(b.Conds), size)
+		if why := p.Limits.Fault(&b.Txn); why != "" {
+			t.Error(why)
 		}
 	}
 	if taken < 120 {
--- a/internal/decide/packs.go
+++ b/internal/decide/packs.go
@@ -17,16 +17,7 @@
 // and nothing else should fail with it.
 func (p *Packer) shared(d *Decision) bool {
 	for _, c := range d.Changes {
-		sl := c.Task.Slice
-		if !sl.Packed() {
-			continue
-		}
-		own, known := p.own[sl]
-		if !known {
-			own = mine(sl, p.Mine)
-			p.own[sl] = own
-		}
-		if !own {
+		if c.Task.Slice.Packed() && !p.mine(c.Task.Slice) {
 			return true
 		}
 	}
@@ -34,6 +25,15 @@
 }
 
 // mine tells whether no task of a pack is on another controller's machine.
+func (p *Packer) mine(sl *book.Slice) bool {
+	own, known := p.own[sl]
+	if !known {
+		own = mine(sl, p.Mine)
+		p.own[sl] = own
+	}
+	return own
+}
+
 func mine(sl *book.Slice, owned func(host string) bool) bool {
 	for _, t := range sl.Tasks {
 		if t.On() && sl.Holds(t) && !owned(t.Host) {
@@ -69,7 +69,7 @@
 		own, others := apart(sl, b.edits[k], es, f.Mine)
 		ps = append(ps, packed{key: k, entries: others}, packed{entries: own, mine: true})
 	}
-	unite(ps, f.Limit)
+	unite(ps, f.Limits.Value)
 	for _, part := range book.Sorted(b.fresh) {
 		ps = append(ps, packed{entries: b.fresh[part]})
 	}
@@ -84,7 +84,7 @@
 		}
 		values := []json.RawMessage{p.value}
 		if p.value == nil {
-			values = records.Split(p.entries, f.Limit)
+			values = records.Split(p.entries, f.Limits.Value)
 		}
 		for _, v := range values {
 			if p.key == "" {
--- a/internal/decide/packs_test.go
+++ b/internal/decide/packs_test.go
@@ -102,10 +102,13 @@
 		}
 		keys := 0
 		limit := rapid.SampledFrom([]int{250, 600, 8192}).Draw(t, "limit")
-		form := Form{Limit: limit, Mine: func(host string) bool { return host != "i-2" }, NewKey: func() string {
+		form := formOf(16)
+		form.Limits.Value, form.Mine = limit, func(host string) bool { return host != "i-2" }
+		form.Stamp = func(key string) uint64 { return s.items[key].Stamp }
+		form.NewKey = func() string {
 			keys++
 			return fmt.Sprintf("pack/%d", (keys*7)%100000) // in no order
-		}}
+		}
 		step := func() {
 			first.follow(s, -1)
 			form.Known = first.mirror.Epoch
@@ -144,13 +147,9 @@
 				}
 			}
 			p := packer(16, 1000)
-			p.Mine = form.Mine
+			p.Form = form
 			for _, b := range p.Pack(ds) {
-				ws := b.Writes(form)
-				if len(ws) > 16 {
-					t.Fatalf("%d writes", len(ws))
-				}
-				s.commit(ws)
+				s.commit(b.Txn.Writes)
 				first.follow(s, -1)
 			}
 			if rapid.IntRange(0, 9).Draw(t, "ends") == 0 {
@@ -224,7 +223,8 @@
 func TestUniting(t *testing.T) {
 	r := newReader()
 	keys := 0
-	form := Form{Limit: 8192, Mine: func(h string) bool { return h != "i-2" }, NewKey: func() string { keys++; return fmt.Sprint("pack/new-", keys) }}
+	form := formOf(16)
+	form.Mine, form.NewKey = func(h string) bool { return h != "i-2" }, func() string { keys++; return fmt.Sprint("pack/new-", keys) }
 	_ = r.book.JobChanged("wk-0", jobs.Encode(specOf("wk-0")))
 	for i, host := range []string{"i-1", "i-1", "i-2", "i-2"} {
 		on := jobs.Task{State: jobs.Placed, Host: host, Try: 1}
@@ -232,12 +232,12 @@
 	}
 	tasks := r.book.Jobs["wk-0"].Tasks
 	p := packer(16, 100)
-	p.Mine = form.Mine
+	p.Form = form
 	batches := p.Pack([]Decision{end(tasks[0]), end(tasks[2]), end(tasks[4]), end(tasks[6])})
 	if len(batches) != 3 {
 		t.Fatalf("%d batches", len(batches))
 	}
-	own := batches[0].Writes(form)
+	own := batches[0].Txn.Writes
 	if len(own) != 2 || own[0].Put == "" || own[1].Remove == "" {
 		t.Fatalf("%+v", own)
 	}
@@ -245,7 +245,7 @@
 		t.Errorf("%+v %v", es, err)
 	}
 	for _, b := range batches[1:] {
-		if ws := b.Writes(form); len(ws) != 1 || ws[0].Put == "" {
+		if ws := b.Txn.Writes; len(ws) != 1 || ws[0].Put == "" {
 			t.Errorf("%+v", ws)
 		}
 	}
@@ -256,8 +256,8 @@
 	}
 	_, _ = r.book.PackChanged("pack/mixed", records.Encode([]records.Entry{on(10, "i-1"), on(11, "i-2"), on(12, "i-1")}), 1)
 	mixed := packer(16, 100)
-	mixed.Mine = form.Mine
-	ws := mixed.Pack([]Decision{end(tasks[10])})[0].Writes(form)
+	mixed.Form = form
+	ws := mixed.Pack([]Decision{end(tasks[10])})[0].Txn.Writes
 	if len(ws) != 2 || ws[1].Put != "pack/mixed" {
 		t.Fatalf("%+v", ws)
 	}
@@ -269,14 +269,14 @@
 	_ = r.book.JobChanged("wk-0", nil)
 	gone := []Decision{{Changes: Become(tasks[0], jobs.Task{State: jobs.Pending, Try: 1})}}
 	q := packer(16, 100)
-	q.Mine = form.Mine
-	if es, _ := records.Decode(q.Pack(gone)[0].Writes(form)[0].Value); len(es) != 2 {
+	q.Form = form
+	if es, _ := records.Decode(q.Pack(gone)[0].Txn.Writes[0].Value); len(es) != 2 {
 		t.Errorf("%+v", es)
 	}
 	form.Known = 1
 	q = packer(16, 100)
-	q.Mine = form.Mine
-	if es, _ := records.Decode(q.Pack(gone)[0].Writes(form)[0].Value); len(es) != 1 {
+	q.Form = form
+	if es, _ := records.Decode(q.Pack(gone)[0].Txn.Writes[0].Value); len(es) != 1 {
 		t.Errorf("%+v", es)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 	packs  uint64          // begun by this process
 	late   []late          // conflicted, to be settled when the watch has come so far
 	ending int             // writes of jobs' ends under way
+	aside  decide.Aside    // decisions that can't be committed
 
 	front  *front.Front
 	lead   leader
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -139,13 +139,14 @@
 		}
 		return
 	}
-	p := decide.Packer{
-		MostOps: n.set.Cluster.State.TxnOps, Ending: n.ending,
-		Busy:   func(key string) bool { return n.busy[key] },
-		Allows: n.client.Allows,
-		Size:   func(key string) int { return len(n.mirror.Get(key)) },
-		Mine:   n.mine,
-	}
+	ds = slices.DeleteFunc(ds, func(d decide.Decision) bool {
+		held := n.aside.Holds(&d, n.Now)
+		if held {
+			d.Drop()
+		}
+		return held
+	})
+	p := n.packer()
 	batches := p.Pack(ds)
 	n.ending = p.Ending
 	for _, b := range batches {
@@ -153,6 +154,30 @@
 	}
 }
 
+// packer packs decisions by what is known now.
+func (n *Node) packer() *decide.Packer {
+	state := n.set.Cluster.State
+	return &decide.Packer{
+		Form: decide.Form{
+			Limits: store.Limits{Ops: state.TxnOps, Conds: state.TxnOps * tuning.CondsPerOp, Body: tuning.MaxRequestBody, Value: n.sliceLimit()},
+			Always: append([]string{members.ViewKey, n.fence.key}, n.front.Conds()...),
+			Stamp:  n.mirror.Stamp, Known: n.mirror.Epoch, Mine: n.mine, NewKey: n.newPack,
+		},
+		Ending:   n.ending,
+		Busy:     n.isBusy,
+		Allows:   n.client.Allows,
+		Size:     func(key string) int { return len(n.mirror.Get(key)) },
+		SetAside: n.setAside,
+	}
+}
+
+// setAside takes note of a decision that cannot be committed as it is.
+func (n *Node) setAside(d *decide.Decision, why string) {
+	if n.aside.Add(d, n.Now) {
+		n.log.Error("decision set aside", "why", why, "about", d.String())
+	}
+}
+
 // sliceLimit is the most bytes that a slice's record may have.
 func (n *Node) sliceLimit() int { return int(n.set.Cluster.State.ValueKB * 1024) }
 
@@ -192,18 +217,10 @@
 }
 
 func (n *Node) send(b *decide.Batch) {
-	t := store.Txn{Writes: b.Writes(decide.Form{Limit: n.sliceLimit(), Known: n.mirror.Epoch, Mine: n.mine, NewKey: n.newPack})}
-	b.Conds[members.ViewKey], b.Conds[n.fence.key] = true, true
-	for _, k := range n.front.Conds() {
-		b.Conds[k] = true
-	}
+	t := b.Txn
 	for _, w := range t.Writes {
-		b.Conds[decide.Key(w)] = true
 		n.busy[decide.Key(w)] = true
 	}
-	for _, k := range book.Sorted(b.Conds) {
-		t.If = append(t.If, store.Cond{Key: k, Stamp: n.mirror.Stamp(k)})
-	}
 	p := store.Decision
 	if b.Urgent {
 		p = store.Urgent
@@ -234,12 +251,33 @@
 			return
 		}
 		if errors.Is(err, store.ErrRefused) {
-			n.log.Error("transaction refused", "error", err, "first", decide.Key(t.Writes[0]))
+			n.refused(b)
+			return
 		}
 		n.finish(t.Writes, b.Decisions, ok)
 	})
 }
 
+// refused goes on after a transaction that the state service calls malformed. It was
+// counted before it was sent, so this is a fault of the program or of the service.
+// Made again alike it would be refused again: its halves are tried, down to the one
+// decision that is to blame, which is set aside.
+func (n *Node) refused(b *decide.Batch) {
+	n.finish(b.Txn.Writes, nil, false)
+	if len(b.Decisions) == 1 {
+		n.setAside(&b.Decisions[0], "refused by the state service")
+		n.finish(nil, b.Decisions, false)
+		return
+	}
+	n.log.Info("transaction refused, tried in halves", "decisions", len(b.Decisions), "writes", len(b.Txn.Writes), "conditions", len(b.Txn.If))
+	p := n.packer()
+	halves := p.Halve(b)
+	n.ending = p.Ending
+	for _, half := range halves {
+		n.send(half)
+	}
+}
+
 // late is a transaction that conflicted over a pack, which is settled once the watch
 // has come to an epoch.
 type late struct {
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -14,6 +14,7 @@
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/records"
+	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
@@ -41,9 +42,12 @@
 func (d *desk) commit(ds []decide.Decision) {
 	d.taken = append(d.taken, ds...)
 	mine := func(host string) bool { return d.Machines[host].Owner == "n0" }
-	p := decide.Packer{MostOps: 16, Mine: mine, Busy: d.Busy, Allows: func(int, int) bool { return true }, Size: func(string) int { return 0 }}
+	form := decide.Form{Limits: store.Limits{Ops: 16, Conds: 64, Body: 64 << 10, Value: 8192}, Stamp: func(string) uint64 { return 1 }, Mine: mine,
+		NewKey: func() string { d.keys++; return fmt.Sprint(records.Prefix, d.keys) }}
+	p := decide.Packer{Form: form, Busy: d.Busy, Allows: func(int, int) bool { return true }, Size: func(string) int { return 0 },
+		SetAside: func(x *decide.Decision, why string) { d.t.Error(x, why) }}
 	for _, b := range p.Pack(ds) {
-		for _, w := range b.Writes(decide.Form{Limit: 8192, Mine: mine, NewKey: func() string { d.keys++; return fmt.Sprint(records.Prefix, d.keys) }}) {
+		for _, w := range b.Txn.Writes {
 			if strings.HasPrefix(decide.Key(w), records.Prefix) {
 				if _, err := d.PackChanged(decide.Key(w), w.Value, uint64(d.keys)); err != nil {
 					d.t.Error(err)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -236,6 +236,8 @@
 		w.Store.Refuse[name(0)] = args[1] == "on"
 	case "lose": // lose NODE COUNT: answers to its next transactions
 		w.Store.Lose[name(0)] = int(s.number(args[1]))
+	case "poison": // poison JOB|none: transactions about its tasks are refused for no reason
+		w.Store.Poison = strings.TrimPrefix(args[0], "none")
 	case "late": // late NODE SECONDS: its transactions arrive late
 		w.Store.Late[name(0)] = time.Duration(s.number(args[1]) * float64(time.Second))
 	case "cloud":
@@ -476,6 +478,10 @@
 		if got := s.w.Store.Refused; got > int(s.number(args[1])) {
 			s.fatal("%d requests went beyond the state service's limits", got)
 		}
+	case "poisoned": // expect poisoned MIN MAX: transactions refused for no reason
+		if got := s.w.Store.Poisoned; got < int(s.number(args[1])) || got > int(s.number(args[2])) {
+			s.fatal("%d transactions were refused, not %s to %s", got, args[1], args[2])
+		}
 	case "not-leader":
 		if s.w.Leader() == s.party(args[1]) {
 			s.fatal("%s leads", args[1])
--- /dev/null
+++ b/internal/standin/limits.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"strconv"
+	"strings"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/settings"
+)
+
+// Limits of the protocol that are no settings.
+const (
+	mostBody    = 64 << 10  // bytes of a request, and of a line of an answer
+	mostKey     = 200       // bytes
+	condsPerOp  = 4         // conditions for each change that a transaction may have
+	listItems   = 1000      // of one answer
+	listBytes   = 512 << 10 // of one answer
+	leastTTL    = 100       // ms
+	mostTTL     = 600_000   // ms
+	mostHold    = 60_000    // ms
+	keptChanges = 10_000    // for watches
+	mostRent    = 50        // machines of a request
+	mostDelete  = 100       // machines of a request
+	mostListed  = 500       // machines of a page
+	mostRetry   = 30        // s that a user waits at most when told so
+)
+
+// Breach notes a request or an answer that the protocol forbids: a correct program
+// never makes it, so it fails the scenario as a broken rule does.
+func (w *World) Breach(format string, args ...any) {
+	w.Breaches++
+	w.Break("limit: "+format, args...)
+}
+
+// Enforce has the other services keep the limits that the settings state.
+func (w *World) Enforce(c settings.Cluster) {
+	w.Store.ValueKB, w.Store.TxnOps = c.State.ValueKB, c.State.TxnOps
+}
+
+// multi is a transaction.
+type multi struct {
+	If []struct {
+		Key   string
+		Stamp uint64
+	}
+	Writes []struct {
+		Write, Remove string
+		V             json.RawMessage
+		Hold          uint64
+	}
+}
+
+// malformed tells why the state service answers a request 400, "" if it does not.
+func (s *Store) malformed(method, path string, q url.Values, body []byte) string {
+	if len(body) > mostBody {
+		return fmt.Sprintf("%d bytes", len(body))
+	}
+	number := func(field string, low, high int) string {
+		if v := q.Get(field); v != "" {
+			if n, err := strconv.Atoi(v); err != nil || n < low || n > high {
+				return field + " is " + v
+			}
+		}
+		return ""
+	}
+	key, one := strings.CutPrefix(path, "/store/")
+	_, lease := grantOf(path)
+	switch {
+	case method == "GET" && path == "/follow":
+		return number("hold_ms", 0, mostHold)
+	case method == "GET" && path == "/store":
+		return number("limit", 1, listItems)
+	case method == "GET" && one:
+		return keyFault(key)
+	case method == "POST" && path == "/multi":
+		return s.multiFault(body)
+	case method == "POST" && path == "/grants":
+		if ttl := ttlOf(body); ttl < leastTTL || ttl > mostTTL {
+			return fmt.Sprintf("ttl_ms is %d", ttl)
+		}
+		return ""
+	case method == "POST" && lease && strings.HasSuffix(path, "/renew"), method == "DELETE" && lease:
+		return ""
+	}
+	return "no such call"
+}
+
+// ttlOf is the time of a lease that is asked for, 0 if there is none.
+func ttlOf(body []byte) int {
+	var g struct {
+		TTL int `json:"ttl_ms"`
+	}
+	_ = json.Unmarshal(body, &g)
+	return g.TTL
+}
+
+// grantOf is the lease that a path is about.
+func grantOf(path string) (uint64, bool) {
+	rest, ok := strings.CutPrefix(path, "/grants/")
+	id, err := strconv.ParseUint(strings.TrimSuffix(rest, "/renew"), 10, 64)
+	return id, ok && err == nil
+}
+
+func keyFault(key string) string {
+	if len(key) == 0 || len(key) > mostKey || strings.ContainsAny(key, " \t\r\n") {
+		return fmt.Sprintf("key %q", key)
+	}
+	return ""
+}
+
+// multiFault tells what limit a transaction passes.
+func (s *Store) multiFault(body []byte) string {
+	var t multi
+	if err := json.Unmarshal(body, &t); err != nil {
+		return err.Error()
+	}
+	if s.TxnOps > 0 && len(t.Writes) > s.TxnOps {
+		return fmt.Sprintf("%d changes", len(t.Writes))
+	}
+	if s.TxnOps > 0 && len(t.If) > condsPerOp*s.TxnOps {
+		return fmt.Sprintf("%d conditions with %d changes", len(t.If), len(t.Writes))
+	}
+	for _, c := range t.If {
+		if why := keyFault(c.Key); why != "" {
+			return why
+		}
+	}
+	for _, wr := range t.Writes {
+		switch {
+		case (wr.Write == "") == (wr.Remove == ""):
+			return "a change that neither writes nor removes, or does both"
+		case keyFault(wr.Write+wr.Remove) != "":
+			return keyFault(wr.Write + wr.Remove)
+		case wr.Write != "" && len(wr.V) == 0:
+			return "no value for " + wr.Write
+		case s.ValueKB > 0 && float64(len(wr.V)) > s.ValueKB*1024:
+			return fmt.Sprintf("%d bytes in %s", len(wr.V), wr.Write)
+		case wr.Hold > s.nextID:
+			return fmt.Sprintf("lease %d was never given", wr.Hold)
+		}
+	}
+	return ""
+}
+
+// poisoned tells whether a transaction is one that the service is to refuse.
+func (s *Store) poisoned(t *multi) bool {
+	if s.Poison == "" {
+		return false
+	}
+	for _, wr := range t.Writes {
+		key := wr.Write + wr.Remove
+		if !strings.HasPrefix(key, jobs.JobPrefix) && strings.Contains(key+string(wr.V), s.Poison) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -38,6 +38,7 @@
 
 // AddNodes makes n controllers, named n0, n1 and so on.
 func (w *World) AddNodes(n int, set settings.Settings) {
+	w.Enforce(set.Cluster)
 	for i := range n {
 		w.Order = append(w.Order, fmt.Sprintf("n%d", i))
 	}
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -17,6 +17,7 @@
 	epoch   uint64
 	items   map[string]storeItem
 	log     []storeEvent
+	forgot  uint64 // up to where changes are no longer kept
 	grants  map[uint64]*grant
 	nextID  uint64
 	waiters []*waiter
@@ -27,7 +28,14 @@
 	Late map[string]time.Duration
 	// RPS and WPS are limits that are enforced, with bursts of a second's
 	// worth; 0 enforces none. Refused counts what went beyond them.
-	RPS, WPS       float64
+	RPS, WPS float64
+	// ValueKB and TxnOps are limits of a value and of a transaction; 0 enforces none.
+	ValueKB float64
+	TxnOps  int
+	// Poison has transactions refused for no reason that the protocol knows: those that
+	// write anything of this job but its own record. Poisoned counts them.
+	Poison         string
+	Poisoned       int
 	rTokens, wUsed float64
 	filled         time.Time
 	Refused        int
@@ -135,7 +143,7 @@
 	}
 	for _, k := range keys {
 		delete(s.items, k)
-		s.log = append(s.log, storeEvent{Remove: k, Stamp: s.epoch})
+		s.note(storeEvent{Remove: k, Stamp: s.epoch})
 	}
 }
 
@@ -194,13 +202,6 @@
 	path, query, _ := strings.Cut(target, "?")
 	q, _ := url.ParseQuery(query)
 	s.Requests++
-	if path == "/follow" && !s.Down {
-		since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
-		ms, _ := strconv.Atoi(q.Get("hold_ms"))
-		s.waiters = append(s.waiters, &waiter{from, since, s.w.Now.Add(time.Duration(ms) * time.Millisecond), answer})
-		s.wake()
-		return
-	}
 	if s.Down || s.Refuse[from] {
 		answer(503, []byte("{}"))
 		return
@@ -209,7 +210,14 @@
 		answer(429, []byte("{}"))
 		return
 	}
+	if why := s.malformed(method, path, q, body); why != "" {
+		s.w.Breach("the state service refuses %s's %s %s: %s", from, method, target, why)
+		answer(400, encode(map[string]string{"error": why}))
+		return
+	}
 	switch {
+	case path == "/follow":
+		s.follow(from, q, answer)
 	case method == "GET" && path == "/store":
 		s.list(q, answer)
 	case method == "GET" && strings.HasPrefix(path, "/store/"):
@@ -221,30 +229,54 @@
 		answer(200, encode(it))
 	case path == "/multi":
 		s.multi(body, answer)
-	case method == "POST" && path == "/grants":
-		var g struct {
-			TTL int `json:"ttl_ms"`
-		}
-		_ = json.Unmarshal(body, &g)
+	case path == "/grants":
 		s.nextID++
-		ttl := time.Duration(g.TTL) * time.Millisecond
+		ttl := time.Duration(ttlOf(body)) * time.Millisecond
 		s.grants[s.nextID] = &grant{ttl, s.w.Now.Add(ttl)}
 		answer(200, encode(map[string]uint64{"hold": s.nextID}))
-	case strings.HasSuffix(path, "/renew"):
-		id, _ := strconv.ParseUint(strings.TrimSuffix(path[len("/grants/"):], "/renew"), 10, 64)
-		if g := s.grants[id]; g != nil {
+	default:
+		id, _ := grantOf(path)
+		switch g := s.grants[id]; {
+		case g == nil:
+			answer(404, []byte("{}"))
+		case method == "DELETE":
+			s.end(id)
+			answer(200, []byte("{}"))
+			s.wake()
+		default:
 			g.ends = s.w.Now.Add(g.ttl)
 			answer(200, []byte("{}"))
-			return
 		}
-		answer(404, []byte("{}"))
-	default:
-		answer(400, []byte("{}"))
+	}
+}
+
+// follow holds a watch until something has changed.
+func (s *Store) follow(from string, q url.Values, answer func(int, []byte)) {
+	since, _ := strconv.ParseUint(q.Get("since"), 10, 64)
+	if since < s.forgot {
+		answer(410, []byte("{}"))
+		return
+	}
+	ms, _ := strconv.Atoi(q.Get("hold_ms"))
+	s.waiters = append(s.waiters, &waiter{from, since, s.w.Now.Add(time.Duration(ms) * time.Millisecond), answer})
+	s.wake()
+}
+
+// note keeps a change for the watches, and forgets the oldest ones.
+func (s *Store) note(e storeEvent) {
+	s.log = append(s.log, e)
+	if len(s.log) > 2*keptChanges {
+		s.forgot = s.log[len(s.log)-keptChanges-1].Stamp
+		first := sort.Search(len(s.log), func(i int) bool { return s.log[i].Stamp > s.forgot })
+		s.log = append([]storeEvent(nil), s.log[first:]...)
 	}
 }
 
 func (s *Store) list(q url.Values, answer func(int, []byte)) {
 	limit, _ := strconv.Atoi(q.Get("limit"))
+	if limit <= 0 || limit > listItems {
+		limit = listItems
+	}
 	var rows []storeItem
 	for k, it := range s.items {
 		if strings.HasPrefix(k, q.Get("prefix")) && k > q.Get("since") {
@@ -256,22 +288,21 @@
 	if next {
 		rows = rows[:limit]
 	}
+	size := 0
+	for i := range rows {
+		if size += len(rows[i].Key) + len(rows[i].V) + 60; size > listBytes && i > 0 {
+			rows, next = rows[:i], true
+			break
+		}
+	}
 	answer(200, encode(map[string]any{"rows": rows, "has_next": next, "epoch": s.epoch}))
 }
 
 func (s *Store) multi(body []byte, answer func(int, []byte)) {
-	var t struct {
-		If []struct {
-			Key   string
-			Stamp uint64
-		}
-		Writes []struct {
-			Write, Remove string
-			V             json.RawMessage
-			Hold          uint64
-		}
-	}
-	if json.Unmarshal(body, &t) != nil || len(body) > 64<<10 {
+	var t multi
+	_ = json.Unmarshal(body, &t)
+	if s.poisoned(&t) {
+		s.Poisoned++
 		answer(400, []byte("{}"))
 		return
 	}
@@ -305,10 +336,10 @@
 		}
 		if wr.Write != "" {
 			s.items[wr.Write] = storeItem{wr.Write, wr.V, s.epoch, wr.Hold}
-			s.log = append(s.log, storeEvent{Write: wr.Write, V: wr.V, Stamp: s.epoch})
+			s.note(storeEvent{Write: wr.Write, V: wr.V, Stamp: s.epoch})
 		} else if _, ok := s.items[wr.Remove]; ok {
 			delete(s.items, wr.Remove)
-			s.log = append(s.log, storeEvent{Remove: wr.Remove, Stamp: s.epoch})
+			s.note(storeEvent{Remove: wr.Remove, Stamp: s.epoch})
 		}
 	}
 	if s.Settled != nil {
@@ -322,7 +353,7 @@
 func (s *Store) Put(key string, v string) {
 	s.epoch++
 	s.items[key] = storeItem{key, json.RawMessage(v), s.epoch, 0}
-	s.log = append(s.log, storeEvent{Write: key, V: json.RawMessage(v), Stamp: s.epoch})
+	s.note(storeEvent{Write: key, V: json.RawMessage(v), Stamp: s.epoch})
 	s.wake()
 }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -37,6 +37,7 @@
 	LeaseS, ReportS, CancelS, GangWaitS, GangPeerS float64
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
+	Breaches                                       int    // of the protocol's limits, in Broken as well
 	Real                                           *Real  // set when the parties speak over sockets
 	Door                                           string // the node that users reach, any if empty
 	Expired                                        int    // leases that ran out with tasks on the machine
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -71,6 +71,8 @@
 type Txn struct {
 	If     []Cond  `json:"if"`
 	Writes []Write `json:"writes,omitempty"`
+
+	body []byte // as sent, once it was counted
 }
 
 // Event is one change seen by a watch.
@@ -353,11 +355,7 @@
 // Multi runs a transaction. On ErrConflict failed names the keys whose
 // condition did not hold.
 func (c *Client) Multi(p Priority, t Txn, done func(epoch uint64, failed []string, err error)) {
-	if t.If == nil {
-		t.If = []Cond{}
-	}
-	body, err := json.Marshal(t)
-	if err != nil {
+	if t.body == nil && t.seal() != nil {
 		done(0, nil, ErrRefused)
 		return
 	}
@@ -369,7 +367,7 @@
 		}
 		c.spent[kind]++
 	}
-	c.enqueue(p, pending{method: "POST", target: "/multi", body: body, puts: len(t.Writes), done: func(status int, body []byte, err error) {
+	c.enqueue(p, pending{method: "POST", target: "/multi", body: t.body, puts: len(t.Writes), done: func(status int, body []byte, err error) {
 		var answer struct {
 			Epoch  uint64   `json:"epoch"`
 			Failed []string `json:"failed"`
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -242,11 +242,17 @@
 	PackShort = 400 * time.Millisecond
 	// PackShared: tasks given away that may be counted as one change of packs.
 	PackShared = 6
-	// PackSpare: changes that a transaction with packs leaves free, for packs that
-	// have to be split as they are written.
-	PackSpare = 2
-	// TxnBytes, bytes: a transaction's size, below the protocol's 64 KiB.
+	// TxnBytes, bytes: up to where a transaction is filled by guess. What is sent is
+	// counted and must stay below MaxRequestBody.
 	TxnBytes = 48 << 10
+	// MostAside: decisions kept that no transaction could hold or that were refused;
+	// they are faults of a program, one of which a bug may make thousands.
+	MostAside = 2000
+	// AsideFirst, AsideMost: how long such a decision is not made again, doubled each
+	// time: a refusal costs a request and two lines of the log, and what it waits for
+	// is a change of the state or of the service.
+	AsideFirst = 10 * time.Second
+	AsideMost  = 10 * time.Minute
 	// MaxSessions: machines that one controller keeps a session for.
 	MaxSessions = 5000
 	// MaxHostName, bytes: longer names cannot be keys.
