--- /dev/null
+++ b/internal/scenario/takeover_test.go
@@ -0,0 +1,170 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/records"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standin"
+)
+
+// Size of the measurement: worlds, and ends of leaders in each.
+const (
+	takeOverWorlds = 20
+	takeOverEnds   = 10
+	takeOverEvery  = 20 * time.Second
+)
+
+// BenchmarkTakeOver ends the leader of five controllers with 200 machines 200 times,
+// with other chance in every ten, and reports how long it takes from the end until
+// another leads by the view, until the first task is given away or placed under it, and
+// until the last machine has been heard by its new owner. In simulated time: the figures
+// repeat, but for ns/op.
+//
+//	go test ./internal/scenario -run '^$' -bench TakeOver -benchtime 1x
+func BenchmarkTakeOver(b *testing.B) {
+	for _, how := range []string{"lease", "calls", "in order"} {
+		b.Run(how, func(b *testing.B) {
+			for b.Loop() {
+				m := newTakeOvers()
+				for seed := range uint64(takeOverWorlds) {
+					m.play(b, seed, how)
+				}
+				m.report(b)
+			}
+		})
+	}
+}
+
+// takeOvers is the times measured, in ms.
+type takeOvers struct {
+	view, release, heard *hdrhistogram.Histogram
+	changes, requests    int // of the state service, in all
+}
+
+func newTakeOvers() *takeOvers {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, 60_000, 3) }
+	return &takeOvers{view: h(), release: h(), heard: h()}
+}
+
+func (m *takeOvers) play(b testing.TB, seed uint64, how string) {
+	w := standin.NewWorld(seed, slog.New(slog.DiscardHandler))
+	s := &script{w: w, vars: map[string]string{}, applied: map[string]int{}}
+	s.set = baseSettings(w)
+	s.set.Cluster.Size = 5
+	s.set.Cluster.Teams = []settings.Team{{Name: "team"}}
+	s.set.Cluster.Workers.ReportS, w.ReportS = 8, 8
+	if how == "lease" {
+		s.set.Operator.TakeOver = settings.TakeOverLease
+	}
+	w.Cloud.Limit = 200
+	for i := range 200 {
+		w.Cloud.AddRunning("g4", []string{"a", "b"}[i%2], false)
+	}
+	var ended time.Time // the leader, zero when another's first decision was seen
+	led := false
+	epoch := uint64(0)
+	given := map[string]bool{}
+	w.Store.Committed = func(key string, v json.RawMessage) {
+		if key == members.ViewKey {
+			view, ok := members.Decode(v)
+			if !ok {
+				return
+			}
+			epoch = view.Epoch
+			if !ended.IsZero() && !led && view.Leader != s.vars["boss"] {
+				led = true
+				_ = m.view.RecordValue(w.Now.Sub(ended).Milliseconds() + 1)
+			}
+			return
+		}
+		fresh := false
+		take := func(piece string, t *jobs.Task) {
+			if (t.State == jobs.Released || t.State == jobs.Placed) && !given[piece] {
+				given[piece], fresh = true, true
+			}
+		}
+		switch {
+		case v == nil:
+		case strings.HasPrefix(key, jobs.TaskPrefix):
+			ts, _ := jobs.DecodeSlice(v)
+			for i := range ts {
+				take(fmt.Sprint(key, "+", i), &ts[i])
+			}
+		case strings.HasPrefix(key, records.Prefix):
+			es, _ := records.Decode(v)
+			for i := range es {
+				take(jobs.Piece(es[i].UID, es[i].N), &es[i].Task)
+			}
+		}
+		if fresh && led {
+			_ = m.release.RecordValue(w.Now.Sub(ended).Milliseconds() + 1)
+			ended, led = time.Time{}, false
+		}
+	}
+	w.AddNodes(5, s.set)
+	requests, writes := w.Store.Requests, w.Store.Writes
+	// A service holds the machines, with room beside it for small jobs that come all the
+	// time, so that nothing but a leader is ever short.
+	w.After(2*time.Second, func() { s.submit([]string{"wk-0", "standing", "pieces=200", "accel=3"}) })
+	for i := range int(float64(takeOverEnds+1) * takeOverEvery.Seconds() * 5) {
+		uid := fmt.Sprintf("wk-%06d", i+1)
+		w.After(3*time.Second+time.Duration(i)*200*time.Millisecond, func() {
+			s.submit([]string{uid, "sweep", "pieces=2", "run=8", "cores=1", "accel=0.25"})
+		})
+	}
+	for i := range takeOverEnds {
+		at := time.Duration(i+1) * takeOverEvery
+		w.RunUntil(at - time.Duration(w.RNG.IntN(3000))*time.Millisecond)
+		boss := w.Leader()
+		if boss == "" {
+			b.Fatal("nobody leads")
+		}
+		s.vars["boss"] = boss
+		was := epoch
+		if how == "in order" {
+			w.Nodes[boss].Leave()
+			for before := epoch; epoch == before; w.RunUntil(w.At() + 5*time.Millisecond) {
+				ended = w.Now // the hand-over is what is measured
+			}
+		} else {
+			ended = w.Now
+			w.Nodes[boss].Crash()
+		}
+		from := w.Now
+		for epoch == was || !w.Shown(epoch) {
+			w.RunUntil(w.At() + 10*time.Millisecond)
+			if w.Now.Sub(from) > 30*time.Second {
+				b.Fatal("machines not heard")
+			}
+		}
+		_ = m.heard.RecordValue(w.Now.Sub(from).Milliseconds() + 1)
+		w.RunUntil(w.At() + 2*time.Second)
+		w.Nodes[boss].Boot()
+	}
+	m.changes += w.Store.Writes - writes
+	m.requests += w.Store.Requests - requests
+	for _, what := range w.Broken {
+		b.Error(what)
+	}
+}
+
+func (m *takeOvers) report(b *testing.B) {
+	for name, h := range map[string]*hdrhistogram.Histogram{"view": m.view, "release": m.release, "heard": m.heard} {
+		b.ReportMetric(float64(h.ValueAtQuantile(50)), name+"-p50-ms")
+		b.ReportMetric(float64(h.ValueAtQuantile(95)), name+"-p95-ms")
+		b.ReportMetric(float64(h.Max()), name+"-max-ms")
+	}
+	b.ReportMetric(float64(m.release.TotalCount()), "ends")
+	b.ReportMetric(float64(m.changes)/takeOverWorlds, "changes/world")
+	b.ReportMetric(float64(m.requests)/takeOverWorlds, "requests/world")
+}
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -13,6 +13,7 @@
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/standby"
 	"github.com/harrierreel/harrierreel/internal/wire"
+	"github.com/harrierreel/harrierreel/internal/workers"
 )
 
 // Node runs a controller in the world.
@@ -268,6 +269,19 @@
 // Standby is the state of a controller's readiness, and how many calls it saw answered.
 func (c *Node) Standby() (standby.State, int) { return c.n.Standby() }
 
+// Alive tells whether the process runs.
+func (c *Node) Alive() bool { return c.alive }
+
+// Shown tells whether every worker that runs has been shown a baton of this epoch.
+func (w *World) Shown(epoch uint64) bool {
+	for _, wk := range w.Workers {
+		if !wk.Hung && wk.baton < epoch*workers.BatonSpan {
+			return false
+		}
+	}
+	return true
+}
+
 // Leader is the name of a node that believes to lead, "" if there is none.
 func (w *World) Leader() string {
 	for _, name := range w.Order {
