Standby: a leader that is behind hands over; a rent without an answer is not rented again

Need: a leader whose watch or loop lags decides late and in conflict; and a scenario made for early take-overs (standby-rents) showed that a new leader rented for the whole queue again: what the former one had asked for counted as supply, not among the machines that boot, into which the queue is packed (docs/incidents/rented-twice.md).

Change: a leader that is a second behind for three seconds hands the lead to the next one, with a pause that doubles. Rents without an answer count among those that boot, less the machines that the list shows of their kind and time. Those that are to follow may read the cloud's list, too (standby { follow_cloud }, off by default). Scenarios: the next leader dies before its first decision, twice; lagging watches; rents that the list does not show yet; answers to a leader that is out.

--- a/internal/membership/calls.go
+++ b/internal/membership/calls.go
@@ -40,6 +40,9 @@
 	return me.standby.State, me.standby.FalseAlarms
 }
 
+// Turn is its place among those that are to follow the leader, -1 if it has none.
+func (me *Membership) Turn() int { return me.turn }
+
 // Leave has this controller give its place away, Left tells whether it has.
 func (me *Membership) Leave() { me.standby.Leave() }
 
@@ -63,6 +66,7 @@
 	}
 	x.Lag, x.Unchecked = me.Lag(), me.Unchecked()
 	acts, changed := me.standby.Look(x)
+	_, me.turn = me.standby.Rank(x)
 	if changed {
 		me.Log.Debug("standby", "state", string(me.standby.State), "why", me.standby.Why)
 	}
@@ -76,6 +80,8 @@
 			me.silent = a.Names[:min(len(a.Names), me.mostOut())]
 		case standby.DoLeave:
 			me.leaveTo(a.Names[0])
+		case standby.DoPass:
+			me.passTo(a.Names[0])
 		}
 	}
 }
@@ -145,6 +151,28 @@
 	})
 }
 
+// passTo hands the lead to another member.
+func (me *Membership) passTo(leader string) {
+	if me.viewBusy {
+		return
+	}
+	v := me.View()
+	next := &members.View{Leader: leader, Members: v.Members, Epoch: v.Epoch + 1}
+	t := store.Txn{
+		If:     []store.Cond{me.cond(members.ViewKey), me.cond(members.MemberPrefix + me.Me), me.cond(members.MemberPrefix + leader)},
+		Writes: []store.Write{decide.Put(members.ViewKey, next)},
+	}
+	me.viewBusy = true
+	me.Client.Multi(store.Membership, t, func(epoch uint64, _ []string, err error) {
+		me.viewBusy = false
+		if err == nil {
+			me.Log.Info("lead handed over, too far behind", "leader", leader, "epoch", next.Epoch)
+			me.Mirror.Commit(t.Writes, epoch)
+		}
+		me.Wake()
+	})
+}
+
 // leaveTo gives this controller's place away, the lead with it if it has it.
 func (me *Membership) leaveTo(leader string) {
 	if me.viewBusy || me.left {
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -69,6 +69,7 @@
 	calling   bool
 	answering bool
 	silent    []string // members whose calls are unanswered, to be left out of the view
+	turn      int      // place among those that are to follow the leader
 	leaving   bool     // this controller gives its place away
 	left      bool     // and has
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -230,6 +230,7 @@
 	}
 	n.updateRole()
 	n.check()
+	n.follow()
 	n.part.Pass()
 	// The leader's pass looks at every machine, so its pace follows their number.
 	if gap := tuning.PassGap + time.Duration(len(n.Machines))*tuning.LeadGapEach; n.Now.Sub(n.lastLead) >= gap {
--- a/internal/node/standby.go
+++ b/internal/node/standby.go
@@ -14,6 +14,9 @@
 // Standby is the state of this node's readiness, and how many calls were answered.
 func (n *Node) Standby() (standby.State, int) { return n.member.Standby() }
 
+// Turn is this node's place among those that are to follow the leader, -1 if none.
+func (n *Node) Turn() int { return n.member.Turn() }
+
 // clocked takes note of how late the loop's clock comes round.
 func (n *Node) clocked() {
 	if !n.pulsed.IsZero() {
@@ -32,6 +35,13 @@
 	return lag
 }
 
+// follow reads along with the cloud while this node is among the first to lead.
+func (n *Node) follow() {
+	if state, _ := n.member.Standby(); state == standby.Warm && n.set.Operator.FollowCloud {
+		n.rental.Follow(n.member.Turn())
+	}
+}
+
 // check notes what this node has checked as a leader. The state service is asked for
 // nothing: each check is of what the node knows or waits for anyway.
 func (n *Node) check() {
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -142,10 +143,8 @@
 	c.catalogRun = true
 	re.cloudCall("GET", "/catalog", nil, func(status int, body []byte, err error) {
 		c.catalogRun = false
-		var answer struct {
-			Builds []*jobs.Build `json:"builds"`
-		}
-		if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil || len(answer.Builds) == 0 {
+		builds := decodeCatalog(status, body, err)
+		if builds == nil {
 			c.catalogAt = re.Now.Add(tuning.CatalogAgain - tuning.CatalogEvery)
 			if c.catalog == nil {
 				c.catalogAt = re.Now
@@ -153,13 +152,10 @@
 			return
 		}
 		c.catalogAt = re.Now
-		c.catalog = map[string]*jobs.Build{}
+		c.catalog = builds
 		var ds []decide.Decision
-		for _, b := range answer.Builds {
-			if b == nil || !fleet.ValidName(b.Name) {
-				continue
-			}
-			c.catalog[b.Name] = b
+		for _, name := range book.Sorted(builds) {
+			b := builds[name]
 			// Prices move and are the leader's business; the rest is told to all.
 			told := *b
 			told.Hourly, told.LowPrice = 0, 0
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -114,6 +114,12 @@
 			booting[k]++
 		}
 	}
+	taken := map[string]bool{}
+	for _, a := range c.asked {
+		for _, h := range a.Hosts {
+			taken[h] = true
+		}
+	}
 	for _, a := range c.asked {
 		// A list read long enough after the request has what there is: a
 		// machine that it lacks was returned or lost meanwhile, perhaps by an
@@ -129,12 +135,39 @@
 			}
 		}
 		if len(a.Hosts) == 0 {
-			counts[k] += a.Count // unanswered
+			// Unanswered, or answered to a leader that has ended. Its machines come all
+			// the same: left out of those that boot, the queue would be rented for a
+			// second time (docs/incidents/rented-twice.md).
+			left := a.Count - re.cameOf(&a, taken)
+			counts[k] += left
+			booting[k] += left
 		}
 	}
 	return counts, booting
 }
 
+// cameOf counts the listed machines that an unanswered rent may have brought, by their
+// kind and age, each for one rent only.
+func (re *Rental) cameOf(a *asked, taken map[string]bool) int {
+	c := &re.cloud
+	lag := jobs.Seconds(2 * re.Cluster.Cloud.ListLagS)
+	at := time.UnixMilli(a.AtMs)
+	came := 0
+	for _, h := range book.Sorted(c.listed) {
+		l := c.listed[h]
+		if came == a.Count || taken[h] || l.Build != a.Build || l.Site != a.Site || l.Loaner != a.Loaner {
+			continue
+		}
+		// The age is that at the time which the list describes.
+		born := c.listAt.Add(-jobs.Seconds(l.AgeS))
+		if born.After(at.Add(-tuning.ListSlack)) && born.Add(-lag).Before(at.Add(tuning.ListSlack)) {
+			taken[h] = true
+			came++
+		}
+	}
+	return came
+}
+
 // listSure is the time after which a machine must be in the cloud's list.
 func (re *Rental) listSure() time.Duration {
 	return jobs.Seconds(2*re.Cluster.Cloud.ListLagS) + tuning.ListSlack
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -71,6 +71,7 @@
 	Since time.Time
 
 	cloud     cloudState
+	warm      warm
 	condemnAt time.Time
 }
 
@@ -89,6 +90,7 @@
 	re.Since = re.Now
 	// What the former leader rented and the list still lacks.
 	re.cloud.asked, re.cloud.counted = append([]asked(nil), re.Summary.Asked...), true
+	re.takeWarm()
 }
 
 // Priced tells whether the catalogue of machine types is known, with its prices.
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -16,6 +16,7 @@
 	"github.com/harrierreel/harrierreel/internal/queue"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
 // office is a leader's rental with a cloud that answers as the test says.
@@ -268,3 +269,32 @@
 		t.Errorf("%d bytes", len(w.Value))
 	}
 }
+
+// A controller that follows the cloud leads with the catalogue that it has read, and with
+// the list if that was begun long enough after the former leader's last rent; an older
+// list lacks what was rented, and is read again before anything is rented.
+func TestWarm(t *testing.T) {
+	for _, c := range []struct {
+		rented time.Duration // before the list was read
+		uses   bool
+	}{{5 * time.Second, false}, {time.Minute, true}} {
+		o := newOffice(t)
+		o.listed = []fleet.Listed{{UID: "i-1", Build: "g4", Site: "a", Status: "running", AgeS: 100}}
+		at := o.Now.Add(tuning.WarmEvery)
+		for o.Now.Before(at) {
+			o.Now = o.Now.Add(time.Second)
+			o.Follow(0)
+		}
+		o.Summary.Asked = []asked{{Hire: "r-1-1", Build: "g4", Site: "a", Count: 3, AtMs: o.warm.listAt.Add(-c.rented).UnixMilli()}}
+		o.Reset()
+		if !o.Priced() || o.Listed() != c.uses || !o.Counted() {
+			t.Errorf("a rent %v before the list: priced %v, listed %v", c.rented, o.Priced(), o.Listed())
+		}
+		// What was followed long ago is not used.
+		o.Follow(0)
+		o.Now = o.Now.Add(10 * tuning.WarmEvery)
+		if o.Reset(); o.Priced() || o.Listed() {
+			t.Error("what was read long ago is used")
+		}
+	}
+}
--- /dev/null
+++ b/internal/rental/warm.go
@@ -0,0 +1,110 @@
+package rental
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// warm is what a controller that is to follow the leader knows of the cloud.
+type warm struct {
+	catalog   map[string]*jobs.Build
+	listed    map[string]fleet.Listed
+	listAt    time.Time // start of the listing
+	beganAt   time.Time // of the newest try
+	running   bool
+	catalogAt time.Time
+}
+
+// Follow reads the catalogue and the cloud's list now and then, for a controller that
+// would be among the first to lead. turn is its place among those, so that they do not
+// ask at the same time. Its calls are few beside the leader's: pages each half minute.
+func (re *Rental) Follow(turn int) {
+	w := &re.warm
+	every := tuning.WarmEvery
+	if w.running || !w.beganAt.IsZero() && re.Now.Sub(w.beganAt) < every || w.beganAt.IsZero() && re.Now.Sub(re.Since) < time.Duration(turn+1)*every/2 {
+		return
+	}
+	w.running, w.beganAt = true, re.Now
+	began := re.Now
+	all := map[string]fleet.Listed{}
+	end := func() { w.running = false }
+	var page func(since string)
+	page = func(since string) {
+		target := fmt.Sprintf("/hosts?limit=%d", tuning.CloudPage)
+		if since != "" {
+			target += "&since=" + since
+		}
+		re.Send("GET", target, nil, tuning.CloudTimeout, func(status int, body []byte, err error) {
+			var answer struct {
+				Hosts   []fleet.Listed `json:"hosts"`
+				HasNext bool           `json:"has_next"`
+			}
+			if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil {
+				end()
+				return
+			}
+			for _, h := range answer.Hosts {
+				if fleet.ValidName(h.UID) {
+					all[h.UID] = h
+				}
+			}
+			if answer.HasNext && len(answer.Hosts) > 0 {
+				page(answer.Hosts[len(answer.Hosts)-1].UID)
+				return
+			}
+			w.listed, w.listAt = all, began
+			end()
+		})
+	}
+	re.Send("GET", "/catalog", nil, tuning.CloudTimeout, func(status int, body []byte, err error) {
+		builds := decodeCatalog(status, body, err)
+		if builds == nil {
+			end()
+			return
+		}
+		w.catalog, w.catalogAt = builds, re.Now
+		page("")
+	})
+}
+
+// takeWarm has a new leader start from what it has followed: the catalogue, and the list
+// if it was begun so long after the former leader's last rent that it has what was
+// rented. An older one could lack machines, which would be rented a second time.
+func (re *Rental) takeWarm() {
+	w, c := &re.warm, &re.cloud
+	if w.catalog == nil || re.Now.Sub(w.catalogAt) > 2*tuning.WarmEvery {
+		return
+	}
+	c.catalog, c.catalogAt = w.catalog, w.catalogAt
+	last := int64(0)
+	for _, a := range c.asked {
+		last = max(last, a.AtMs)
+	}
+	if w.listed != nil && re.Now.Sub(w.listAt) <= 2*tuning.WarmEvery && w.listAt.UnixMilli()-last > re.listSure().Milliseconds() {
+		c.listed, c.listAt = w.listed, w.listAt
+	}
+	*w = warm{}
+}
+
+// decodeCatalog reads the catalogue's answer, nil if it is none. Types whose names
+// cannot be part of a key are left out.
+func decodeCatalog(status int, body []byte, err error) map[string]*jobs.Build {
+	var answer struct {
+		Builds []*jobs.Build `json:"builds"`
+	}
+	if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil || len(answer.Builds) == 0 {
+		return nil
+	}
+	out := map[string]*jobs.Build{}
+	for _, b := range answer.Builds {
+		if b != nil && fleet.ValidName(b.Name) {
+			out[b.Name] = b
+		}
+	}
+	return out
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -166,6 +166,11 @@
 		s.w.Cloud.Limit = int(s.number(words[1]))
 	case "cloud": // cloud REQUESTS a second
 		s.set.Cluster.Cloud.RPS = s.number(words[1])
+	case "lists": // lists SECONDS: how late the cloud's are
+		s.w.Cloud.LagS = s.number(words[1])
+		s.set.Cluster.Cloud.ListLagS = s.w.Cloud.LagS
+	case "follow-cloud": // those that are to follow the leader read the cloud's list
+		s.set.Operator.FollowCloud = true
 	case "lease": // lease SECONDS of the workers
 		s.w.LeaseS = s.number(words[1])
 		s.set.Cluster.Workers.LeaseS = s.w.LeaseS
@@ -204,6 +209,14 @@
 		w.Nodes[name(0)].Leave()
 	case "refuse-peers": // refuse-peers NODE on|off: connections between it and the others
 		w.RefusePeers(name(0), args[1] == "on")
+	case "lag-next": // lag-next SECONDS: the watch of the controller that is to follow first
+		for _, n := range w.Order {
+			if w.Nodes[n].Turn() == 0 {
+				w.Store.Lag[n] = time.Duration(s.number(args[0]) * float64(time.Second))
+			}
+		}
+	case "lag-none":
+		clear(w.Store.Lag)
 	case "crash-warm": // crash-warm COUNT: the controllers that are to follow the leader
 		left := int(s.number(args[0]))
 		for _, n := range w.Order {
@@ -266,6 +279,8 @@
 		w.Store.Poison = strings.TrimPrefix(args[0], "none")
 	case "late": // late NODE SECONDS: its transactions arrive late
 		w.Store.Late[name(0)] = time.Duration(s.number(args[1]) * float64(time.Second))
+	case "lag": // lag NODE SECONDS: its watches tell of changes so much later
+		w.Store.Lag[name(0)] = time.Duration(s.number(args[1]) * float64(time.Second))
 	case "cloud":
 		w.Cloud.Down = args[0] == "down"
 	case "capacity":
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -26,6 +26,7 @@
 	MemberTTLS  float64
 	FinalCache  int
 	TakeOver    TakeOver        // when a controller that has ended is known for dead
+	FollowCloud bool            // those that are to follow the leader read the cloud's list, too
 	Packs       Packs           // when tasks of many jobs share a record
 	Pipelines   *Pipelines      // nil: turned off
 	Quotas      *quota.Document // nil: the platform's teams alone
@@ -78,7 +79,8 @@
 		FinalCache *int `hcl:"final_cache,optional"`
 	} `hcl:"users,block"`
 	Standby *struct {
-		TakeOver *string `hcl:"take_over,optional"`
+		TakeOver    *string `hcl:"take_over,optional"`
+		FollowCloud *bool   `hcl:"follow_cloud,optional"`
 	} `hcl:"standby,block"`
 	Records *struct {
 		Packs *string `hcl:"packs,optional"`
@@ -149,6 +151,9 @@
 		known := op.Packs == PacksOff || op.Packs == PacksScarce || op.Packs == PacksAlways
 		c.that(known, "records.packs", fmt.Sprintf("is %q; expected %q, %q or %q", *r.Packs, PacksOff, PacksScarce, PacksAlways))
 	}
+	if s := f.Standby; s != nil && s.FollowCloud != nil {
+		op.FollowCloud = *s.FollowCloud
+	}
 	if s := f.Standby; s != nil && s.TakeOver != nil {
 		op.TakeOver = TakeOver(*s.TakeOver)
 		c.that(op.TakeOver == TakeOverCalls || op.TakeOver == TakeOverLease, "standby.take_over", fmt.Sprintf("is %q; expected %q or %q", *s.TakeOver, TakeOverCalls, TakeOverLease))
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -96,7 +96,8 @@
 	DoCall   ActKind = "call"      // write calls
 	DoAnswer ActKind = "answer"    // remove the call of this controller
 	DoOut    ActKind = "out"       // change the view without these
-	DoLeave  ActKind = "hand over" // change the view to one without this controller, led by Names[0]
+	DoLeave  ActKind = "leave"     // change the view to one without this controller, led by Names[0]
+	DoPass   ActKind = "hand over" // change the view to one led by Names[0]
 )
 
 // suspect is what is known against one incarnation of a member.
@@ -121,6 +122,11 @@
 
 	suspects map[string]*suspect
 	leaving  bool
+	// unfit is since when it leads while it is behind; passing on has a pause of its own,
+	// so that controllers that are all behind do not pass the lead around.
+	unfit     time.Time
+	passedAt  time.Time
+	passPause time.Duration
 }
 
 // New is a controller that has just started.
@@ -207,6 +213,9 @@
 			acts = append(acts, Act{Kind: DoOut, Names: out})
 		}
 	}
+	if to := s.passOn(x); to != "" {
+		acts = append(acts, Act{Kind: DoPass, Names: []string{to}})
+	}
 	switch {
 	case x.Leader == x.Me && len(x.Unchecked) > 0:
 		return acts, s.become(Checking, "leads now", x.Now)
@@ -312,6 +321,25 @@
 	return -1
 }
 
+// passOn is who a leader hands the lead to because it is behind, for some time, with its
+// own loop or with the watch: what it decides comes late and conflicts. None if it isn't.
+func (s *Standby) passOn(x Situation) string {
+	if x.Leader != x.Me || x.Lag < tuning.UnfitLag {
+		s.unfit = time.Time{}
+		return ""
+	}
+	if s.unfit.IsZero() {
+		s.unfit = x.Now
+	}
+	to := Successors(x, s.suspected)
+	if x.Now.Sub(s.unfit) < tuning.UnfitFor || len(to) == 0 || s.suspected(to[0]) || !s.passedAt.IsZero() && x.Now.Sub(s.passedAt) < s.passPause {
+		return ""
+	}
+	s.unfit, s.passedAt = time.Time{}, x.Now
+	s.passPause = min(max(2*s.passPause, tuning.PassPause), tuning.PassPauseMost)
+	return to[0]
+}
+
 // delay is how long a controller leaves the first go to those before it. One that is
 // behind itself had better not be the one.
 func (x Situation) delay(rank int) time.Duration {
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -269,6 +269,9 @@
 // Standby is the state of a controller's readiness, and how many calls it saw answered.
 func (c *Node) Standby() (standby.State, int) { return c.n.Standby() }
 
+// Turn is a controller's place among those that are to follow the leader.
+func (c *Node) Turn() int { return c.n.Turn() }
+
 // Alive tells whether the process runs.
 func (c *Node) Alive() bool { return c.alive }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -25,6 +25,8 @@
 	// Lose drops the answers to a node's next transactions, Late delays the
 	// transactions themselves.
 	Lose map[string]int
+	// Lag delays the answers to a node's watches.
+	Lag  map[string]time.Duration
 	Late map[string]time.Duration
 	// RPS and WPS are limits that are enforced, with bursts of a second's
 	// worth; 0 enforces none. Refused counts what went beyond them.
@@ -97,7 +99,7 @@
 }
 
 func newStore(w *World) *Store {
-	s := &Store{w: w, Refuse: map[string]bool{}, items: map[string]storeItem{}, grants: map[uint64]*grant{}, Lose: map[string]int{}, Late: map[string]time.Duration{}}
+	s := &Store{w: w, Refuse: map[string]bool{}, items: map[string]storeItem{}, grants: map[uint64]*grant{}, Lose: map[string]int{}, Late: map[string]time.Duration{}, Lag: map[string]time.Duration{}}
 	var tick func()
 	tick = func() {
 		s.expire()
@@ -173,6 +175,9 @@
 				if s.SlowWatch > 0 && strings.HasPrefix(target, "/follow") {
 					slow = s.SlowWatch
 				}
+				if strings.HasPrefix(target, "/follow") {
+					slow += s.Lag[from]
+				}
 				if slow > 0 {
 					quick := answer
 					answer = func(status int, b []byte) { s.w.After(slow, func() { quick(status, b) }) }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -173,6 +173,13 @@
 	CallPauseMost = 60 * time.Second
 	// WarmStandbys: members that are ready to lead at once.
 	WarmStandbys = 2
+	// UnfitLag, UnfitFor: a leader that is so far behind for so long hands over. A
+	// single standstill is no reason, nor is a look that takes long.
+	UnfitLag = time.Second
+	UnfitFor = 3 * time.Second
+	// PassPause, PassPauseMost: before it hands over again, doubled each time.
+	PassPause     = 30 * time.Second
+	PassPauseMost = 10 * time.Minute
 	// LeaveUsers: how long a controller that was asked to end still serves users while
 	// it calls itself unhealthy: two failed probes, a second apart, and some air.
 	LeaveUsers = 2500 * time.Millisecond
@@ -447,6 +454,9 @@
 	ListSlack = 3 * time.Second
 	// ListEvery: how often the leader reads the cloud's list.
 	ListEvery = 3 * time.Second
+	// WarmEvery: how often a controller that is to follow the leader reads the catalogue
+	// and the list: at 2,000 machines five calls, a twentieth of the cloud's for two.
+	WarmEvery = 30 * time.Second
 	// CatalogEvery: how often prices are read.
 	CatalogEvery = 30 * time.Second
 	// SilentDelete: share of lease_s beyond lease_s after which a silent
