--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -180,11 +180,9 @@
 	return max(tuning.ListEvery, jobs.Seconds(pages/(re.Cluster.Cloud.RPS*tuning.ListShare)))
 }
 
-// readList reads the whole list, page by page.
-func (re *Rental) readList() {
-	c := &re.cloud
-	c.listRun = true
-	started := re.Now
+// readPages reads the whole list, page by page, by the calls that send makes, and hands
+// it to done; false if a page was not answered.
+func readPages(send func(target string, done func(int, []byte, error)), done func(map[string]fleet.Listed, bool)) {
 	all := map[string]fleet.Listed{}
 	var page func(since string)
 	page = func(since string) {
@@ -192,13 +190,13 @@
 		if since != "" {
 			target += "&since=" + since
 		}
-		re.cloudCall("GET", target, nil, func(status int, body []byte, err error) {
+		send(target, func(status int, body []byte, err error) {
 			var answer struct {
 				Hosts   []fleet.Listed `json:"hosts"`
 				HasNext bool           `json:"has_next"`
 			}
 			if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil {
-				c.listRun = false
+				done(nil, false)
 				return
 			}
 			for _, h := range answer.Hosts {
@@ -210,30 +208,44 @@
 				page(answer.Hosts[len(answer.Hosts)-1].UID)
 				return
 			}
-			c.listRun = false
-			for h := range c.listed {
-				if _, ok := all[h]; !ok && c.gone[h].IsZero() {
-					c.gone[h] = re.Now
-				}
+			done(all, true)
+		})
+	}
+	page("")
+}
+
+// readList reads the whole list.
+func (re *Rental) readList() {
+	c := &re.cloud
+	c.listRun = true
+	started := re.Now
+	send := func(target string, done func(int, []byte, error)) { re.cloudCall("GET", target, nil, done) }
+	readPages(send, func(all map[string]fleet.Listed, ok bool) {
+		c.listRun = false
+		if !ok {
+			return
+		}
+		for h := range c.listed {
+			if _, ok := all[h]; !ok && c.gone[h].IsZero() {
+				c.gone[h] = re.Now
 			}
-			for h := range all {
-				delete(c.gone, h)
-				if _, was := c.deleted[h]; was {
-					delete(all, h) // the list is older than the delete
-				}
+		}
+		for h := range all {
+			delete(c.gone, h)
+			if _, was := c.deleted[h]; was {
+				delete(all, h) // the list is older than the delete
 			}
-			for h, at := range c.deleted {
-				if re.Now.Sub(at) > tuning.ForgetGone {
-					delete(c.deleted, h)
-				}
+		}
+		for h, at := range c.deleted {
+			if re.Now.Sub(at) > tuning.ForgetGone {
+				delete(c.deleted, h)
 			}
-			c.listed, c.listAt = all, started
-			for h, at := range c.gone {
-				if re.Now.Sub(at) > tuning.ForgetGone {
-					delete(c.gone, h)
-				}
+		}
+		c.listed, c.listAt = all, started
+		for h, at := range c.gone {
+			if re.Now.Sub(at) > tuning.ForgetGone {
+				delete(c.gone, h)
 			}
-		})
-	}
-	page("")
+		}
+	})
 }
--- a/internal/rental/warm.go
+++ b/internal/rental/warm.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/fleet"
@@ -31,44 +30,22 @@
 	}
 	w.running, w.beganAt = true, re.Now
 	began := re.Now
-	all := map[string]fleet.Listed{}
-	end := func() { w.running = false }
-	var page func(since string)
-	page = func(since string) {
-		target := fmt.Sprintf("/hosts?limit=%d", tuning.CloudPage)
-		if since != "" {
-			target += "&since=" + since
-		}
-		re.Send("GET", target, nil, tuning.CloudTimeout, func(status int, body []byte, err error) {
-			var answer struct {
-				Hosts   []fleet.Listed `json:"hosts"`
-				HasNext bool           `json:"has_next"`
-			}
-			if err != nil || status != 200 || json.Unmarshal(body, &answer) != nil {
-				end()
-				return
-			}
-			for _, h := range answer.Hosts {
-				if fleet.ValidName(h.UID) {
-					all[h.UID] = h
-				}
-			}
-			if answer.HasNext && len(answer.Hosts) > 0 {
-				page(answer.Hosts[len(answer.Hosts)-1].UID)
-				return
-			}
-			w.listed, w.listAt = all, began
-			end()
-		})
+	send := func(target string, done func(int, []byte, error)) {
+		re.Send("GET", target, nil, tuning.CloudTimeout, done)
 	}
-	re.Send("GET", "/catalog", nil, tuning.CloudTimeout, func(status int, body []byte, err error) {
+	send("/catalog", func(status int, body []byte, err error) {
 		builds := decodeCatalog(status, body, err)
 		if builds == nil {
-			end()
+			w.running = false
 			return
 		}
 		w.catalog, w.catalogAt = builds, re.Now
-		page("")
+		readPages(send, func(all map[string]fleet.Listed, ok bool) {
+			w.running = false
+			if ok {
+				w.listed, w.listAt = all, began
+			}
+		})
 	})
 }
 
