--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -267,7 +267,8 @@
 		If:     []store.Cond{me.cond(members.ViewKey), me.cond(members.MemberPrefix + me.Me)},
 		Writes: []store.Write{decide.Put(members.ViewKey, next)},
 	}
-	for _, name := range me.silent {
+	silent := me.silent
+	for _, name := range silent {
 		t = me.without(t, name)
 	}
 	// What a member did not hear ends with its place in the view. When it comes
@@ -286,8 +287,8 @@
 	me.Client.Multi(store.Membership, t, func(epoch uint64, _ []string, err error) {
 		me.viewBusy = false
 		if err == nil {
-			if len(me.silent) > 0 {
-				me.Log.Info("left out of the view, calls unanswered", "members", me.silent)
+			if len(silent) > 0 {
+				me.Log.Info("left out of the view, calls unanswered", "members", silent)
 			}
 			me.Log.Info("view changed", "epoch", next.Epoch, "leader", next.Leader, "members", len(next.Members))
 			me.Mirror.Commit(t.Writes, epoch)
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -186,7 +186,7 @@
 		if _, called := x.Calls[x.Me]; called && !x.Down {
 			acts = append(acts, Act{Kind: DoAnswer})
 		}
-		return acts, s.become(Cold, "outside the view", x.Now)
+		return acts, s.become(Cold, "outside the view, or not certain of its place", x.Now)
 	}
 	if _, called := x.Calls[x.Me]; called && !s.leaving {
 		acts = append(acts, Act{Kind: DoAnswer})
