--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -183,6 +183,12 @@
 	// PassPause, PassPauseMost: before it hands over again, doubled each time.
 	PassPause     = 30 * time.Second
 	PassPauseMost = 10 * time.Minute
+	// RollQuiet: share of its machines that an owner may not hear while another
+	// controller is ended. RollStands: how long nothing may have stood against it.
+	// RollLook: pause between two looks of whoever waits for that.
+	RollQuiet  = 0.1
+	RollStands = 10 * time.Second
+	RollLook   = time.Second
 	// LeaveUsers: how long a controller that was asked to end still serves users while
 	// it calls itself unhealthy: two failed probes, a second apart, and some air.
 	LeaveUsers = 2500 * time.Millisecond
