Leader: a look at an empty queue puts off none

Cause: with packs the leader looks at the queue at most every 0.3 to 0.4 s, and looks at an empty one counted: a job that came to an idle queue waited for the next turn, after a hand-over up to 0.5 s. Change: only a look at a queue that holds something counts.

--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -21,6 +21,7 @@
 	closing    map[string]bool
 	movedAt    time.Time
 	releasedAt time.Time // last look at the queue
+	idle       bool      // it was empty then
 	clearedAt  time.Time // last look for packs of no more use
 	turn       int       // which duty has the first go at the budget
 }
@@ -65,12 +66,13 @@
 		if !n.client.Spare() {
 			gap = tuning.PackShort
 		}
-		if n.Now.Sub(n.lead.releasedAt) < gap {
+		// A look at an empty queue puts off none: the next job is looked at as it comes.
+		if !n.lead.idle && n.Now.Sub(n.lead.releasedAt) < gap {
 			return
 		}
 	}
 	if n.client.Allows(0, least) || n.Now.Sub(n.lead.releasedAt) > tuning.ReleaseLate {
-		n.lead.releasedAt = n.Now
+		n.lead.releasedAt, n.lead.idle = n.Now, len(n.Queued) == 0
 		n.queue.Release()
 	}
 }
