Stand-in: an answer that was on its way when the user was told something newer breaks no rule

PROTOCOL forbids to answer with something older once the user has been told. Change: the users' stand-in notes when an answer left its controller, and breaks the rule only for one that left after the user was told. Which of two requests at once is answered last is chance.

--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -304,9 +304,14 @@
 	if w.Door != "" {
 		name = w.Door
 	}
+	var sent time.Time
 	w.call("user", name, 5*time.Second, func(answer func(int, []byte)) {
-		w.Nodes[name].request(method, target, body, answer)
+		w.Nodes[name].request(method, target, body, func(status int, b []byte) {
+			sent = w.Now
+			answer(status, b)
+		})
 	}, func(status int, b []byte, err error) {
+		w.sent = sent
 		if err == nil {
 			w.checkLines(name, b)
 			if status == 503 && method == "POST" {
@@ -398,7 +403,10 @@
 		return
 	}
 	if (j.Told == "done" || j.Told == "cancelled") && s.Status != j.Told {
-		w.Break("went_back: %s was %s, is %s", j.UID, j.Told, s.Status)
+		if !w.sent.After(j.ToldAt) {
+			return // it was on its way when the user was told: of two requests at once either answer may come last
+		}
+		w.Break("went_back: %s was %s, is %s, answered %v later", j.UID, j.Told, s.Status, w.sent.Sub(j.ToldAt))
 	}
 	if s.Status == "cancelled" && !j.AbortAsked {
 		w.Break("went_back: %s is cancelled by nobody", j.UID)
@@ -409,7 +417,9 @@
 	if s.Status == "done" && s.Done != nil && *s.Done != j.Pieces {
 		w.Break("shown wrong: %s is done with %d of %d", j.UID, *s.Done, j.Pieces)
 	}
-	j.Told = s.Status
+	if j.Told != s.Status {
+		j.Told, j.ToldAt = s.Status, w.Now
+	}
 }
 
 // Abort cancels a job, repeating until it is answered.
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -41,11 +41,12 @@
 	LeaseS, ReportS, CancelS, GangWaitS, GangPeerS float64
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
-	Sent503                                        int    // answers to submissions and cancellations
-	Breaches                                       int    // of the protocol's limits, in Broken as well
-	Real                                           *Real  // set when the parties speak over sockets
-	Door                                           string // the node that users reach, any if empty
-	Expired                                        int    // leases that ran out with tasks on the machine
+	sent                                           time.Time // when the answer that is being taken left its controller
+	Sent503                                        int       // answers to submissions and cancellations
+	Breaches                                       int       // of the protocol's limits, in Broken as well
+	Real                                           *Real     // set when the parties speak over sockets
+	Door                                           string    // the node that users reach, any if empty
+	Expired                                        int       // leases that ran out with tasks on the machine
 }
 
 // Real carries what the world otherwise does by itself over sockets.
@@ -87,6 +88,7 @@
 	CancelledAt         time.Time
 	Done                map[int]bool
 	Told                string // newest status told
+	ToldAt              time.Time
 	AbortAsked          bool
 	Starts              int // of its tasks
 	FirstStart,
