--- a/internal/membership/calls.go
+++ b/internal/membership/calls.go
@@ -55,7 +55,7 @@
 func (me *Membership) look() {
 	me.silent = nil
 	v := me.View()
-	x := standby.Situation{Now: me.Now, Me: me.Me, Zone: me.ZoneOf[me.Me], Calls: me.calls, Down: me.Client.Down()}
+	x := standby.Situation{Now: me.Now, Me: me.Me, Calls: me.calls, Down: me.Client.Down()}
 	if v != nil {
 		x.Inside = me.Live() && me.Sure() && v.Inc(me.Me) == me.hold && me.hold != 0
 		x.Leader = v.Leader
--- a/internal/roll/roll.go
+++ b/internal/roll/roll.go
@@ -153,10 +153,8 @@
 		out, last = append(out, best), zones[best]
 		left = slices.DeleteFunc(left, func(n string) bool { return n == best })
 	}
-	if zones[leader] != "" || slices.ContainsFunc(all, func(c Controller) bool { return c.Name == leader }) {
-		if !slices.Contains(done, leader) {
-			out = append(out, leader)
-		}
+	if _, named := zones[leader]; named && !slices.Contains(done, leader) {
+		out = append(out, leader)
 	}
 	return out
 }
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -67,7 +67,6 @@
 type Situation struct {
 	Now     time.Time
 	Me      string
-	Zone    string
 	Inside  bool // in the view, reading along, certain of its place
 	Leader  string
 	Members []Member
--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -27,7 +27,6 @@
 	mostRent    = 50        // machines of a request
 	mostDelete  = 100       // machines of a request
 	mostListed  = 500       // machines of a page
-	mostRetry   = 30        // s that a user waits at most when told so
 )
 
 // Breach notes a request or an answer that the protocol forbids: a correct program
