Standby: one look at the order of successors, no condition twice, checks not looked at once done

Read again: the order of who follows was worked out twice a look; a change of view held the leader's key as a condition twice when it was the one left out; a leader went through its checks on every pass for as long as it led; Membership.Left was called by nobody. The debug line of a change of state now says how long the last one stood.

--- a/internal/membership/calls.go
+++ b/internal/membership/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/decide"
@@ -41,16 +40,11 @@
 }
 
 // Turn is its place among those that are to follow the leader, -1 if it has none.
-func (me *Membership) Turn() int { return me.turn }
+func (me *Membership) Turn() int { return me.standby.Turn }
 
-// Leave has this controller give its place away, Left tells whether it has.
+// Leave has this controller give its place away.
 func (me *Membership) Leave() { me.standby.Leave() }
 
-// Left tells whether the view that is known lacks this controller.
-func (me *Membership) Left() bool {
-	return me.View() == nil || members.RoleOf(me.View(), me.Me, me.hold) == members.Outside
-}
-
 // look has the standby look at how things are, and does what it says.
 func (me *Membership) look() {
 	me.silent = nil
@@ -65,10 +59,10 @@
 		}
 	}
 	x.Lag, x.Unchecked = me.Lag(), me.Unchecked()
+	since := me.standby.Since
 	acts, changed := me.standby.Look(x)
-	_, me.turn = me.standby.Rank(x)
 	if changed {
-		me.Log.Debug("standby", "state", string(me.standby.State), "why", me.standby.Why)
+		me.Log.Debug("standby", "state", string(me.standby.State), "why", me.standby.Why, "after_ms", me.Now.Sub(since).Milliseconds())
 	}
 	for _, a := range acts {
 		switch a.Kind {
@@ -102,11 +96,8 @@
 // back as a new incarnation or not at all.
 func (me *Membership) without(t store.Txn, name string) store.Txn {
 	call, key, form := standby.CallPrefix+name, members.MemberPrefix+name, members.FormPrefix+name
-	t.If = append(t.If, me.cond(call))
+	t.If = append(t.If, me.cond(call), me.cond(key))
 	t.Writes = append(t.Writes, decide.Remove(call), decide.Remove(key), decide.Remove(form))
-	if !slices.Contains(t.If, me.cond(key)) {
-		t.If = append(t.If, me.cond(key))
-	}
 	return t
 }
 
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
@@ -69,7 +70,6 @@
 	calling   bool
 	answering bool
 	silent    []string // members whose calls are unanswered, to be left out of the view
-	turn      int      // place among those that are to follow the leader
 	leaving   bool     // this controller gives its place away
 	left      bool     // and has
 }
@@ -279,9 +279,8 @@
 			t.Writes = append(t.Writes, decide.Remove(key))
 		}
 	}
-	if me.View() != nil && me.View().Leader != me.Me {
-		key := members.MemberPrefix + me.View().Leader
-		t.If = append(t.If, store.Cond{Key: key, Stamp: me.Mirror.Stamp(key)})
+	if v := me.View(); v != nil && v.Leader != me.Me && !slices.Contains(silent, v.Leader) {
+		t.If = append(t.If, me.cond(members.MemberPrefix+v.Leader))
 	}
 	me.viewBusy = true
 	me.Client.Multi(store.Membership, t, func(epoch uint64, _ []string, err error) {
--- a/internal/node/standby.go
+++ b/internal/node/standby.go
@@ -49,6 +49,9 @@
 		return
 	}
 	n.checks.Begin(n.roleEpoch, n.Now)
+	if n.checks.Done() {
+		return
+	}
 	for _, c := range []struct {
 		check standby.Check
 		holds bool
@@ -63,7 +66,7 @@
 	} {
 		if first, after := n.checks.Note(c.check, c.holds, n.Now); first {
 			n.log.Debug("checked", "what", string(c.check), "after_ms", after.Milliseconds(), "epoch", n.roleEpoch)
-			if len(n.checks.Left()) == 0 {
+			if n.checks.Done() {
 				n.log.Info("leads, all checked", "epoch", n.roleEpoch, "after_ms", after.Milliseconds())
 			}
 		}
--- a/internal/standby/checks.go
+++ b/internal/standby/checks.go
@@ -84,6 +84,9 @@
 	return slices.DeleteFunc(All(), func(k Check) bool { _, done := c.done[k]; return done })
 }
 
+// Done tells whether nothing is left to check.
+func (c *Checks) Done() bool { return len(c.done) == len(All()) }
+
 // May tells whether a duty's checks are done.
 func (c *Checks) May(d Duty) bool {
 	for _, k := range needs[d] {
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -116,6 +116,8 @@
 	State State
 	Why   string
 	Since time.Time
+	// Turn is its place among those that are to follow the leader, -1 if it has none.
+	Turn int
 	// FalseAlarms counts calls that were answered.
 	FalseAlarms int
 
@@ -179,6 +181,8 @@
 // changes; changed tells that it did.
 func (s *Standby) Look(x Situation) (acts []Act, changed bool) {
 	s.compare(x)
+	rank, follows := s.rank(x)
+	s.Turn = follows
 	if !x.Inside {
 		// What it would decide is not its to decide. It still answers: a call means
 		// that others count it in.
@@ -193,7 +197,6 @@
 	if x.Down {
 		return nil, false // nothing can be called, answered or changed
 	}
-	rank, mayFollow := s.Rank(x)
 	if s.leaving {
 		to := Successors(x, s.suspected)
 		if x.Leader != x.Me {
@@ -222,7 +225,7 @@
 		return acts, s.become(Leading, "all is checked", x.Now)
 	case rank >= 0 && s.suspected(x.Leader):
 		return acts, s.become(Calling, "the leader's connection ended", x.Now)
-	case mayFollow >= 0 && mayFollow < tuning.WarmStandbys:
+	case follows >= 0 && follows < tuning.WarmStandbys:
 		return acts, s.become(Warm, "among the first to follow", x.Now)
 	}
 	return acts, s.become(Following, "in the view", x.Now)
@@ -272,10 +275,10 @@
 	}
 }
 
-// Rank tells when it is this controller's turn to act on a suspicion: the leader's
+// rank tells when it is this controller's turn to act on a suspicion: the leader's
 // first; after a suspected leader the others' in the order in which they follow it. It
 // is -1 while it is not its turn at all. follows is its place among those.
-func (s *Standby) Rank(x Situation) (rank, follows int) {
+func (s *Standby) rank(x Situation) (rank, follows int) {
 	follows = slices.Index(Successors(x, s.suspected), x.Me)
 	switch {
 	case x.Leader == x.Me:
@@ -287,8 +290,8 @@
 }
 
 // Successors orders the members by who should lead next: those that nobody suspects,
-// of other zones than the leader's first, then by a hash-like turn of names that differs
-// from leader to leader.
+// of other zones than the leader's first, then by name in turn after the leader's, so
+// that not the same one follows every leader.
 func Successors(x Situation, suspected func(string) bool) []string {
 	zone := ""
 	for _, m := range x.Members {
