--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,10 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"strings"
+	"unicode"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
 // HostPrefix is the prefix of machine records in the state service.
@@ -69,6 +73,12 @@
 	return s, false
 }
 
+// ValidName tells whether a name, of a machine or of what the cloud rents, can be part
+// of a key of the state service: keys have at most 200 bytes and no spaces.
+func ValidName(name string) bool {
+	return name != "" && len(name) <= tuning.MaxHostName && !strings.ContainsFunc(name, func(r rune) bool { return unicode.IsSpace(r) || unicode.IsControl(r) })
+}
+
 // Host is a machine's record.
 type Host struct {
 	State    State  `json:"s"`
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
@@ -135,3 +136,43 @@
 		t.Errorf("another: %d %s", r.Status, r.Body)
 	}
 }
+
+// A job whose record would pass a value's limit once its end is added could never end:
+// it is refused as it comes, the largest that can end is not.
+func TestRecordFitsWithItsEnd(t *testing.T) {
+	body := func(bundle int) string {
+		return `{"uid":"wk-1","jobclass":"c","owner":"team","shape":"sweep","rank":"standard","pieces":100000,"cores":1,"accelerators":1,"memory_gb":1,"bundle":"` + strings.Repeat("b", bundle) + `","pull_gb":1,"expect_s":1,"snapshot_s":0,"stash_s":0}`
+	}
+	accepted := 0
+	for bundle := 8192; bundle > 0; bundle-- {
+		d := newDoor(t, false)
+		record := ""
+		d.state = func(method, _, sent string) (int, string) {
+			if method == "POST" {
+				record = sent
+				return 200, `{"epoch":8}`
+			}
+			return 404, `{"epoch":7}`
+		}
+		r := d.ask("POST", "/work", body(bundle))
+		if r.Status == 400 && record == "" {
+			continue
+		}
+		if accepted++; r.Status != 201 {
+			t.Fatal(r.Status, string(r.Body))
+		}
+		j := d.Jobs["wk-1"]
+		j.Done = j.Rec.Spec.Pieces - 1
+		for _, state := range []jobs.JobState{jobs.Done, jobs.Cancelled} {
+			for _, w := range ending.Writes(j, state, 1<<62) {
+				if len(w.Value) > 8192 {
+					t.Fatalf("%d bytes in %s as %s", len(w.Value), w.Put, state)
+				}
+			}
+		}
+		break
+	}
+	if accepted != 1 {
+		t.Error("no job was accepted")
+	}
+}
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -345,9 +345,13 @@
 	return decide.Put(jobs.JobPrefix+spec.UID, jobs.Record{State: jobs.Live, AtMs: fr.Ms(), Spec: *spec}), jobs.FinalPrefix + spec.UID
 }
 
+// tooLong tells whether a job's record does not fit into a value with what its end adds
+// to it: it could never end.
+func (fr *Front) tooLong(w store.Write) bool { return len(w.Value)+jobs.EndBytes > fr.sliceLimit() }
+
 func (fr *Front) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
 	w, final := fr.acceptance(spec)
-	if len(w.Value) > int(fr.Set.Cluster.State.ValueKB*1024) {
+	if fr.tooLong(w) {
 		respond(wire.Reply{Status: 400, Body: wire.ErrorBody("description too long")})
 		return
 	}
--- a/internal/front/runs.go
+++ b/internal/front/runs.go
@@ -140,7 +140,13 @@
 }
 
 func (w runWorld) Judge(spec *jobs.Spec) string {
-	return jobs.CanEverRun(spec, w.fr.Account.Tree(), w.fr.Builds)
+	if why := jobs.CanEverRun(spec, w.fr.Account.Tree(), w.fr.Builds); why != "" {
+		return why
+	}
+	if record, _ := w.fr.acceptance(spec); w.fr.tooLong(record) {
+		return "its description is too long"
+	}
+	return ""
 }
 
 // pipelinesPath is where users' requests about runs go.
--- a/internal/jobs/records.go
+++ b/internal/jobs/records.go
@@ -58,6 +58,10 @@
 	Spec  Spec     `json:"spec"`
 }
 
+// EndBytes is what a job's end adds to its record at most: the longer state, the time
+// of day and the count of tasks.
+const EndBytes = len("cancelled") + len(`,"end":9223372036854775807,"n":100000`)
+
 // Final is what is kept of a job for ever.
 type Final struct {
 	State JobState `json:"s"`
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	"github.com/harrierreel/harrierreel/internal/queue"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/records"
+	"github.com/harrierreel/harrierreel/internal/refusals"
 	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/sight"
@@ -49,6 +50,27 @@
 	Hint   func(peer string, line []byte)
 }
 
+// counted is the same with all answers that are refusals counted.
+func (o Outside) counted(c *refusals.Counter) Outside {
+	wrap := func(party refusals.Party, call store.Call) store.Call {
+		return func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+			call(method, target, body, timeout, func(status int, answer []byte, err error) {
+				c.Note(party, method, target, status, answer)
+				done(status, answer, err)
+			})
+		}
+	}
+	worker := o.Worker
+	o.State, o.Watch, o.Cloud = wrap(refusals.State, o.State), wrap(refusals.State, o.Watch), wrap(refusals.Cloud, o.Cloud)
+	o.Worker = func(endpoint, method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+		worker(endpoint, method, target, body, timeout, func(status int, answer []byte, err error) {
+			c.Note(refusals.Worker, method, target, status, answer)
+			done(status, answer, err)
+		})
+	}
+	return o
+}
+
 // Node is one controller.
 type Node struct {
 	set *settings.Settings
@@ -74,6 +96,7 @@
 	late   []late          // conflicted, to be settled when the watch has come so far
 	ending int             // writes of jobs' ends under way
 	aside  decide.Aside    // decisions that can't be committed
+	said   refusals.Counter
 
 	front  *front.Front
 	lead   leader
@@ -92,10 +115,12 @@
 // New makes a node.
 func New(set *settings.Settings, out Outside, log *slog.Logger, rng *rand.Rand) *Node {
 	n := &Node{
-		set: set, out: out, log: log, rng: rng,
+		set: set, log: log, rng: rng,
 		role: members.Outside,
 		busy: map[string]bool{},
 	}
+	n.out = out.counted(&n.said)
+	out = n.out
 	n.Book = book.New(quota.Flat(set.TeamMap()), func(host string) {
 		n.part.Touch(host)
 		n.dirty = true
@@ -170,6 +195,7 @@
 		n.sayHints()
 		n.front.KeepPolls()
 		n.sayChanges()
+		n.sayRefusals()
 		n.dirty = true
 	})
 }
@@ -265,6 +291,20 @@
 	}
 }
 
+// sayRefusals logs which calls were refused, once a minute.
+func (n *Node) sayRefusals() {
+	wrong, load := n.said.Due(n.Now)
+	if wrong != "" {
+		n.log.Error("calls refused that should not have been made", "calls", wrong)
+	}
+	if load != "" {
+		n.log.Info("calls refused", "calls", load)
+	}
+}
+
+// Wrong counts the calls and decisions so far that a correct program never makes.
+func (n *Node) Wrong() int { return n.said.Wrong + n.aside.Count }
+
 // changed takes a change of the mirror into the typed state. An unreadable
 // record is reported and set aside: it stays in the store, and nothing is
 // decided from it.
@@ -364,7 +404,16 @@
 }
 
 // Request takes a request from the front door. respond is called exactly once.
-func (n *Node) Request(m *wire.Message, respond func(wire.Reply)) { n.front.Request(m, respond) }
+func (n *Node) Request(m *wire.Message, respond func(wire.Reply)) {
+	party := refusals.Workers
+	if front.IsUsers(m) {
+		party = refusals.Users
+	}
+	n.front.Request(m, func(r wire.Reply) {
+		n.said.Note(party, m.Method, m.Target, r.Status, r.Body)
+		respond(r)
+	})
+}
 
 // isBusy tells whether a record is under a transaction.
 func (n *Node) isBusy(key string) bool { return n.busy[key] }
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -28,7 +28,7 @@
 // Beat answers a worker's report.
 func (pt *Part) Beat(body []byte, respond func(wire.Reply)) {
 	var r workers.Report
-	if err := json.Unmarshal(body, &r); err != nil || r.Host == "" || len(r.Host) > tuning.MaxHostName {
+	if err := json.Unmarshal(body, &r); err != nil || !fleet.ValidName(r.Host) {
 		respond(wire.Reply{Status: 400, Body: wire.ErrorBody("not a report")})
 		return
 	}
@@ -149,18 +149,20 @@
 		return out
 	}
 	for _, piece := range book.Sorted(s.Pieces) {
-		p, t := s.Pieces[piece], pt.OnHost[s.Host][piece]
-		if t != nil && t.Try == p.Try || pt.writing(piece) {
-			continue // recorded here, or its record is being written
-		}
-		if p.Status == workers.Ended {
-			// Reaped only now: its end is committed, for no record names it.
-			out.orders = append(out.orders, workers.Order{Verb: workers.Reap, Piece: piece, Try: p.Try})
-			s.Forget(piece, p.Try)
-			continue
+		t := pt.OnHost[s.Host][piece]
+		for _, p := range s.Pieces[piece] {
+			if t != nil && t.Try == p.Try || pt.writing(piece) {
+				continue // recorded here, or its record is being written
+			}
+			if p.Status == workers.Ended {
+				// Reaped only now: its end is committed, for no record names it.
+				out.orders = append(out.orders, workers.Order{Verb: workers.Reap, Piece: piece, Try: p.Try})
+				s.Forget(piece, p.Try)
+				continue
+			}
+			zero := 0.0
+			out.orders = append(out.orders, workers.Order{Verb: workers.Stop, Piece: piece, Try: p.Try, WindDownS: &zero})
 		}
-		zero := 0.0
-		out.orders = append(out.orders, workers.Order{Verb: workers.Stop, Piece: piece, Try: p.Try, WindDownS: &zero})
 	}
 	return out
 }
--- a/internal/pipelines/view.go
+++ b/internal/pipelines/view.go
@@ -114,6 +114,10 @@
 				open = append(open, p.Groups[need].Name)
 			}
 		}
+		if more := len(open) - tuning.MostNamedSteps; more > 0 {
+			// A status has a line for each step, and no line may be above 64 KiB.
+			open = append(open[:tuning.MostNamedSteps], fmt.Sprintf("%d more", more))
+		}
 		if len(open) > 0 {
 			say("waits for %s to end; runs then when %s", strings.Join(open, ", "), condition)
 		} else {
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -66,7 +66,7 @@
 		q.holdFor(all[0].Anywhere(), min(spec.Pieces, tuning.HoldEach), q.Zones(j), p)
 		return
 	}
-	if whole {
+	if whole && q.inOne(spec, offers) {
 		if d, ok := q.offerGang(j, offers); ok {
 			p.ds = append(p.ds, d)
 			return
@@ -80,6 +80,20 @@
 	q.claimGang(j, all, hosts, try)
 }
 
+// inOne tells whether one transaction can place a gang, with a condition for each
+// machine and the records of all its tasks. The part that it is offered to places it
+// in one decision; a larger gang is placed on claimed machines, in several.
+func (q *Queue) inOne(spec *jobs.Spec, offers []offer) bool {
+	hosts := map[string]bool{}
+	for _, o := range offers {
+		hosts[o.host] = true
+	}
+	// View, fence and quotas, the job, and a slice that the first task does not begin.
+	const others = 5
+	slices := spec.Pieces/q.SliceMost + 1
+	return len(hosts)+slices+others <= q.TxnOps*tuning.CondsPerOp && spec.Pieces*tuning.SliceTaskBytes <= tuning.TxnBytes
+}
+
 // offerGang is the one decision that gives a whole gang to the part that all
 // its machines belong to; the leader's own part places it at once.
 func (q *Queue) offerGang(j *book.Job, offers []offer) (decide.Decision, bool) {
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -155,7 +155,7 @@
 		c.catalog = map[string]*jobs.Build{}
 		var ds []decide.Decision
 		for _, b := range answer.Builds {
-			if b == nil || b.Name == "" || len(b.Name) > 150 {
+			if b == nil || !fleet.ValidName(b.Name) {
 				continue
 			}
 			c.catalog[b.Name] = b
@@ -205,7 +205,9 @@
 				return
 			}
 			for _, h := range answer.Hosts {
-				all[h.UID] = h
+				if fleet.ValidName(h.UID) {
+					all[h.UID] = h
+				}
 			}
 			if answer.HasNext && len(answer.Hosts) > 0 {
 				page(answer.Hosts[len(answer.Hosts)-1].UID)
--- a/internal/rental/rent.go
+++ b/internal/rental/rent.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"sort"
+	"time"
 
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -147,7 +148,14 @@
 			re.rentEnded(got.Error == "no capacity")
 		case again < tuning.RentRetries && err != errOldView && (err != nil || status == 429):
 			re.rent(a, again+1)
-		case status == 429 || status == 400:
+		case status == 400:
+			// Asked for alike at every step it would be refused at every step: the
+			// catalogue may have changed, and is read again.
+			c.refused[k.String()] = re.Now.Add(tuning.NoCapacity)
+			c.catalogAt = time.Time{}
+			re.dropAsked(a.Hire)
+			re.rentEnded(true)
+		case status == 429:
 			re.dropAsked(a.Hire)
 			re.rentEnded(false)
 		default:
--- a/internal/rental/rental_test.go
+++ b/internal/rental/rental_test.go
@@ -28,6 +28,7 @@
 	hires  []string
 	gone   []string // deleted
 	full   bool     // the cloud has no more machines
+	wrong  bool     // the cloud calls rents malformed
 	taken  []decide.Decision
 	quiet  map[string]time.Time
 }
@@ -106,6 +107,10 @@
 		}
 		_ = json.Unmarshal(body, &a)
 		o.hires = append(o.hires, a.Hire)
+		if o.wrong {
+			done(400, []byte(`{}`), nil)
+			return
+		}
 		if o.full {
 			done(503, []byte(`{"error":"no capacity"}`), nil)
 			return
@@ -176,6 +181,23 @@
 	}
 }
 
+// A rent that the cloud calls malformed is not sent alike at every step.
+func TestMalformed(t *testing.T) {
+	o := newOffice(t)
+	o.wrong = true
+	o.job("wk-1", 8)
+	o.run(40)
+	asked := len(o.hires)
+	if asked == 0 || asked > 8 {
+		t.Errorf("asked %d times in four steps", asked)
+	}
+	o.wrong = false
+	o.run(90)
+	if len(o.hires) == asked {
+		t.Error("never asked again")
+	}
+}
+
 // A machine that never comes up, one that stopped, one that is silent for long and
 // one without a record that holds tasks are deleted; healthy ones are not.
 func TestCondemns(t *testing.T) {
--- a/internal/scenario/packs_test.go
+++ b/internal/scenario/packs_test.go
@@ -51,6 +51,7 @@
 				}
 			}
 			w.RunUntil(800 * time.Second)
+			w.CheckRefused()
 			for _, b := range w.Broken {
 				t.Error(b)
 			}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -98,6 +98,9 @@
 		s.w.RunUntil(time.Duration(at * float64(time.Second)))
 		s.do(words[1], words[2:])
 	}
+	if s.w.Store.Poisoned == 0 {
+		s.w.CheckRefused()
+	}
 	for _, b := range s.w.Broken {
 		t.Errorf("%s: rule broken at %s", file, b)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/quota"
 )
 
@@ -126,12 +127,14 @@
 	faults, fields := decode(b, s)
 	c := &check{errs: faults, told: fields}
 	c.that(s.NodeName != "", "node_name", "is missing")
+	c.that(s.NodeName == "" || fleet.ValidName(s.NodeName), "node_name", "is no name that can be part of a key: at most 150 bytes, no spaces")
 	c.address("front", s.Front)
 	c.address("peer_listen", s.PeerListen)
 	seen := map[string]bool{s.NodeName: true}
 	for i, p := range s.Peers {
 		field := fmt.Sprintf("peers[%d]", i)
 		c.that(p.NodeName != "", field+".node_name", "is missing")
+		c.that(p.NodeName == "" || fleet.ValidName(p.NodeName), field+".node_name", "is no name that can be part of a key: at most 150 bytes, no spaces")
 		c.that(!seen[p.NodeName], field+".node_name", "is used twice")
 		seen[p.NodeName] = true
 		c.address(field+".address", p.Address)
@@ -160,6 +163,8 @@
 	c.positive("cluster.state.write_rps", k.State.WriteRPS)
 	c.that(k.State.ValueKB >= 1, "cluster.state.value_kb", "must be at least 1")
 	c.that(k.State.TxnOps >= 4, "cluster.state.txn_ops", "must be at least 4")
+	// The view changes in one transaction, with a change for each member that left.
+	c.that(k.Size <= k.State.TxnOps, "cluster.size", "must not be above cluster.state.txn_ops")
 	c.positive("cluster.cloud.rps", k.Cloud.RPS)
 	c.that(k.Cloud.ListLagS >= 0, "cluster.cloud.list_lag_s", "must not be negative")
 	c.positive("cluster.limits.memory_mb", k.Limits.MemoryMB)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -63,6 +63,13 @@
 			t.Errorf("%s is not named in %q", field, text)
 		}
 	}
+	// What becomes part of a key, and what one transaction must hold.
+	keys := strings.NewReplacer(`node_name = "n0"`, `node_name = "n 0"`, `node_name = "n1"`, `node_name = "`+strings.Repeat("n", 151)+`"`, `size = 2`, `size = 17`).Replace(good)
+	_, errs = Parse([]byte(keys))
+	text = errors.Join(errs...).Error()
+	if len(errs) != 3 || !strings.Contains(text, "cluster.size: must not be above") || !strings.Contains(text, "peers[0].node_name: is no name") {
+		t.Error(text)
+	}
 	if _, errs := Parse([]byte("= nonsense")); len(errs) == 0 {
 		t.Error("nonsense was taken")
 	}
--- a/internal/standin/limits.go
+++ b/internal/standin/limits.go
@@ -1,9 +1,11 @@
 package standin
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -38,6 +40,8 @@
 // Enforce has the other services keep the limits that the settings state.
 func (w *World) Enforce(c settings.Cluster) {
 	w.Store.ValueKB, w.Store.TxnOps = c.State.ValueKB, c.State.TxnOps
+	w.Store.RPS, w.Store.WPS = c.State.RPS, c.State.WriteRPS
+	w.Cloud.RPS = c.Cloud.RPS
 }
 
 // multi is a transaction.
@@ -145,6 +149,72 @@
 	return ""
 }
 
+// CheckRefused holds against the controllers that run what they were refused, or could
+// not commit, and a correct program never asks for.
+func (w *World) CheckRefused() {
+	for _, name := range w.Order {
+		if c := w.Nodes[name]; c.alive && c.n.Wrong() > 0 {
+			w.Breach("%s counts %d calls or decisions refused that it should not have made", name, c.n.Wrong())
+		}
+	}
+}
+
+// ordersFault tells what is wrong with commands, "" if nothing is.
+func ordersFault(orders []order) string {
+	for _, o := range orders {
+		_, _, ok := jobs.SplitPiece(o.Piece)
+		if !ok || o.Try == 0 || o.Verb != "launch" && o.Verb != "stop" && o.Verb != "reap" {
+			return fmt.Sprintf("order %+v", o)
+		}
+	}
+	return ""
+}
+
+// checkAnswer holds an answer to a report against the protocol; baton is the highest
+// that the worker had seen when it reported.
+func (wk *Worker) checkAnswer(node string, status int, body []byte, baton uint64) {
+	wk.w.checkLines(node, body)
+	var r struct {
+		Baton  *uint64 `json:"baton"`
+		Orders []order `json:"orders"`
+	}
+	switch status {
+	case 421, 503:
+	case 200:
+		if json.Unmarshal(body, &r) != nil || r.Baton == nil || *r.Baton < baton {
+			wk.w.Breach("%s answers %s's report under baton %d with 200 and %.80s", node, wk.h.ID, baton, body)
+		}
+		if why := ordersFault(r.Orders); why != "" {
+			wk.w.Breach("%s sends %s %s", node, wk.h.ID, why)
+		}
+	default:
+		wk.w.Breach("%s answers %s's report with %d", node, wk.h.ID, status)
+	}
+}
+
+// checkLines holds an answer to workers or users against the limit of its lines.
+func (w *World) checkLines(node string, body []byte) {
+	for _, line := range bytes.Split(body, []byte("\n")) {
+		if len(line) > mostBody {
+			w.Breach("%s answers with a line of %d bytes", node, len(line))
+		}
+	}
+}
+
+// userMay tells which answers a user's request has by the protocol. An operator's or
+// a run's requests are this project's own.
+func userMay(method, target string, status int) bool {
+	switch status {
+	case 200, 429, 503, 504:
+		return true
+	case 201, 400, 422:
+		return method == "POST" && target == "/work"
+	case 404:
+		return target != "/work" && target != "/up"
+	}
+	return false
+}
+
 // poisoned tells whether a transaction is one that the service is to refuse.
 func (s *Store) poisoned(t *multi) bool {
 	if s.Poison == "" {
@@ -158,3 +228,41 @@
 	}
 	return false
 }
+
+// malformed tells why the cloud answers a request 400, "" if it does not.
+func (c *Cloud) malformed(method, path string, q url.Values, body []byte) string {
+	switch {
+	case len(body) > mostBody:
+		return fmt.Sprintf("%d bytes", len(body))
+	case method == "GET" && path == "/catalog":
+		return ""
+	case method == "GET" && path == "/hosts":
+		if limit := q.Get("limit"); limit != "" {
+			if n, err := strconv.Atoi(limit); err != nil || n < 1 || n > mostListed {
+				return "limit is " + limit
+			}
+		}
+		return ""
+	case method == "POST" && path == "/hosts/delete":
+		var d struct{ Hosts []string }
+		if json.Unmarshal(body, &d) != nil || len(d.Hosts) == 0 || len(d.Hosts) > mostDelete {
+			return fmt.Sprintf("%d names", len(d.Hosts))
+		}
+		return ""
+	case method == "POST" && path == "/hosts":
+		var r struct {
+			Hire, Build, Site string
+			Count             int
+		}
+		if json.Unmarshal(body, &r) != nil || r.Hire == "" || r.Count < 1 || r.Count > mostRent {
+			return fmt.Sprintf("%d machines as %q", r.Count, r.Hire)
+		}
+		for _, b := range cloudBuilds {
+			if sites, ok := b["sites"].([]string); ok && b["name"] == r.Build && slices.Contains(sites, r.Site) {
+				return ""
+			}
+		}
+		return fmt.Sprintf("no type %q in %q", r.Build, r.Site)
+	}
+	return "no such call"
+}
--- a/internal/standin/limits_test.go
+++ b/internal/standin/limits_test.go
@@ -122,3 +122,173 @@
 		t.Error(err, p.HasNext, len(p.Rows), len(page))
 	}
 }
+
+// TestCloudLimits: the cloud refuses what passes its limits.
+func TestCloudLimits(t *testing.T) {
+	names := func(count int) string {
+		return `{"hosts":` + list(count, func(i int) string { return fmt.Sprintf(`"i-%06d"`, i) }) + `}`
+	}
+	rent := func(count int, build, site string) string {
+		return fmt.Sprintf(`{"hire":"r-1","build":%q,"site":%q,"loaner":false,"count":%d}`, build, site, count)
+	}
+	for name, c := range map[string]struct {
+		method, target, body string
+		fits                 bool
+	}{
+		"rent":          {"POST", "/hosts", rent(50, "g4", "a"), true},
+		"large rent":    {"POST", "/hosts", rent(51, "g4", "a"), false},
+		"empty rent":    {"POST", "/hosts", rent(0, "g4", "a"), false},
+		"unknown type":  {"POST", "/hosts", rent(1, "g5", "a"), false},
+		"unknown zone":  {"POST", "/hosts", rent(1, "g4", "c"), false},
+		"no name":       {"POST", "/hosts", `{"build":"g4","site":"a","count":1}`, false},
+		"delete":        {"POST", "/hosts/delete", names(100), true},
+		"large delete":  {"POST", "/hosts/delete", names(101), false},
+		"page":          {"GET", "/hosts?limit=500", "", true},
+		"large page":    {"GET", "/hosts?limit=501", "", false},
+		"no such call":  {"DELETE", "/hosts", "", false},
+		"large request": {"POST", "/hosts/delete", names(100) + strings.Repeat(" ", mostBody), false},
+	} {
+		w := small()
+		status, _ := ask(w.Cloud.Serve, c.method, c.target, c.body)
+		if refused := status == 400; refused == c.fits || (w.Breaches == 0) != c.fits {
+			t.Errorf("%s: status %d, %v", name, status, w.Broken)
+		}
+	}
+}
+
+// Beyond its rate, with bursts of two seconds' worth, the cloud answers 429; pages are
+// followed to the end; a rent's name serves one request only.
+func TestCloudRate(t *testing.T) {
+	w := small()
+	w.Cloud.RPS = 0
+	w.Cloud.Limit, w.Cloud.LagS, w.Cloud.Never = 2000, 0, 5000 // nobody is there for their reports
+	for range 1100 {
+		w.Cloud.AddRunning("g4", "a", false)
+	}
+	seen, since := 0, ""
+	for more := true; more; {
+		_, answer := ask(w.Cloud.Serve, "GET", "/hosts?limit=500&since="+since, "")
+		var page struct {
+			Hosts   []struct{ UID string }
+			HasNext bool `json:"has_next"`
+		}
+		if json.Unmarshal([]byte(answer), &page) != nil || len(page.Hosts) > 500 {
+			t.Fatal(answer)
+		}
+		seen, more = seen+len(page.Hosts), page.HasNext
+		since = page.Hosts[len(page.Hosts)-1].UID
+	}
+	if seen != 1100 {
+		t.Error(seen)
+	}
+	w.Cloud.RPS = 2
+	statuses := ""
+	for i := range 8 {
+		if i == 6 {
+			w.RunUntil(time.Second)
+		}
+		status, _ := ask(w.Cloud.Serve, "GET", "/catalog", "")
+		statuses += fmt.Sprint(status, " ")
+	}
+	if statuses != "200 200 200 200 429 429 200 200 " || w.Cloud.Refused != 2 || len(w.Broken) > 0 {
+		t.Error(statuses, w.Broken)
+	}
+	w.RunUntil(10 * time.Second)
+	again := `{"hire":"r-1","build":"g4","site":"a","loaner":false,"count":2}`
+	_, first := ask(w.Cloud.Serve, "POST", "/hosts", again)
+	if _, second := ask(w.Cloud.Serve, "POST", "/hosts", again); first != second || len(w.Broken) > 0 {
+		t.Error(first, second, w.Broken)
+	}
+	ask(w.Cloud.Serve, "POST", "/hosts", strings.Replace(again, "2}", "3}", 1))
+	if len(w.Broken) != 1 {
+		t.Error("a name served two requests", w.Broken)
+	}
+}
+
+// TestWorkerLimits: what a worker would refuse or drop, or must not be told, is a
+// breach; an attempt is reported until it is reaped, beside the next one.
+func TestWorkerLimits(t *testing.T) {
+	worker := func() (*World, *Worker) {
+		w := small()
+		w.Jobs["wk-1"] = &Job{UID: "wk-1", Shape: "standing", Pieces: 1, Accel: 1, Accepted: true, Body: []byte("{}"), Done: map[int]bool{}}
+		w.AddNodes(0, settings.Settings{})
+		w.Order = []string{"n0"}
+		h := w.Cloud.hosts[w.Cloud.AddRunning("g4", "a", false)]
+		wk := &Worker{w: w, h: h, tenure: 1, baton: 7, pieces: map[string]*wpiece{}, reaped: map[string]bool{}}
+		return w, wk
+	}
+	commands := func(orders string) string { return `{"baton":7,"tenure":1,"orders":[` + orders + `]}` }
+	order := func(verb, piece string, try int) string {
+		return fmt.Sprintf(`{"verb":%q,"piece":%q,"try":%d}`, verb, piece, try)
+	}
+	launch := order("launch", "wk-1/0", 1)
+	for name, c := range map[string]struct {
+		target, body string
+		status       int
+		fits         bool
+	}{
+		"launch":      {"/commands", commands(launch), 200, true},
+		"repeated":    {"/commands", commands(launch + "," + launch), 200, true},
+		"no baton":    {"/commands", `{"tenure":1,"orders":[]}`, 400, false},
+		"no tenure":   {"/commands", `{"baton":7,"orders":[]}`, 400, false},
+		"low baton":   {"/commands", `{"baton":6,"tenure":1,"orders":[]}`, 409, true},
+		"old session": {"/commands", `{"baton":7,"tenure":2,"orders":[]}`, 409, true},
+		"large":       {"/commands", commands("") + strings.Repeat(" ", mostBody), 400, false},
+		"unknown job": {"/commands", commands(order("launch", "wk-2/0", 1)), 200, false},
+		"no piece":    {"/commands", commands(order("launch", "wk-1/1", 1)), 200, false},
+		"no try":      {"/commands", commands(order("launch", "wk-1/0", 0)), 400, false},
+		"no verb":     {"/commands", commands(order("start", "wk-1/0", 1)), 400, false},
+		"tried twice": {"/commands", commands(launch + "," + order("stop", "wk-1/0", 1) + "," + order("reap", "wk-1/0", 1) + "," + launch), 200, false},
+	} {
+		w, wk := worker()
+		status, _ := wk.serve(c.target, []byte(c.body))
+		if status != c.status || (w.Breaches == 0) != c.fits {
+			t.Errorf("%s: status %d, %v", name, status, w.Broken)
+		}
+	}
+	w, wk := worker()
+	_, report := wk.serve("/commands", []byte(commands(launch+","+order("launch", "wk-1/0", 2))))
+	if !strings.Contains(string(report), `"in_use"`) || len(wk.pieces) != 2 || len(w.Broken) > 0 {
+		t.Errorf("%s %v", report, w.Broken)
+	}
+	for name, c := range map[string]struct {
+		status int
+		body   string
+		fits   bool
+	}{
+		"answer":       {200, `{"baton":7,"orders":[]}`, true},
+		"higher":       {200, `{"baton":8,"orders":[]}`, true},
+		"lower":        {200, `{"baton":6,"orders":[]}`, false},
+		"none":         {200, `{"orders":[]}`, false},
+		"misdirected":  {421, `{"reports_to":"n1"}`, true},
+		"not in view":  {503, `{}`, true},
+		"fault":        {500, `{}`, false},
+		"malformed":    {400, `{}`, false},
+		"long line":    {421, `{}` + strings.Repeat(" ", mostBody), false},
+		"lines":        {421, `{}` + strings.Repeat(" \n", mostBody), true},
+		"wrong orders": {200, `{"baton":7,"orders":[{"verb":"stop","piece":"wk-x","try":1}]}`, false},
+	} {
+		w, wk := worker()
+		wk.checkAnswer("n0", c.status, []byte(c.body), 7)
+		if (w.Breaches == 0) != c.fits {
+			t.Errorf("%s: %v", name, w.Broken)
+		}
+	}
+	for request, statuses := range map[string]string{
+		"POST /work":            "[200 201 400 422 429 503 504]",
+		"GET /work/wk-1":        "[200 404 429 503 504]",
+		"POST /work/wk-1/abort": "[200 404 429 503 504]",
+		"GET /up":               "[200 429 503 504]",
+	} {
+		method, target, _ := strings.Cut(request, " ")
+		var may []int
+		for status := 100; status < 600; status++ {
+			if userMay(method, target, status) {
+				may = append(may, status)
+			}
+		}
+		if fmt.Sprint(may) != statuses {
+			t.Error(request, may)
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -253,6 +253,13 @@
 	// is a change of the state or of the service.
 	AsideFirst = 10 * time.Second
 	AsideMost  = 10 * time.Minute
+	// RefusalsEvery: how often the log tells of calls refused; a fault that repeats at
+	// every look would otherwise fill it.
+	RefusalsEvery = time.Minute
+	// MostRefusals: kinds of refused calls told apart between two reports; a few dozen
+	// exist. RefusalBytes, bytes: of the first answer of a kind, for the log.
+	MostRefusals = 100
+	RefusalBytes = 120
 	// MaxSessions: machines that one controller keeps a session for.
 	MaxSessions = 5000
 	// MaxHostName, bytes: longer names cannot be keys.
@@ -429,6 +436,8 @@
 	// MostSteps: steps of a run once its matrices are expanded; their states fit
 	// into one value of the state service beside the document.
 	MostSteps = 500
+	// MostNamedSteps: steps named in one explanation.
+	MostNamedSteps = 20
 	// MostRepeats: times that a step may be tried anew.
 	MostRepeats = 20
 	// MostFaults: faults of one file that are told.
--- a/internal/workers/session.go
+++ b/internal/workers/session.go
@@ -3,6 +3,8 @@
 package workers
 
 import (
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -80,7 +82,7 @@
 	Epoch                       uint64 // view epoch that the baton is made of
 	Counter                     uint64
 	Tenure, Tick                uint64
-	Pieces                      map[string]Piece
+	Pieces                      map[string][]Piece // newest try first
 	Warning                     *float64
 	WarnedAt                    time.Time
 
@@ -105,7 +107,7 @@
 
 // NewSession starts a session for a machine under a view epoch.
 func NewSession(host string, epoch uint64, now time.Time) *Session {
-	s := &Session{Host: host, Pieces: map[string]Piece{}, LastReport: now, LastBeat: now}
+	s := &Session{Host: host, Pieces: map[string][]Piece{}, LastReport: now, LastBeat: now}
 	s.restart(epoch, 0)
 	return s
 }
@@ -159,14 +161,19 @@
 		s.WarnedAt = now
 	}
 	s.Warning = r.WarningS
-	s.Pieces = make(map[string]Piece, len(r.Pieces))
+	// A report lists each attempt until it is reaped: an ended one may stand beside the
+	// next one of the same task, in any order.
+	s.Pieces = make(map[string][]Piece, len(r.Pieces))
 	for _, p := range r.Pieces {
-		s.Pieces[p.Piece] = p
+		s.Pieces[p.Piece] = append(s.Pieces[p.Piece], p)
+	}
+	for _, ps := range s.Pieces {
+		slices.SortStableFunc(ps, func(a, b Piece) int { return cmp.Compare(b.Try, a.Try) })
 	}
 	if r.Baton == s.Baton() && s.State == Unseen {
 		s.State = Known
 		for p, try := range placed {
-			if got, ok := s.Pieces[p]; !ok || got.Try != try {
+			if _, ok := s.reported(p, try); !ok {
 				s.lost[p] = try
 			}
 		}
@@ -244,8 +251,7 @@
 	if lost, ok := s.lost[piece]; ok && lost == try {
 		return Missing, Piece{}
 	}
-	p, ok := s.Pieces[piece]
-	if ok && p.Try == try {
+	if p, ok := s.reported(piece, try); ok {
 		if p.Status == Ended {
 			return Over, p
 		}
@@ -257,13 +263,25 @@
 		return Sent, Piece{}
 	case sent && l.try == try:
 		return Missing, Piece{}
-	case ok && p.Status != Ended:
-		// An older try is still on the machine.
-		return Unclear, p
+	}
+	for _, p := range s.Pieces[piece] {
+		if p.Status != Ended {
+			return Unclear, p // another try is still on the machine
+		}
 	}
 	return ToLaunch, Piece{}
 }
 
+// reported finds an attempt in the newest report.
+func (s *Session) reported(piece string, try uint64) (Piece, bool) {
+	for _, p := range s.Pieces[piece] {
+		if p.Try == try {
+			return p, true
+		}
+	}
+	return Piece{}, false
+}
+
 // Forget drops the notes on a try whose end has been committed.
 func (s *Session) Forget(piece string, try uint64) {
 	if l, ok := s.launched[piece]; ok && l.try <= try {
--- a/internal/workers/session_test.go
+++ b/internal/workers/session_test.go
@@ -153,3 +153,36 @@
 		t.Errorf("%v s left of the notice", left)
 	}
 }
+
+// A report lists an attempt until it is reaped, and so may hold two of one task, in
+// any order. Taken for the only one, the ended attempt made the newer one, which ran,
+// look gone: it would have been given away a second time.
+func TestTwoAttempts(t *testing.T) {
+	for _, first := range []uint64{1, 2} {
+		s := NewSession("i-1", 1, time.Unix(0, 0))
+		report := func(tick uint64, pieces ...Piece) *Report {
+			return &Report{Host: "i-1", Tenure: 1, Tick: tick, Baton: s.Baton(), Pieces: pieces}
+		}
+		old, now := Piece{Piece: "wk-1/0", Try: 1, Status: Ended, Cause: CauseDone}, Piece{Piece: "wk-1/0", Try: 2, Status: Running}
+		s.Accept(report(1, old), time.Unix(1, 0), nil)
+		if v, _ := s.Judge("wk-1/0", 2); v != ToLaunch {
+			t.Fatal(v)
+		}
+		s.Sending([]Order{{Verb: Launch, Piece: "wk-1/0", Try: 2}}, time.Unix(2, 0))
+		s.Answered()
+		if first == 1 {
+			s.Accept(report(2, old, now), time.Unix(3, 0), nil)
+		} else {
+			s.Accept(report(2, now, old), time.Unix(3, 0), nil)
+		}
+		if v, p := s.Judge("wk-1/0", 2); v != OnIt || p.Try != 2 {
+			t.Errorf("the running attempt is %s", v)
+		}
+		if v, p := s.Judge("wk-1/0", 1); v != Over || p.Cause != CauseDone {
+			t.Errorf("the ended attempt is %s", v)
+		}
+		if v, p := s.Judge("wk-1/0", 3); v != Unclear || p.Try != 2 {
+			t.Errorf("a third attempt is %s beside a running one", v)
+		}
+	}
+}
