--- a/cmd/harrierreel/main.go
+++ b/cmd/harrierreel/main.go
@@ -62,6 +62,8 @@
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
+			// Asked once, it gives its place away first; asked again, it ends at once.
+			context.AfterFunc(ctx, stop)
 			log.Info("starting", "node", node.Describe(set), "version", version)
 			if err := node.Serve(ctx, set, log); !errors.Is(err, context.Canceled) {
 				return &cli.Exit{Code: cli.ExitFailed, Text: err.Error()}
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -336,7 +336,7 @@
 		})
 		return
 	}
-	fr.accept(spec, known, respond)
+	fr.accept(spec, tuning.AcceptTries, known, respond)
 }
 
 // acceptance is the record of a job as accepted, a user's or a step's of a run.
@@ -349,7 +349,10 @@
 // to it: it could never end.
 func (fr *Front) tooLong(w store.Write) bool { return len(w.Value)+jobs.EndBytes > fr.sliceLimit() }
 
-func (fr *Front) accept(spec *jobs.Spec, known func(jobs.Final), respond func(wire.Reply)) {
+// accept commits a job's record. Where only the view had changed meanwhile, it is tried
+// again once the mirror shows the new one: a controller that comes or goes is no reason
+// to send users away.
+func (fr *Front) accept(spec *jobs.Spec, tries int, known func(jobs.Final), respond func(wire.Reply)) {
 	w, final := fr.acceptance(spec)
 	if fr.tooLong(w) {
 		respond(wire.Reply{Status: 400, Body: wire.ErrorBody("description too long")})
@@ -370,11 +373,20 @@
 			respond(wire.Reply{Status: 201, Body: fr.statusOf(spec.UID, jobs.Final{State: jobs.Live}, false)})
 		case errors.Is(err, store.ErrConflict):
 			fr.read(spec.UID, func(s jobs.Final, err error) {
-				if err != nil {
-					respond(wire.Refuse("try again")) // only the view had changed
-					return
+				switch {
+				case err == nil:
+					known(s)
+				case !errors.Is(err, errNoJob) || tries <= 1:
+					respond(wire.Refuse("try again"))
+				default:
+					fr.afterEpoch(respond, func() {
+						if !fr.Able() {
+							respond(wire.Refuse("not able to accept"))
+							return
+						}
+						fr.accept(spec, tries-1, known, respond)
+					})
 				}
-				known(s)
 			})
 		default:
 			// Unknown counts as not accepted; a repeat finds out.
--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -150,6 +150,9 @@
 type Forms struct {
 	Inc  uint64 `json:"inc"`
 	Pack int    `json:"pack"` // newest form of packs
+	// Calls tells that it answers calls (package standby): one that does not must not be
+	// taken for dead because of it.
+	Calls bool `json:"calls,omitempty"`
 }
 
 // AllRead tells whether every member of the view reads packs of some form.
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -16,6 +16,7 @@
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/records"
+	"github.com/harrierreel/harrierreel/internal/standby"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -35,6 +36,16 @@
 	Unreachable func() map[string]bool
 	// Wake has the loop look again, Follow opens the watch.
 	Wake, Follow func()
+	// TxnOps is the most changes of a transaction.
+	TxnOps int
+	// Calls has members called whose connection ended, and calls answered.
+	Calls bool
+	// ZoneOf is the controllers' zones by name.
+	ZoneOf map[string]string
+	// Lag is how far this controller is behind, Unchecked what it has to check as a
+	// leader.
+	Lag       func() time.Duration
+	Unchecked func() []standby.Check
 }
 
 // Membership is what one controller keeps of its own.
@@ -52,11 +63,20 @@
 	granting  bool
 	putting   bool // its member key
 	viewBusy  bool
+
+	standby   *standby.Standby
+	calls     map[string]standby.Call // that stand in the state service, by who is called
+	calling   bool
+	answering bool
+	silent    []string // members whose calls are unanswered, to be left out of the view
+	leaving   bool     // this controller gives its place away
+	left      bool     // and has
 }
 
 // New makes a controller that has not joined; book tells the time.
 func New(b *book.Book, env Env) *Membership {
-	return &Membership{Book: b, Env: env, keys: map[string]uint64{}, forms: map[string]members.Forms{}, certain: members.Certainty{Standing: members.Sure}}
+	return &Membership{Book: b, Env: env, keys: map[string]uint64{}, forms: map[string]members.Forms{}, certain: members.Certainty{Standing: members.Sure},
+		standby: standby.New(b.Now), calls: map[string]standby.Call{}}
 }
 
 // Hold is its lease, 0 for none.
@@ -69,6 +89,12 @@
 func (me *Membership) KeyChanged(name string, value json.RawMessage) {
 	var inc uint64
 	if value == nil || json.Unmarshal(value, &inc) != nil {
+		if name == me.Me && me.hold != 0 && me.keys[name] == me.hold && !me.leaving {
+			// Its lease ended, or it was called and did not answer in time: either way
+			// it comes back as a new incarnation.
+			me.Log.Info("out of the members", "lease", me.hold)
+			me.hold = 0
+		}
 		delete(me.keys, name)
 	} else {
 		me.keys[name] = inc
@@ -155,7 +181,7 @@
 // node, the view.
 func (me *Membership) Keep() {
 	switch {
-	case me.granting:
+	case me.granting, me.left:
 	case me.hold == 0:
 		me.granting = true
 		me.renewedAt = me.Now
@@ -183,6 +209,10 @@
 		})
 	}
 	me.KeepCertain()
+	me.look()
+	if me.left {
+		return
+	}
 	if !me.Live() || me.hold == 0 || me.Client.Down() || me.certain.Standing != members.Sure {
 		return
 	}
@@ -197,13 +227,13 @@
 func (me *Membership) Incarnation(name string) uint64 { return me.keys[name] }
 
 func (me *Membership) putMember() {
-	if me.putting {
+	if me.putting || me.left {
 		return
 	}
 	me.putting = true
 	hold := me.hold
 	ws := []store.Write{
-		{Put: members.FormPrefix + me.Me, Value: jobs.Encode(members.Forms{Inc: hold, Pack: records.Form}), Hold: hold},
+		{Put: members.FormPrefix + me.Me, Value: jobs.Encode(members.Forms{Inc: hold, Pack: records.Form, Calls: me.Calls}), Hold: hold},
 		{Put: members.MemberPrefix + me.Me, Value: jobs.Encode(hold), Hold: hold},
 	}
 	me.Client.Multi(store.Membership, store.Txn{Writes: ws}, func(epoch uint64, _ []string, err error) {
@@ -222,15 +252,21 @@
 	if me.viewBusy {
 		return
 	}
-	next := members.Next(members.Situation{Me: me.Me, Inc: me.hold, View: me.View(), Keys: me.candidates(), Out: me.Unreachable()})
+	out := me.Unreachable()
+	for _, name := range me.silent {
+		out[name] = true
+	}
+	next := members.Next(members.Situation{Me: me.Me, Inc: me.hold, View: me.View(), Keys: me.candidates(), Out: out})
 	if next == nil {
 		return
 	}
-	own := members.MemberPrefix + me.Me
 	t := store.Txn{
-		If:     []store.Cond{{Key: members.ViewKey, Stamp: me.Mirror.Stamp(members.ViewKey)}, {Key: own, Stamp: me.Mirror.Stamp(own)}},
+		If:     []store.Cond{me.cond(members.ViewKey), me.cond(members.MemberPrefix + me.Me)},
 		Writes: []store.Write{decide.Put(members.ViewKey, next)},
 	}
+	for _, name := range me.silent {
+		t = me.without(t, name)
+	}
 	// What a member did not hear ends with its place in the view. When it comes
 	// back its machines have been heard by others meanwhile: by the old list
 	// hundreds of them were deleted at once (docs/incidents/ushanga-ops-ops-1.md).
@@ -247,6 +283,9 @@
 	me.Client.Multi(store.Membership, t, func(epoch uint64, _ []string, err error) {
 		me.viewBusy = false
 		if err == nil {
+			if len(me.silent) > 0 {
+				me.Log.Info("left out of the view, calls unanswered", "members", me.silent)
+			}
 			me.Log.Info("view changed", "epoch", next.Epoch, "leader", next.Leader, "members", len(next.Members))
 			me.Mirror.Commit(t.Writes, epoch)
 		}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -10,6 +10,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/standby"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -30,7 +31,7 @@
 
 // leaderPass does what only the leader does.
 func (n *Node) leaderPass() {
-	if n.role != members.Leader {
+	if n.role != members.Leader || !n.checks.May(standby.Delete) {
 		return
 	}
 	n.rental.Pass()
@@ -56,7 +57,7 @@
 	if n.queue.Scarce() {
 		least = tuning.BatchLeast
 	}
-	if !n.front.QuotaSettled() {
+	if !n.checks.May(standby.Release) || !n.front.QuotaSettled() {
 		return
 	}
 	if n.packing() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/sight"
+	"github.com/harrierreel/harrierreel/internal/standby"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/wire"
@@ -110,6 +111,12 @@
 	lastPass    time.Time
 	lastChanges time.Time
 	lastLead    time.Time
+
+	checks  standby.Checks // of this node as a leader
+	pulsed  time.Time      // when the loop's clock last came round
+	tardy   time.Duration  // how late it has been of late
+	behind  time.Time      // since when others have seen more than the mirror, zero if not
+	leaving time.Time      // asked to end
 }
 
 // New makes a node.
@@ -135,7 +142,8 @@
 		Outside: func() bool { return n.role == members.Outside }, Live: func() bool { return n.sync.live }})
 	n.member = membership.New(n.Book, membership.Env{Me: set.NodeName, TTL: jobs.Seconds(set.Operator.MemberTTLS), Client: n.client, Mirror: n.mirror, Log: log,
 		Live: func() bool { return n.sync.live }, View: func() *members.View { return n.view }, Unreachable: n.sight.Unreachable,
-		Wake: func() { n.dirty = true }, Follow: n.followNow})
+		Wake: func() { n.dirty = true }, Follow: n.followNow, TxnOps: set.Cluster.State.TxnOps, Calls: set.Operator.TakeOver == settings.TakeOverCalls,
+		ZoneOf: set.Zones(), Lag: n.lag, Unchecked: n.unchecked})
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
 		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.isBusy,
@@ -145,9 +153,9 @@
 	})
 	n.rental = rental.New(n.Book, rental.Env{
 		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
-		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch },
-		Wake:  func() { n.dirty = true },
-		Busy:  n.isBusy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
+		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) },
+		Wake: func() { n.dirty = true },
+		Busy: n.isBusy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
 		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commit,
 		Gone: func(t *book.Task, k jobs.TaskEventKind, pause time.Duration) decide.Decision {
 			return n.part.Gone(t, k, pause)
@@ -189,6 +197,8 @@
 // Pulse is the loop's clock.
 func (n *Node) Pulse(now time.Time) {
 	n.Run(now, func() {
+		n.clocked()
+		n.keepLeaving()
 		n.member.Keep()
 		n.sight.Keep()
 		n.keepSync()
@@ -219,6 +229,7 @@
 		return
 	}
 	n.updateRole()
+	n.check()
 	n.part.Pass()
 	// The leader's pass looks at every machine, so its pace follows their number.
 	if gap := tuning.PassGap + time.Duration(len(n.Machines))*tuning.LeadGapEach; n.Now.Sub(n.lastLead) >= gap {
@@ -254,9 +265,13 @@
 	for _, p := range n.set.Peers {
 		if p.NodeName == h.From {
 			n.sight.Hint(h.From, h.StateOK, h.Blind)
+			n.member.PeerHeard(h.From)
 		}
 	}
 	if h.Epoch > n.mirror.Epoch {
+		if n.behind.IsZero() {
+			n.behind = n.Now
+		}
 		n.followNow()
 	}
 	// A worker that cannot reach its owner always tries the same next node,
@@ -322,6 +337,8 @@
 		}
 	case hasPrefix(key, members.MemberPrefix):
 		n.member.KeyChanged(members.NameOfKey(key), value)
+	case hasPrefix(key, standby.CallPrefix):
+		n.member.CallChanged(key[len(standby.CallPrefix):], value)
 	case hasPrefix(key, members.FormPrefix):
 		n.member.FormChanged(key[len(members.FormPrefix):], value)
 	case hasPrefix(key, fleet.QuietPrefix):
@@ -400,7 +417,7 @@
 // service every node stays up and refuses at once; a node that alone is refused, as
 // its peers' hints show, steps aside.
 func (n *Node) up() bool {
-	return n.sync.live && n.role != members.Outside && n.member.Sure() && !(n.client.Down() && n.sight.StateElsewhere())
+	return n.sync.live && n.role != members.Outside && n.member.Sure() && n.leaving.IsZero() && !(n.client.Down() && n.sight.StateElsewhere())
 }
 
 // Request takes a request from the front door. respond is called exactly once.
--- a/internal/node/runtime.go
+++ b/internal/node/runtime.go
@@ -22,7 +22,8 @@
 	events := make(chan func(), tuning.EventQueue)
 	stop := make(chan struct{})
 	defer close(stop)
-	n := New(set, outside(set, events, stop), log, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
+	var n *Node
+	n = New(set, outside(set, events, stop, func(name string) { n.PeerEnded(name) }), log, rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)))
 	n.Now = time.Now()
 	go listener(set, n, events).Run(stop)
 	return loop(ctx, n, events)
@@ -30,7 +31,7 @@
 
 // outside is the other services and controllers on sockets. Answers come back as
 // events.
-func outside(set *settings.Settings, events chan func(), stop chan struct{}) Outside {
+func outside(set *settings.Settings, events chan func(), stop chan struct{}, ended func(name string)) Outside {
 	caller := func(addr string, idle int) store.Call {
 		c := &wire.Client{Addr: addr, MaxIdle: idle, MaxBody: tuning.MaxAnswerBody}
 		return func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
@@ -48,7 +49,12 @@
 	}
 	links := map[string]*peer.Link{}
 	for _, p := range set.Peers {
-		links[p.NodeName] = peer.NewLink(p.Address, stop)
+		links[p.NodeName] = peer.NewLink(p.Address, stop, func() {
+			select {
+			case events <- func() { ended(p.NodeName) }:
+			case <-stop:
+			}
+		})
 	}
 	return Outside{
 		State: caller(set.Outside.State, tuning.StateConns),
@@ -93,10 +99,15 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	lastPulse := time.Time{}
+	over := ctx.Done()
 	for {
-		select {
-		case <-ctx.Done():
+		if n.Left() {
 			return ctx.Err()
+		}
+		select {
+		case <-over:
+			over = nil
+			n.Run(time.Now(), n.Leave)
 		case f := <-events:
 			n.Run(time.Now(), f)
 			// Take what else has come in before looking at the clock again.
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -15,6 +15,7 @@
 	"github.com/harrierreel/harrierreel/internal/records"
 	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standby"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -24,7 +25,7 @@
 )
 
 // livePrefixes are read whole at a start. Jobs come before their tasks.
-var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, records.Prefix, fleet.HostPrefix, fleet.QuietPrefix, rental.BuildPrefix, fencePrefix, members.FormPrefix, members.MemberPrefix, members.ViewKey, rental.SummaryKey}
+var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, records.Prefix, fleet.HostPrefix, fleet.QuietPrefix, rental.BuildPrefix, fencePrefix, standby.CallPrefix, members.FormPrefix, members.MemberPrefix, members.ViewKey, rental.SummaryKey}
 
 // prefixes are the live prefixes of this node's duties.
 func (n *Node) prefixes() []string {
@@ -121,6 +122,7 @@
 			n.sync.next = n.Now.Add(tuning.SyncAgain)
 		default:
 			n.mirror.Follow(epoch, events)
+			n.behind = time.Time{}
 			n.settleLate()
 			n.sync.next = n.Now.Add(n.followGap())
 			n.member.KeepCertain()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -44,15 +46,31 @@
 type Link struct {
 	addr  string
 	lines chan []byte
+	ended func()
 }
 
-// NewLink starts a link; it ends when stop is closed.
-func NewLink(addr string, stop <-chan struct{}) *Link {
-	l := &Link{addr: addr, lines: make(chan []byte, 16)}
+// NewLink starts a link; it ends when stop is closed. ended is called, on a goroutine
+// of its own, whenever a connection that stood is ended by the other side, and whenever
+// one is refused: its process may have ended, or something between may refuse it.
+func NewLink(addr string, stop <-chan struct{}, ended func()) *Link {
+	l := &Link{addr: addr, lines: make(chan []byte, 16), ended: ended}
 	go l.run(stop)
 	return l
 }
 
+// watch reads from a connection, on which the other side says nothing, until it ends.
+func (l *Link) watch(conn net.Conn) {
+	var b [64]byte
+	for {
+		if _, err := conn.Read(b[:]); err != nil {
+			if !errors.Is(err, net.ErrClosed) { // by this side
+				l.ended()
+			}
+			return
+		}
+	}
+}
+
 // Send queues a line, dropping it when the queue is full.
 func (l *Link) Send(line []byte) {
 	select {
@@ -71,9 +89,13 @@
 			if conn == nil {
 				c, err := net.DialTimeout("tcp4", l.addr, tuning.DialTimeout)
 				if err != nil {
+					if errors.Is(err, syscall.ECONNREFUSED) {
+						l.ended()
+					}
 					continue
 				}
 				conn = c
+				go l.watch(conn)
 			}
 			_ = conn.SetWriteDeadline(time.Now().Add(tuning.DialTimeout))
 			if _, err := conn.Write(line); err != nil {
--- a/internal/rental/cloud.go
+++ b/internal/rental/cloud.go
@@ -60,6 +60,7 @@
 	lost     map[string]string    // machines that are given up, and why
 	freedAt  time.Time            // when what was on them was last freed
 	asked    []asked
+	counted  bool         // asked has what the former leader rented
 	planned  map[kind]int // machines by kind that the queue asks for
 	round    int          // of this step's batch
 	open     int          // rents of this step under way
@@ -123,7 +124,7 @@
 		re.readList()
 	}
 	step := jobs.Seconds(re.Operator.StepS)
-	if c.catalog != nil && !c.listAt.IsZero() && re.Now.Sub(c.stepAt) >= step && !re.Down() {
+	if c.catalog != nil && !c.listAt.IsZero() && re.Now.Sub(c.stepAt) >= step && !re.Down() && re.MayRent() {
 		c.stepAt = re.Now
 		c.open = 0
 		re.scalerStep()
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -161,9 +161,6 @@
 func (re *Rental) scalerStep() {
 	c := &re.cloud
 	op := re.Operator
-	if c.steps == 0 {
-		c.asked = append([]asked(nil), re.Summary.Asked...)
-	}
 	c.steps++
 	counts, booting := re.supplyOf()
 
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -36,6 +36,8 @@
 	Send func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error))
 	// Leads tells whether this node leads, and under which epoch.
 	Leads func() (bool, uint64)
+	// MayRent tells whether all is checked that a leader must know before it rents.
+	MayRent func() bool
 	// Wake has the loop look again.
 	Wake func()
 	// Busy tells whether a record is under a transaction, Recorded whether it is there.
@@ -85,8 +87,19 @@
 	re.cloud.reset()
 	re.condemnAt = time.Time{}
 	re.Since = re.Now
+	// What the former leader rented and the list still lacks.
+	re.cloud.asked, re.cloud.counted = append([]asked(nil), re.Summary.Asked...), true
 }
 
+// Priced tells whether the catalogue of machine types is known, with its prices.
+func (re *Rental) Priced() bool { return re.cloud.catalog != nil }
+
+// Listed tells whether the cloud's list was read since this node came to lead, Counted
+// whether what the former leader rented is counted, by the summary, where the list lacks
+// it.
+func (re *Rental) Listed() bool  { return !re.cloud.listAt.IsZero() }
+func (re *Rental) Counted() bool { return re.cloud.counted }
+
 // GivenUp tells whether a machine is given up, or deleted already.
 func (re *Rental) GivenUp(host string) bool {
 	return re.cloud.lost[host] != "" || re.cloud.freed[host]
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -19,9 +19,11 @@
 
 	"github.com/hashicorp/hcl/v2/hclsimple"
 
+	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/pipefile"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standby"
 	"github.com/harrierreel/harrierreel/internal/standin"
 )
 
@@ -53,6 +55,7 @@
 	host []string // machines there from the start
 	vars map[string]string
 
+	old     []string       // controllers that don't answer calls
 	stops   map[string]int // by cause, while quotas are watched
 	applied map[string]int // answers to applied trees
 }
@@ -93,6 +96,7 @@
 			if s.set.Operator.Quotas != nil {
 				s.stops = s.w.WatchQuotas(s.set.TeamMap(), nil)
 			}
+			s.w.Old = s.old
 			s.w.AddNodes(s.size, s.set)
 		}
 		s.w.RunUntil(time.Duration(at * float64(time.Second)))
@@ -150,6 +154,8 @@
 		for range int(s.number(words[1])) {
 			s.host = append(s.host, s.w.Cloud.AddRunning(words[2], words[3], false))
 		}
+	case "old": // old NODE: its program does not answer calls
+		s.old = append(s.old, words[1])
 	case "report": // report SECONDS between the workers' reports
 		s.w.ReportS = s.number(words[1])
 		s.set.Cluster.Workers.ReportS = s.w.ReportS
@@ -194,6 +200,23 @@
 		w.Nodes[name(0)].Crash()
 	case "freeze": // freeze NODE SECONDS: the process stands still, its clocks run on
 		w.Nodes[name(0)].Freeze(time.Duration(s.number(args[1]) * float64(time.Second)))
+	case "leave": // leave NODE: it is asked to end in order
+		w.Nodes[name(0)].Leave()
+	case "refuse-peers": // refuse-peers NODE on|off: connections between it and the others
+		w.RefusePeers(name(0), args[1] == "on")
+	case "crash-warm": // crash-warm COUNT: the controllers that are to follow the leader
+		left := int(s.number(args[0]))
+		for _, n := range w.Order {
+			if state, _ := w.Nodes[n].Standby(); (state == standby.Warm || state == standby.Calling) && left > 0 {
+				left--
+				w.Nodes[n].Crash()
+			}
+		}
+	case "die-many": // die-many FIRST COUNT: machines of the start
+		first := int(s.number(args[0]))
+		for _, h := range s.host[first-1 : first-1+int(s.number(args[1]))] {
+			w.Workers[h].Die()
+		}
 	case "boot":
 		w.Nodes[name(0)].Boot()
 	case "crash-all":
@@ -489,6 +512,28 @@
 		if s.w.Leader() == s.party(args[1]) {
 			s.fatal("%s leads", args[1])
 		}
+	case "sent-away": // expect sent-away MAX: submissions and cancellations answered 503
+		if got := s.w.Sent503; got > int(s.number(args[1])) {
+			s.fatal("%d submissions were answered 503, more than %s", got, args[1])
+		}
+	case "state": // expect state NODE STATE: of its readiness to lead
+		if got, _ := s.w.Nodes[s.node(args[1])].Standby(); string(got) != args[2] {
+			s.fatal("%s is %s, not %s", args[1], got, args[2])
+		}
+	case "alarms": // expect alarms MIN MAX: calls that were answered, as all count them
+		got := 0
+		for _, n := range s.w.Order {
+			_, alarms := s.w.Nodes[n].Standby()
+			got = max(got, alarms)
+		}
+		if got < int(s.number(args[1])) || got > int(s.number(args[2])) {
+			s.fatal("%d calls were answered, not %s to %s", got, args[1], args[2])
+		}
+	case "out": // expect out NODE: it is not in the view
+		var v members.View
+		if raw := s.w.Store.Value("view"); json.Unmarshal(raw, &v) != nil || v.Inc(s.party(args[1])) != 0 {
+			s.fatal("%s is in the view %s", args[1], raw)
+		}
 	case "views": // expect views MAX: changes of the view so far
 		var v struct{ Epoch int }
 		if raw := s.w.Store.Value("view"); json.Unmarshal(raw, &v) != nil || v.Epoch > int(s.number(args[1])) {
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -25,11 +25,21 @@
 	ReviveSteps int
 	MemberTTLS  float64
 	FinalCache  int
+	TakeOver    TakeOver        // when a controller that has ended is known for dead
 	Packs       Packs           // when tasks of many jobs share a record
 	Pipelines   *Pipelines      // nil: turned off
 	Quotas      *quota.Document // nil: the platform's teams alone
 }
 
+// TakeOver tells when others take over from a controller that has ended.
+type TakeOver string
+
+// When a controller that has ended is taken for dead.
+const (
+	TakeOverCalls TakeOver = "calls" // when it doesn't answer a call, or when its lease ends
+	TakeOverLease TakeOver = "lease" // when its lease ends
+)
+
 // Packs tells when new tasks go into records that many jobs share (package records).
 type Packs string
 
@@ -67,6 +77,9 @@
 	Users *struct {
 		FinalCache *int `hcl:"final_cache,optional"`
 	} `hcl:"users,block"`
+	Standby *struct {
+		TakeOver *string `hcl:"take_over,optional"`
+	} `hcl:"standby,block"`
 	Records *struct {
 		Packs *string `hcl:"packs,optional"`
 	} `hcl:"records,block"`
@@ -92,6 +105,7 @@
 		MemberTTLS:  tuning.MemberTTL.Seconds(),
 		FinalCache:  tuning.FinalCache,
 		Packs:       PacksScarce,
+		TakeOver:    TakeOverCalls,
 	}
 }
 
@@ -135,6 +149,10 @@
 		known := op.Packs == PacksOff || op.Packs == PacksScarce || op.Packs == PacksAlways
 		c.that(known, "records.packs", fmt.Sprintf("is %q; expected %q, %q or %q", *r.Packs, PacksOff, PacksScarce, PacksAlways))
 	}
+	if s := f.Standby; s != nil && s.TakeOver != nil {
+		op.TakeOver = TakeOver(*s.TakeOver)
+		c.that(op.TakeOver == TakeOverCalls || op.TakeOver == TakeOverLease, "standby.take_over", fmt.Sprintf("is %q; expected %q or %q", *s.TakeOver, TakeOverCalls, TakeOverLease))
+	}
 	if d := f.Drain; d != nil {
 		set(c, "drain.steps", &op.DrainSteps, d.Steps, 1, 100)
 		set(c, "drain.revive_steps", &op.ReviveSteps, d.Revive, 0, 100)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -215,6 +215,15 @@
 	c.that(perr == nil && n > 0 && n < 65536, field, fmt.Sprintf("%q is not a port", port))
 }
 
+// Zones are the zones of all controllers by name.
+func (s *Settings) Zones() map[string]string {
+	out := map[string]string{s.NodeName: s.Zone}
+	for _, p := range s.Peers {
+		out[p.NodeName] = p.Zone
+	}
+	return out
+}
+
 // Classes lists the classes of jobs that the objectives name; none are known
 // where there are no objectives.
 func (s *Settings) Classes() []string {
--- /dev/null
+++ b/internal/standby/standby_test.go
@@ -0,0 +1,445 @@
+package standby
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/harrierreel/harrierreel/internal/seeded"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeded.Main(m)) }
+
+var start = time.Unix(1e9, 0)
+
+// five is a view of five controllers, led by n0, in two zones.
+func five(me string, now time.Time) Situation {
+	x := Situation{Now: now, Me: me, Inside: true, Leader: "n0", Calls: map[string]Call{}}
+	for i, zone := range []string{"a", "b", "a", "b", "b"} {
+		x.Members = append(x.Members, Member{Name: fmt.Sprint("n", i), Inc: uint64(10 + i), Zone: zone, Answers: true})
+	}
+	return x
+}
+
+// Who follows: other zones than the leader's first, nobody who is suspected.
+func TestSuccessors(t *testing.T) {
+	x := five("n1", start)
+	none := func(string) bool { return false }
+	if got := fmt.Sprint(Successors(x, none)); got != "[n1 n3 n4 n2]" {
+		t.Error(got)
+	}
+	if got := fmt.Sprint(Successors(x, func(n string) bool { return n == "n1" || n == "n3" })); got != "[n1 n4 n2]" {
+		t.Error("of itself nobody thinks that: ", got)
+	}
+	x.Leader = "n3"
+	if got := fmt.Sprint(Successors(x, none)); got != "[n0 n2 n4 n1]" {
+		t.Error(got)
+	}
+}
+
+// An ended connection alone decides nothing: a call goes out, from the first in line at
+// once, from the next a little later; only if it stands for its time is the member out.
+func TestCalled(t *testing.T) {
+	now := start
+	first, second := New(now), New(now)
+	first.Ended("n0", now)
+	second.Ended("n0", now)
+	acts, _ := first.Look(five("n1", now))
+	if len(acts) != 1 || acts[0].Kind != DoCall || fmt.Sprint(acts[0].Names) != "[n0]" || acts[0].Wait != tuning.CallWait || first.State != Calling {
+		t.Fatalf("%+v %s", acts, first.State)
+	}
+	if acts, _ := second.Look(five("n3", now)); len(acts) != 0 {
+		t.Fatalf("%+v", acts)
+	}
+	now = now.Add(tuning.CallStagger)
+	if acts, _ := second.Look(five("n3", now)); len(acts) != 1 || acts[0].Kind != DoCall {
+		t.Fatalf("nobody has called, and the second does not: %+v", acts)
+	}
+	x := five("n1", now)
+	x.Calls["n0"] = Call{Inc: 10, By: "n1", WaitMs: tuning.CallWait.Milliseconds()}
+	if acts, _ := first.Look(x); len(acts) != 0 {
+		t.Fatalf("%+v", acts)
+	}
+	x.Now = now.Add(tuning.CallWait - 1)
+	if acts, _ := first.Look(x); len(acts) != 0 {
+		t.Fatalf("out too early: %+v", acts)
+	}
+	x.Now = now.Add(tuning.CallWait)
+	if acts, _ := first.Look(x); len(acts) != 1 || acts[0].Kind != DoOut || fmt.Sprint(acts[0].Names) != "[n0]" {
+		t.Fatalf("%+v", acts)
+	}
+	// Followers that are suspected are the leader's to call.
+	third := New(now)
+	third.Ended("n2", now)
+	if acts, _ := third.Look(five("n4", now.Add(time.Hour))); len(acts) != 0 {
+		t.Errorf("%+v", acts)
+	}
+}
+
+// One that answers is not called again before a pause that doubles, however often its
+// connection ends; one that speaks is not suspected; one that comes back as another
+// incarnation starts anew.
+func TestAnswered(t *testing.T) {
+	s, now := New(start), start
+	want := tuning.CallPause
+	for range 8 {
+		s.Ended("n2", now)
+		if acts, _ := s.Look(five("n0", now)); len(acts) != 1 || acts[0].Kind != DoCall {
+			t.Fatalf("%+v", acts)
+		}
+		// Its answer comes before the next look.
+		s.Called("n2", Call{Inc: 12, By: "n0", WaitMs: 500}, now)
+		s.Gone("n2")
+		s.Look(five("n0", now.Add(time.Millisecond)))
+		s.Ended("n2", now)
+		if acts, _ := s.Look(five("n0", now.Add(want))); len(acts) != 0 {
+			t.Fatalf("called again within %v: %+v", want, acts)
+		}
+		now = now.Add(want + time.Millisecond)
+		want = min(2*want, tuning.CallPauseMost)
+	}
+	if s.FalseAlarms != 8 {
+		t.Error(s.FalseAlarms)
+	}
+	s.Ended("n3", now)
+	s.Heard("n3")
+	s.Heard("n2")
+	if acts, _ := s.Look(five("n0", now)); len(acts) != 0 {
+		t.Errorf("%+v", acts)
+	}
+	s.Ended("n2", now)
+	x := five("n0", now)
+	x.Members[2].Inc = 99
+	if acts, _ := s.Look(x); len(acts) != 0 {
+		t.Errorf("it is back: %+v", acts)
+	}
+}
+
+// Several connections that end at once are more likely the network's fault.
+func TestSeveral(t *testing.T) {
+	s := New(start)
+	for _, n := range []string{"n1", "n2", "n3"} {
+		s.Ended(n, start)
+	}
+	x := five("n0", start)
+	x.Members[2].Answers = false
+	acts, _ := s.Look(x)
+	if len(acts) != 1 || fmt.Sprint(acts[0].Names) != "[n1 n3]" || acts[0].Wait != tuning.CallWaitMany {
+		t.Errorf("%+v", acts)
+	}
+	x.Down = true
+	if acts, _ := s.Look(x); len(acts) != 0 {
+		t.Errorf("with the state service down: %+v", acts)
+	}
+}
+
+// Who leaves gives the lead to the next one, or tells the leader; it answers no calls.
+func TestLeaving(t *testing.T) {
+	for me, to := range map[string]string{"n0": "n1", "n4": "n0"} {
+		s := New(start)
+		s.Leave()
+		x := five(me, start)
+		x.Calls[me] = Call{Inc: 10, By: "n1", WaitMs: 500}
+		if acts, _ := s.Look(x); len(acts) != 1 || acts[0].Kind != DoLeave || acts[0].Names[0] != to || s.State != Leaving {
+			t.Errorf("%s: %+v", me, acts)
+		}
+	}
+}
+
+// No duty before its checks, each told once with its time; another epoch starts anew.
+func TestChecks(t *testing.T) {
+	var c Checks
+	if c.May(Release) || c.May(Rent) || c.May(Delete) {
+		t.Error("before it leads")
+	}
+	c.Begin(7, start)
+	for i, k := range All() {
+		if len(c.Left()) != len(All())-i {
+			t.Error(c.Left())
+		}
+		for d, ks := range needs {
+			ready := !slices.ContainsFunc(ks, func(n Check) bool { return slices.Contains(c.Left(), n) })
+			if c.May(d) != ready {
+				t.Errorf("%s with %v left: %v", d, c.Left(), c.May(d))
+			}
+		}
+		if first, _ := c.Note(k, false, start); first {
+			t.Error("done although it does not hold")
+		}
+		at := start.Add(time.Duration(i) * time.Second)
+		if first, after := c.Note(k, true, at); !first || after != time.Duration(i)*time.Second {
+			t.Error(k, first, after)
+		}
+		if first, _ := c.Note(k, true, at); first {
+			t.Error("told twice")
+		}
+	}
+	if !c.May(Rent) {
+		t.Error(c.Left())
+	}
+	c.Begin(7, start)
+	if !c.May(Rent) {
+		t.Error("forgotten under the same epoch")
+	}
+	if c.Begin(8, start); c.May(Delete) {
+		t.Error("another epoch's checks count")
+	}
+}
+
+// world is a state service with a view, members' keys and calls, and controllers that
+// see it late, commit late, stand still, end and come back.
+type world struct {
+	now     time.Time
+	stamp   int
+	leader  string
+	epoch   int
+	view    map[string]uint64
+	viewAt  int
+	keys    map[string]uint64
+	calls   map[string]Call
+	callAt  map[string]int
+	nodes   map[string]*node
+	leaders map[int]string
+	inc     uint64
+	log     []change
+}
+
+type node struct {
+	s     *Standby
+	inc   uint64
+	alive bool
+	// What it has read.
+	leader string
+	view   map[string]uint64
+	viewAt int
+	calls  map[string]Call
+	callAt map[string]int
+	late   []func() // transactions that have not arrived
+	at     int      // of the log
+}
+
+var names = []string{"n0", "n1", "n2", "n3", "n4"}
+
+func (w *world) boot(n string) {
+	w.inc++
+	x := w.nodes[n]
+	*x = node{s: New(w.now), inc: w.inc, alive: true, late: x.late, at: len(w.log)}
+	w.keys[n] = w.inc
+	w.read(n)
+}
+
+func (w *world) read(n string) {
+	x := w.nodes[n]
+	x.leader, x.viewAt, x.view = w.leader, w.viewAt, map[string]uint64{}
+	for k, v := range w.view {
+		x.view[k] = v
+	}
+	// As a watch tells it: each call, and each that went.
+	for _, e := range w.log[x.at:] {
+		if e.gone {
+			x.s.Gone(e.name)
+		} else {
+			x.s.Called(e.name, e.call, w.now)
+		}
+	}
+	x.at = len(w.log)
+	x.calls, x.callAt = map[string]Call{}, map[string]int{}
+	for k, v := range w.calls {
+		x.calls[k], x.callAt[k] = v, w.callAt[k]
+	}
+}
+
+// uncall removes a call.
+func (w *world) uncall(name string) {
+	if w.callAt[name] != 0 {
+		delete(w.calls, name)
+		delete(w.callAt, name)
+		w.log = append(w.log, change{name: name, gone: true})
+	}
+}
+
+// change is of a call.
+type change struct {
+	name string
+	call Call
+	gone bool
+}
+
+// look has a controller look and hands what it wants to commit to send.
+func (w *world) look(n string, send func(func())) {
+	x := w.nodes[n]
+	if !x.alive {
+		return
+	}
+	if w.keys[n] != x.inc { // left out: it comes back as a new incarnation
+		w.boot(n)
+		x = w.nodes[n]
+	}
+	sit := Situation{Now: w.now, Me: n, Inside: x.view[n] == x.inc, Leader: x.leader, Calls: x.calls}
+	for _, m := range names {
+		if x.view[m] != 0 {
+			sit.Members = append(sit.Members, Member{Name: m, Inc: x.view[m], Zone: m[1:], Answers: true})
+		}
+	}
+	acts, _ := x.s.Look(sit)
+	viewAt, callAt, inc := x.viewAt, x.callAt, x.inc
+	for _, a := range acts {
+		switch a.Kind {
+		case DoAnswer:
+			at := callAt[n]
+			send(func() {
+				if w.callAt[n] == at {
+					w.stamp++
+					w.uncall(n)
+				}
+			})
+		case DoCall:
+			send(func() {
+				for _, m := range a.Names {
+					if w.callAt[m] != callAt[m] || w.viewAt != viewAt || w.keys[n] != inc || w.keys[m] != w.view[m] {
+						return
+					}
+				}
+				w.stamp++
+				for _, m := range a.Names {
+					w.calls[m], w.callAt[m] = Call{Inc: w.view[m], By: n, WaitMs: a.Wait.Milliseconds()}, w.stamp
+					w.log = append(w.log, change{name: m, call: w.calls[m]})
+				}
+			})
+		case DoOut:
+			send(func() {
+				for _, m := range a.Names {
+					if w.callAt[m] != callAt[m] || w.callAt[m] == 0 {
+						return
+					}
+				}
+				if w.viewAt == viewAt && w.keys[n] == inc {
+					w.change(n, a.Names)
+				}
+			})
+		}
+	}
+	// The leader lets members in, whose keys are there.
+	if x.leader == n && sit.Inside {
+		send(func() {
+			if w.viewAt == viewAt && w.keys[n] == inc && !maps.Equal(w.keys, w.view) {
+				w.change(n, nil)
+			}
+		})
+	}
+}
+
+// change commits a view led by a controller, without some.
+func (w *world) change(by string, out []string) {
+	w.stamp++
+	w.epoch++
+	w.leader, w.viewAt = by, w.stamp
+	for _, m := range out {
+		delete(w.keys, m)
+		w.uncall(m)
+	}
+	w.view = map[string]uint64{}
+	for m, inc := range w.keys {
+		w.view[m] = inc
+	}
+	if was, led := w.leaders[w.epoch]; led && was != by {
+		panic("two leaders under one epoch")
+	}
+	w.leaders[w.epoch] = by
+}
+
+// TestAnyOrder draws any order of ends, standstills, returns, refused connections, late
+// reads and late transactions: no epoch has two leaders, a controller that runs, reads
+// and commits in time is never left out, and once all runs again every call ends and
+// somebody leads.
+func TestAnyOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &world{now: start, keys: map[string]uint64{}, calls: map[string]Call{}, callAt: map[string]int{}, nodes: map[string]*node{}, leaders: map[int]string{}, view: map[string]uint64{}}
+		for _, n := range names {
+			w.nodes[n] = &node{}
+			w.boot(n)
+		}
+		w.change("n0", nil)
+		prompt := rapid.SampledFrom(names).Draw(t, "prompt") // always in time
+		atOnce := func(f func()) { f() }
+		step := func(n string, late bool) {
+			x := w.nodes[n]
+			if late {
+				w.look(n, func(f func()) { x.late = append(x.late, f) })
+				return
+			}
+			w.read(n)
+			w.look(n, atOnce)
+		}
+		for range rapid.IntRange(5, 120).Draw(t, "steps") {
+			w.now = w.now.Add(50 * time.Millisecond)
+			n := rapid.SampledFrom(names).Draw(t, "who")
+			x := w.nodes[n]
+			switch kind := rapid.IntRange(0, 9).Draw(t, "what"); {
+			case kind == 0 && n != prompt && x.alive:
+				x.alive = false
+				for _, o := range names {
+					if w.nodes[o].alive && rapid.Bool().Draw(t, "seen") {
+						w.nodes[o].s.Ended(n, w.now)
+					}
+				}
+			case kind == 1 && !x.alive:
+				w.boot(n)
+			case kind == 2:
+				for _, o := range names { // a filter refuses its connections
+					w.nodes[o].s.Ended(n, w.now)
+					x.s.Ended(o, w.now)
+				}
+			case kind == 3 && len(x.late) > 0:
+				x.late[0]()
+				x.late = x.late[1:]
+			case kind < 7 && n != prompt:
+				step(n, rapid.Bool().Draw(t, "late"))
+			default:
+				step(n, false)
+			}
+			inc := w.nodes[prompt].inc
+			step(prompt, false)
+			if w.nodes[prompt].inc != inc {
+				t.Fatalf("%s answered in time and was left out", prompt)
+			}
+		}
+		for _, n := range names {
+			for _, f := range w.nodes[n].late {
+				f()
+			}
+			w.nodes[n].late = nil
+			if !w.nodes[n].alive {
+				w.boot(n)
+			}
+		}
+		// A leader that is out is replaced by its lease or by a call; here its lease ends.
+		for range 400 {
+			w.now = w.now.Add(50 * time.Millisecond)
+			if w.keys[w.leader] != w.view[w.leader] {
+				w.change(prompt, nil)
+			}
+			for _, n := range names {
+				step(n, false)
+			}
+		}
+		if len(w.calls) > 0 || len(w.view) != len(names) {
+			t.Fatalf("calls %v, view %v, keys %v", w.calls, w.view, w.keys)
+		}
+		for _, n := range names {
+			want := Following
+			if n == w.leader {
+				want = Leading
+			}
+			if got := w.nodes[n].s.State; got != want && got != Warm {
+				t.Fatalf("%s is %s, not %s", n, got, want)
+			}
+		}
+	})
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -25,6 +25,10 @@
 	seq    int
 	cuts   map[string]cutMode
 	held   map[string][]func()
+	// Old are controllers whose program does not answer calls.
+	Old []string
+	// filtered are controllers whose connections with the others are refused.
+	filtered map[string]bool
 
 	Store   *Store
 	Cloud   *Cloud
@@ -37,6 +41,7 @@
 	LeaseS, ReportS, CancelS, GangWaitS, GangPeerS float64
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
+	Sent503                                        int    // answers to submissions and cancellations
 	Breaches                                       int    // of the protocol's limits, in Broken as well
 	Real                                           *Real  // set when the parties speak over sockets
 	Door                                           string // the node that users reach, any if empty
@@ -93,7 +98,7 @@
 func NewWorld(seed uint64, log *slog.Logger) *World {
 	w := &World{
 		Start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), RNG: rand.New(rand.NewPCG(seed, 1)), Log: log,
-		cuts: map[string]cutMode{}, held: map[string][]func(){}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
+		cuts: map[string]cutMode{}, held: map[string][]func(){}, filtered: map[string]bool{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
 		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{},
 	}
 	w.Now = w.Start
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -157,6 +157,28 @@
 	LookEvery = 2 * time.Second
 	// PeerBeat: how often peers tell one another how they are.
 	PeerBeat = 500 * time.Millisecond
+	// CallWait: how long a member whose connection has ended may leave a call
+	// unanswered. One that lives sees it within a watch (some 60 ms) and answers with
+	// one transaction (10 ms, now and then a few hundred); a wrong alarm costs two
+	// changes of view. CallWaitMany: where several connections ended together, which
+	// is more likely the network between controllers.
+	CallWait     = 500 * time.Millisecond
+	CallWaitMany = 1500 * time.Millisecond
+	// CallStagger: how much longer each next one waits to act on a suspicion than the
+	// one before it, who may have ended as well.
+	CallStagger = 300 * time.Millisecond
+	// CallPause, CallPauseMost: a member that has answered is not called again for so
+	// long, doubled each time: what ended its connection may last.
+	CallPause     = 2 * time.Second
+	CallPauseMost = 60 * time.Second
+	// WarmStandbys: members that are ready to lead at once.
+	WarmStandbys = 2
+	// LeaveUsers: how long a controller that was asked to end still serves users while
+	// it calls itself unhealthy: two failed probes, a second apart, and some air.
+	LeaveUsers = 2500 * time.Millisecond
+	// LeaveWithin: a controller that was asked to end does so that much
+	// later, in the view or not.
+	LeaveWithin = 3 * time.Second
 	// PeerFresh: older words of a peer are not believed.
 	PeerFresh = 3 * time.Second
 )
@@ -199,6 +221,9 @@
 	// CancelDelete: share of cancel_s after which a machine that still holds
 	// a cancelled task is deleted.
 	CancelDelete = 0.55
+	// AcceptTries: times that a submission is tried while the view changes under it; two
+	// changes follow each other where a controller is replaced.
+	AcceptTries = 3
 	// FinalCache: final job states kept in memory.
 	FinalCache = 20000
 	// RetryAfter, seconds, told to users who are refused.
