Queue: largest jobs begin in time, large gangs gather room, claims in one value

Cause: within a class the smaller go first and what has missed its aims last, for ten minutes; a large gang waited behind all smaller ones, while machines rented for it went to others and its waiting kept thousands from being returned; its claims were two changes a machine.

Change: a job that has not begun goes to the head of its rank, turn and share after a time that hangs on its accepted time and its class's last aim for starting (arrays with their first tasks only); a gang of more than four gathers free room in one zone, which counts as demand and for what is rented; all claims stand in one value; a gang of several parts that one transaction holds is placed by one.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -128,6 +128,8 @@
 	Reserved map[string]Reservation
 	Images   fleet.Images
 	Packs    map[string]*Slice
+	Claims   fleet.Claims      // machines claimed for gangs, by job
+	ClaimOf  map[string]string // the same by machine
 
 	// aside is the packs that cannot be read, with the jobs whose tasks they hold,
 	// none if not even that is known.
@@ -267,6 +269,14 @@
 	}
 }
 
+// ClaimsChanged takes in which machines are claimed. Of a value that cannot be read
+// nothing counts: the leader writes it anew.
+func (b *Book) ClaimsChanged(value json.RawMessage) error {
+	claims, err := fleet.DecodeClaims(value)
+	b.Claims, b.ClaimOf = claims, claims.ByHost()
+	return err
+}
+
 // charge books a task that is released or may be on a machine.
 func (b *Book) charge(t *Task, k int) {
 	if t.Job.Rec != nil && (t.Charged() || t.State == Unreadable) {
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -41,6 +41,7 @@
 	}
 	n.front.QuotaPass()
 	n.dropClaims()
+	n.queue.KeepClaims()
 	// Where the budget does not allow all, each gets its turn.
 	duties := []func(){n.closeJobs, n.rental.Condemn, n.takeBack, n.releasePass}
 	for i := range duties {
@@ -144,11 +145,11 @@
 	n.commit(ds)
 }
 
-// dropClaims clears claims that an earlier leader left.
+// dropClaims clears claims that a leader of an earlier version left in machines' records.
 func (n *Node) dropClaims() {
 	var ds []decide.Decision
 	for _, m := range n.ByName() {
-		if m.Claim != "" && !n.queue.Claiming(m.Claim) {
+		if m.Claim != "" {
 			rec := m.Host
 			rec.Claim = ""
 			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(fleet.HostPrefix+m.Name, rec)}})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -350,6 +350,10 @@
 		n.workChanged(key, value, stamp)
 	case hasPrefix(key, fleet.HostPrefix):
 		n.hostChanged(key[len(fleet.HostPrefix):], value)
+	case key == fleet.ClaimsKey:
+		if err := n.ClaimsChanged(value); err != nil {
+			n.log.Error("unreadable claims set aside", "error", err)
+		}
 	case hasPrefix(key, rental.BuildPrefix):
 		var b jobs.Build
 		if value == nil {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -25,7 +25,7 @@
 )
 
 // livePrefixes are read whole at a start. Jobs come before their tasks.
-var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, records.Prefix, fleet.HostPrefix, fleet.QuietPrefix, rental.BuildPrefix, fencePrefix, standby.CallPrefix, members.FormPrefix, members.MemberPrefix, members.ViewKey, rental.SummaryKey}
+var livePrefixes = []string{jobs.JobPrefix, jobs.TaskPrefix, records.Prefix, fleet.HostPrefix, fleet.QuietPrefix, fleet.ClaimsKey, rental.BuildPrefix, fencePrefix, standby.CallPrefix, members.FormPrefix, members.MemberPrefix, members.ViewKey, rental.SummaryKey}
 
 // prefixes are the live prefixes of this node's duties.
 func (n *Node) prefixes() []string {
--- a/internal/part/command.go
+++ b/internal/part/command.go
@@ -86,7 +86,8 @@
 	if pt.Now.Sub(s.LastReport) > jobs.Seconds(pt.Cluster.Workers.ReportS*tuning.FreshReports) {
 		return false
 	}
-	return pt.takes(t, m) && (m.Claim == "" || m.Claim == t.Job.UID)
+	uid := pt.Queue.ClaimedFor(m)
+	return pt.takes(t, m) && (uid == "" || uid == t.Job.UID)
 }
 
 // takes tells whether a machine is one that a task may go on, by its record.
--- /dev/null
+++ b/internal/queue/claims.go
@@ -0,0 +1,94 @@
+package queue
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/store"
+)
+
+// claim is the machines of one gang while the leader places it: wanted until the state
+// service holds it, then held until its tasks' records are settled.
+type claim struct {
+	hosts []string
+	then  func(ok bool) // once it is known whether it is held
+	asked bool          // a write with it is under way
+	held  bool
+}
+
+// Claiming tells whether a gang's machines are being claimed by this leader.
+func (q *Queue) Claiming(uid string) bool { return q.claims[uid] != nil }
+
+// claim wants machines for a gang. Nothing else is released to them from now on.
+func (q *Queue) claim(uid string, hosts []string, then func(ok bool)) {
+	q.claims[uid] = &claim{hosts: hosts, then: then}
+	q.KeepClaims()
+}
+
+// wanted tells whether a machine is wanted for a gang whose claim is not held yet.
+func (q *Queue) wanted(host string) bool {
+	for _, c := range q.claims {
+		if slices.Contains(c.hosts, host) {
+			return true
+		}
+	}
+	return false
+}
+
+// KeepClaims has the state service hold what this leader claims and nothing else: what
+// an earlier leader left goes with the first write. There is one write at a time.
+func (q *Queue) KeepClaims() {
+	want := fleet.Claims{}
+	for uid, c := range q.claims {
+		want[uid] = c.hosts
+	}
+	if q.Busy(fleet.ClaimsKey) {
+		return
+	}
+	if maps.EqualFunc(want, q.Claims, slices.Equal[[]string]) {
+		q.settleClaims(true, func(c *claim) bool { return !c.held }) // an earlier leader's stand
+		return
+	}
+	w := decide.Put(fleet.ClaimsKey, want)
+	if len(want) == 0 {
+		w = decide.Remove(fleet.ClaimsKey)
+	} else if len(w.Value) > q.SliceLimit {
+		// No more at once: what is not held yet is looked at anew.
+		q.settleClaims(false, func(c *claim) bool { return !c.held && !c.asked })
+		return
+	}
+	for _, c := range q.claims {
+		c.asked = true
+	}
+	q.Commit([]decide.Decision{{Writes: []store.Write{w}, Urgent: true, Done: func(ok bool) {
+		q.settleClaims(ok, func(c *claim) bool { return !c.held && c.asked })
+	}}})
+}
+
+// settleClaims tells gangs whether their claims are held.
+func (q *Queue) settleClaims(ok bool, which func(*claim) bool) {
+	for _, uid := range book.Sorted(q.claims) {
+		c := q.claims[uid]
+		if c == nil || !which(c) {
+			continue
+		}
+		if c.asked = false; ok {
+			c.held = true
+		} else {
+			delete(q.claims, uid)
+		}
+		c.then(ok)
+	}
+}
+
+// ClaimedFor is the job that a machine is claimed for, "" for none. Earlier versions
+// kept it in the machine's own record.
+func (q *Queue) ClaimedFor(m *book.Machine) string {
+	if m.Claim != "" {
+		return m.Claim
+	}
+	return q.ClaimOf[m.Name]
+}
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -6,11 +6,9 @@
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
-	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/gangs"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/parts"
-	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
@@ -18,7 +16,7 @@
 // the leader place it across parts; a broken one is stopped.
 func (q *Queue) releaseGang(j *book.Job, p *pass) {
 	spec := &j.Rec.Spec
-	if q.claiming[j.UID] {
+	if q.Claiming(j.UID) {
 		return
 	}
 	records := make([]*jobs.Task, 0, len(j.Tasks))
@@ -53,6 +51,10 @@
 	}
 	leaf := q.Leaf(spec)
 	if !p.account.Allows(leaf, spec.Amount(), spec.Pieces) {
+		if q.Overdue(j) && p.account.Tree().Ever(leaf, spec.Amount(), spec.Pieces) {
+			// As with single tasks: what its team has left waits for it.
+			p.full[leaf] = true
+		}
 		return
 	}
 	entitled := p.account.Entitled(leaf, spec.Amount(), spec.Pieces)
@@ -61,12 +63,19 @@
 	if offers == nil && probing {
 		return
 	}
+	if offers == nil && large(spec) {
+		kept, site := q.gather(all[0], p)
+		q.Waiting = append(q.Waiting, &Waiting{Task: all[0], Count: spec.Pieces - kept, Rank: spec.RankOrder(), Entitled: entitled, Site: site, Gathers: true})
+		return
+	}
 	if offers == nil {
 		q.Waiting = append(q.Waiting, &Waiting{Task: all[0], Count: spec.Pieces, Rank: spec.RankOrder(), Entitled: entitled})
 		q.holdFor(all[0].Anywhere(), min(spec.Pieces, tuning.HoldEach), q.Zones(j), p)
 		return
 	}
-	if whole && q.inOne(spec, offers) {
+	// Where the leader names the machines itself, those of several parts are taken in
+	// one change as well.
+	if (whole || q.oursAll(offers)) && q.inOne(spec, offers) {
 		if d, ok := q.offerGang(j, offers); ok {
 			p.ds = append(p.ds, d)
 			return
@@ -88,12 +97,17 @@
 	for _, o := range offers {
 		hosts[o.host] = true
 	}
-	// View, fence and quotas, the job, and a slice that the first task does not begin.
-	const others = 5
+	// View, fence, quotas and claims, the job, and a slice that the first task does not begin.
+	const others = 6
 	slices := spec.Pieces/q.SliceMost + 1
 	return len(hosts)+slices+others <= q.TxnOps*tuning.CondsPerOp && spec.Pieces*tuning.SliceTaskBytes <= tuning.TxnBytes
 }
 
+// oursAll tells whether the leader may place all of a gang itself.
+func (q *Queue) oursAll(offers []offer) bool {
+	return !slices.ContainsFunc(offers, func(o offer) bool { return !q.ours(o.t, q.Machines[o.host]) })
+}
+
 // offerGang is the one decision that gives a whole gang to the part that all
 // its machines belong to; the leader's own part places it at once.
 func (q *Queue) offerGang(j *book.Job, offers []offer) (decide.Decision, bool) {
@@ -152,7 +166,7 @@
 		add(q.beginSlice(j, fresh[:k], hosts[:k], place, top+1))
 		fresh, hosts = fresh[k:], hosts[k:]
 	}
-	if len(one.Keys()) > q.TxnOps || len(one.Seen) > q.TxnOps {
+	if len(one.Keys()) > q.TxnOps {
 		one.Done(false)
 		return one, false
 	}
@@ -188,21 +202,15 @@
 // state service first, so that no part places anything else on them, then the
 // tasks are placed, then the claims are dropped.
 func (q *Queue) claimGang(j *book.Job, all []*book.Task, hosts []string, try uint64) {
-	q.claiming[j.UID] = true
-	unique := map[string]bool{}
-	for _, h := range hosts {
-		unique[h] = true
-	}
-	q.claim(unique, j.UID, func(ok bool) {
-		release := func() {
-			q.claim(unique, "", func(bool) { delete(q.claiming, j.UID) })
-		}
+	unique := slices.Clone(hosts)
+	slices.Sort(unique)
+	q.claim(j.UID, slices.Compact(unique), func(ok bool) {
 		ds, good := q.placeClaimed(j, all, hosts, try, ok)
 		if !good {
 			for _, d := range ds {
 				d.Done(false)
 			}
-			release()
+			delete(q.claims, j.UID)
 			return
 		}
 		left := len(ds)
@@ -211,9 +219,12 @@
 			ds[i].Done = func(ok bool) {
 				inner(ok)
 				if left--; left == 0 {
-					release()
+					delete(q.claims, j.UID)
 				}
 			}
+			// Part of a gang placed and part put off for want of changes would be a
+			// broken one, to be stopped.
+			ds[i].Urgent = true
 		}
 		q.Commit(ds)
 	})
@@ -229,7 +240,7 @@
 	extra := map[string]parts.Room{}
 	for _, h := range hosts {
 		m := q.Machines[h]
-		if m == nil || m.Claim != j.UID || q.Builds[m.Build] == nil {
+		if m == nil || q.ClaimedFor(m) != j.UID || q.Builds[m.Build] == nil {
 			return nil, false
 		}
 		extra[h] = extra[h].Add(need)
@@ -262,32 +273,6 @@
 	return ds, true
 }
 
-// claim sets or clears the claim on machines.
-func (q *Queue) claim(hosts map[string]bool, uid string, done func(bool)) {
-	var ds []decide.Decision
-	left, good := 0, true
-	for _, h := range book.Sorted(hosts) {
-		m := q.Machines[h]
-		if m == nil || m.Claim == uid {
-			continue
-		}
-		rec := m.Host
-		rec.Claim = uid
-		left++
-		ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(fleet.HostPrefix+h, rec)}, Done: func(ok bool) {
-			good = good && ok
-			if left--; left == 0 {
-				done(good)
-			}
-		}})
-	}
-	if left == 0 {
-		done(true)
-		return
-	}
-	q.Commit(ds)
-}
-
 // placeGang places a gang that was offered to this part, whole or not at all.
 func (q *Queue) placeGang(j *book.Job, all []*book.Task) []decide.Decision {
 	if len(all) != j.Rec.Spec.Pieces {
--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -10,13 +11,15 @@
 )
 
 // order lists the live jobs that wait: by rank, then what lies within a
-// guarantee, then by the time by which they must start to meet their aim.
+// guarantee, then by the share of its team beyond that, then what has waited too long
+// to begin, the oldest first, then by the time by which they must start to meet their aim.
 func (q *Queue) order(account *quota.Account) []*book.Job {
 	type entry struct {
 		j     *book.Job
 		rank  int
 		turn  int       // 0: within its team's guarantee
 		way   []float64 // of its leaf, for what lies beyond that
+		due   bool      // overdue to begin
 		late  bool
 		room  float64
 		start int64
@@ -33,7 +36,7 @@
 		if _, known := ways[leaf]; turn > 0 && !known {
 			ways[leaf] = account.Way(leaf)
 		}
-		entries = append(entries, entry{j, spec.RankOrder(), turn, ways[leaf], late(j.Rec, start), spec.Accel * float64(spec.Pieces-j.Done), start})
+		entries = append(entries, entry{j, spec.RankOrder(), turn, ways[leaf], q.Overdue(j), late(j.Rec, start), spec.Accel * float64(spec.Pieces-j.Done), start})
 	}
 	sort.Slice(entries, func(x, y int) bool {
 		a, b := &entries[x], &entries[y]
@@ -44,6 +47,10 @@
 			return a.turn < b.turn
 		case a.turn > 0 && quota.CompareWays(a.way, b.way) != 0:
 			return quota.CompareWays(a.way, b.way) < 0
+		case a.due != b.due:
+			return a.due
+		case a.due && a.j.Rec.AtMs != b.j.Rec.AtMs:
+			return a.j.Rec.AtMs < b.j.Rec.AtMs
 		case a.late != b.late:
 			return !a.late
 		case !a.late && a.room != b.room:
@@ -60,6 +67,35 @@
 	return out
 }
 
+// Overdue tells whether a job has waited so long to begin that it goes before all
+// others of its rank, turn and team's share. Within a class the smaller go first, so without it the
+// largest begin last, and while smaller ones keep coming never
+// (docs/incidents/largest-last.md). It hangs on the accepted time alone, so no restart
+// makes anyone wait again. A gang has begun when all of its tasks run; any other job with its
+// first task, and what is left of it then waits in its ordinary turn.
+func (q *Queue) Overdue(j *book.Job) bool {
+	if q.Ms()-j.Rec.AtMs < q.overdueAfter(j.Rec.Spec.Class).Milliseconds() {
+		return false
+	}
+	return j.Rec.Spec.Gang() || len(j.Active)+len(j.Again)+j.Done == 0
+}
+
+// overdueAfter is the wait after which a class's jobs are overdue: while the last of its
+// aims for starting can still be met, or where all of those are shorter than making room
+// takes, in time for the users' bound.
+func (q *Queue) overdueAfter(class string) time.Duration {
+	last := time.Duration(0)
+	for _, o := range q.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			last = max(last, jobs.Seconds(o.WithinS))
+		}
+	}
+	if last < tuning.OverdueAim {
+		return tuning.Overdue
+	}
+	return min(tuning.Overdue, last-tuning.OverdueLead)
+}
+
 // StartBy is the time by which a job must start to meet the next of its
 // class's aims that it still can; a job that has missed them all comes after
 // those that have not, until it has waited very long.
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -28,6 +28,7 @@
 	searches int                  // looks for tasks to stop
 	stopping map[*book.Task]bool  // to be stopped by this pass
 	chosen   int                  // machines newly chosen to be kept
+	gathered float64              // machines' room kept for large gangs
 	ds       []decide.Decision
 	machines []*book.Machine   // those that the leader may have room on in mind
 	cands    []parts.Candidate // room for the board of one job after another
@@ -128,6 +129,7 @@
 	p := q.newPass()
 	before := q.StillWaiting()
 	q.Waiting = nil
+	q.dropGathered()
 	budget, most := q.Allows(0, 1), tuning.MostReleases
 	if !budget {
 		most = tuning.MostLooks
@@ -186,6 +188,9 @@
 		}
 	}
 	probing := q.Trust(j, "") == jobs.Probing
+	if q.Overdue(j) {
+		most = min(most, 1+spec.Pieces/tuning.BeginShare) // others behind it are overdue, too
+	}
 	tasks := q.pending(j, min(most, room+tuning.WaitingEach, q.unstarted(j)))
 	if probing {
 		tasks = q.probe(j)
--- a/internal/queue/place.go
+++ b/internal/queue/place.go
@@ -70,7 +70,9 @@
 	if host == "" {
 		return decide.Decision{}, false
 	}
-	return q.placing(t, host, t.Site, try)
+	d, ok := q.placing(t, host, t.Site, try)
+	d.Seen = append(d.Seen, fleet.ClaimsKey) // not on what was claimed meanwhile
+	return d, ok
 }
 
 // placing is the decision that puts a task on a machine. The machine's record
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -47,10 +47,11 @@
 	// Waiting is what found no room in the last look.
 	Waiting []*Waiting
 
-	avoid     map[string]time.Time // machines not offered for a while
-	preempted map[string]making    // tasks that room is made for
-	holds     map[string]hold      // machines kept, by job
-	claiming  map[string]bool      // gangs whose machines are being claimed
+	avoid      map[string]time.Time // machines not offered for a while
+	preempted  map[string]making    // tasks that room is made for
+	holds      map[string]hold      // machines kept, by job
+	claims     map[string]*claim    // of gangs that are being placed
+	gatherings map[string]*gathering
 }
 
 // New makes an empty queue over a book.
@@ -63,7 +64,8 @@
 // Reset forgets what only a leader keeps: a new one starts from the records.
 func (q *Queue) Reset() {
 	q.Waiting = nil
-	q.avoid, q.preempted, q.holds, q.claiming = map[string]time.Time{}, map[string]making{}, map[string]hold{}, map[string]bool{}
+	q.avoid, q.preempted, q.holds, q.claims = map[string]time.Time{}, map[string]making{}, map[string]hold{}, map[string]*claim{}
+	q.gatherings = map[string]*gathering{}
 }
 
 // Waiting is queued tasks of one job that may run by their limits but have found
@@ -76,12 +78,14 @@
 	// Entitled is the node of the quotas' tree within whose guarantee it lies,
 	// below 0 for none.
 	Entitled int
+	// Site is the zone in which a large gang gathers room, if it must be in one. Count
+	// is then what it still lacks.
+	Site string
+	// Gathers: it is a large gang, for which room is kept as it comes.
+	Gathers bool
 }
 
 func (w *Waiting) within() bool { return w.Entitled >= 0 }
 
 // Avoid keeps tasks off a machine until then.
 func (q *Queue) Avoid(host string, until time.Time) { q.avoid[host] = until }
-
-// Claiming tells whether a gang's machines are being claimed by this leader.
-func (q *Queue) Claiming(uid string) bool { return q.claiming[uid] }
--- a/internal/queue/room.go
+++ b/internal/queue/room.go
@@ -86,7 +86,7 @@
 
 // openFor tells whether the leader may have room on a machine in mind at all.
 func (q *Queue) openFor(m *book.Machine) bool {
-	return m.Claim == "" && !q.Now.Before(q.avoid[m.Name]) && q.Ready(m)
+	return q.ClaimedFor(m) == "" && !q.wanted(m.Name) && !q.Now.Before(q.avoid[m.Name]) && q.Ready(m)
 }
 
 // offers tells whether the leader may have room on a machine in mind.
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -73,7 +73,8 @@
 			}
 		}
 	}
-	if found && cost > least*tuning.PatientPrice {
+	// A gang gathers room that stands idle until it is whole: it is not kept for a price.
+	if j := re.Jobs[r.Spec.UID]; found && cost > least*tuning.PatientPrice && !(j != nil && spec.Gang() && re.Queue.Overdue(j)) {
 		margin := jobs.Seconds(re.cloud.catalog[best.Build].ReadyS+spec.ExpectS/2) + 2*jobs.Seconds(re.Operator.StepS)
 		if re.Queue.StartBy(r, false)-re.Ms() > margin.Milliseconds() {
 			return kind{}, false
@@ -183,6 +184,9 @@
 	sum := 0.0
 	for _, w := range re.Queue.StillWaiting() {
 		spec := &w.Task.Job.Rec.Spec
+		if w.Gathers {
+			continue // its need is demand, and what is kept for it as well; no more stays for it
+		}
 		if share := spec.Need().Share(b.Whole()); share <= 1+1e-9 && spec.AllowsBuild(g.Build) && (spec.Loaner || !g.Loaner) {
 			sum += share * float64(w.Count)
 		}
@@ -206,6 +210,7 @@
 	// Booked room by group, and what is on each machine.
 	demand := map[fleet.Group]float64{}
 	var idle = map[fleet.Group][]fleet.Idle{}
+	gathered := re.Queue.Gathered()
 	for _, h := range book.Sorted(re.Machines) {
 		m := re.Machines[h]
 		b := re.Builds[m.Build]
@@ -213,7 +218,7 @@
 			continue
 		}
 		g := fleet.Group{Build: m.Build, Loaner: m.Loaner}
-		share := re.Used(h).Share(b.Whole())
+		share := re.Used(h).Add(gathered[h]).Share(b.Whole())
 		if _, draining := re.Summary.Drain[h]; !draining {
 			demand[g] += share
 		}
@@ -380,6 +385,9 @@
 		zones := zonesOf[w.Task.Job]
 		if zones == nil {
 			zones = re.Zones(w.Task.Job)
+			if w.Site != "" {
+				zones[w.Site]++ // where it gathers
+			}
 			zonesOf[w.Task.Job] = zones
 		}
 		left := w.Count
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -488,6 +488,10 @@
 		if got := s.w.Cloud.Alive(); got > int(s.number(args[1])) {
 			s.fatal("%d machines are rented, more than %s", got, args[1])
 		}
+	case "begun": // expect begun JOB: a task of it has run, all at once of a gang
+		if s.job(args[1]).FirstStart.IsZero() {
+			s.fatal("%s has not begun", args[1])
+		}
 	case "starts": // expect starts JOB MAX: of its tasks
 		if got := s.job(args[1]).Starts; got > int(s.number(args[2])) {
 			s.fatal("tasks of %s started %d times, more than %s", args[1], got, args[2])
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -105,6 +105,8 @@
 		if _, ok := members.Decode(v); !ok {
 			err = fmt.Errorf("not a view")
 		}
+	case key == fleet.ClaimsKey:
+		err = c.ClaimsChanged(v)
 	case key == quota.StoreKey:
 		_, err = quota.Decode(v)
 	default:
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -346,6 +346,18 @@
 	// QueueHorizon: a job that has missed its aims waits behind those that can
 	// still meet theirs, but not longer than this.
 	QueueHorizon = 10 * time.Minute
+	// Overdue: a job that has not begun after this goes to the head of its rank, turn and
+	// share. Users give the largest jobs 240 s; a boot and the fetch of a large image take
+	// up to 100 s of them.
+	Overdue = 110 * time.Second
+	// OverdueLead: the same so long before the last of its class's aims for starting, where
+	// that is at least OverdueAim: about a boot and a fetch.
+	OverdueLead = 45 * time.Second
+	OverdueAim  = 75 * time.Second
+	// BeginShare: one task and one for each so many go to the head with it. They show
+	// that it runs and what its tasks take; more would hold up the smaller jobs that it
+	// waits behind.
+	BeginShare = 16
 	// HoldShare: share of the machines that may be kept for tasks that need
 	// more room than is free anywhere.
 	HoldShare = 0.25
@@ -359,6 +371,12 @@
 	WaitingEach = 12
 	// HoldMost: machines kept in one pass; each costs a look at all of them.
 	HoldMost = 16
+	// GatherElsewhere: a large gang that has gathered nothing more for this long in one
+	// zone tries another: longer than machines take to boot.
+	GatherElsewhere = 60 * time.Second
+	// GatherAgain: pause before the busy machines kept for it are chosen anew; each
+	// choice looks at all tasks of a zone.
+	GatherAgain = 5 * time.Second
 	// HoldAgain: pause before the machines kept for a job are chosen anew.
 	HoldAgain = 500 * time.Millisecond
 	// HoldEach: machines kept for one job.
