Stand-ins' users judge by their own rules in every scenario

Change: after a scenario's last line all troubles end and 75 s pass; an accepted, not cancelled job about which nothing was answered then is forgotten, and a controller that sent everybody away is told. Half of each class, team and class's largest tenth (pieces times need) must have begun unless the file says 'scarce'; 'in-time' asks that the largest began within 240 s. Recorded decisions end with the file, as before.

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -55,6 +55,8 @@
 	host []string // machines there from the start
 	vars map[string]string
 
+	scarce  bool           // there is no room for half of each group
+	inTime  bool           // the largest jobs are to begin in time
 	old     []string       // controllers that don't answer calls
 	stops   map[string]int // by cause, while quotas are watched
 	applied map[string]int // answers to applied trees
@@ -102,6 +104,12 @@
 		s.w.RunUntil(time.Duration(at * float64(time.Second)))
 		s.do(words[1], words[2:])
 	}
+	if committed == nil { // what was recorded ends with the file
+		s.w.Aftermath()
+		if !s.scarce {
+			s.w.CheckServed(s.inTime)
+		}
+	}
 	if s.w.Store.Poisoned == 0 {
 		s.w.CheckRefused()
 	}
@@ -156,6 +164,10 @@
 		}
 	case "old": // old NODE: its program does not answer calls
 		s.old = append(s.old, words[1])
+	case "scarce": // there is no room for half of each class, team and largest tenth
+		s.scarce = true
+	case "in-time": // each class's largest jobs are to begin within four minutes
+		s.inTime = true
 	case "report": // report SECONDS between the workers' reports
 		s.w.ReportS = s.number(words[1])
 		s.set.Cluster.Workers.ReportS = s.w.ReportS
@@ -460,6 +472,7 @@
 			s.fatal("unknown property %q", k)
 		}
 	}
+	j.Class = class
 	builds := "null"
 	if j.Builds != nil {
 		builds = `["` + strings.Join(j.Builds, `","`) + `"]`
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -18,16 +18,17 @@
 
 // Node runs a controller in the world.
 type Node struct {
-	w     *World
-	Name  string
-	set   *settings.Settings
-	n     *node.Node
-	gen   int
-	alive bool
-	wake  time.Time
-	thaw  time.Time // until then the process stands still
-	asked time.Time // to end in order
-	began time.Time
+	w          *World
+	Name       string
+	set        *settings.Settings
+	n          *node.Node
+	gen        int
+	alive      bool
+	wake       time.Time
+	thaw       time.Time // until then the process stands still
+	asked      time.Time // to end in order
+	began      time.Time
+	asks, told int // users' requests, and those that were answered neither 503 nor 429
 }
 
 // probes is how long the load balancer takes to see that a controller calls itself
@@ -305,6 +306,7 @@
 		name = w.Door
 	}
 	var sent time.Time
+	w.Nodes[name].asks++
 	w.call("user", name, 5*time.Second, func(answer func(int, []byte)) {
 		w.Nodes[name].request(method, target, body, func(status int, b []byte) {
 			sent = w.Now
@@ -314,6 +316,9 @@
 		w.sent = sent
 		if err == nil {
 			w.checkLines(name, b)
+			if status != 503 && status != 429 {
+				w.Nodes[name].told++
+			}
 			if status == 503 && method == "POST" {
 				w.Sent503++
 			}
@@ -331,7 +336,7 @@
 func (w *World) Submit(j *Job) {
 	w.Jobs[j.UID] = j
 	j.Done = map[int]bool{}
-	j.LastOK = w.Now
+	j.LastOK, j.SubmittedAt = w.Now, w.Now
 	var try func()
 	try = func() {
 		w.ask("POST", "/work", j.Body, func(status int, _ []byte, err error) {
--- /dev/null
+++ b/internal/standin/served.go
@@ -0,0 +1,170 @@
+package standin
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+)
+
+// The users' own rules, as they judge a day.
+const (
+	// answeredWithin: once all troubles are over, a user who gets no answer about an
+	// accepted job for so long counts it as forgotten, however others fare.
+	answeredWithin = 75 * time.Second
+	// beginsWithin: a class's largest jobs are to begin so soon after they were submitted.
+	beginsWithin = 240 * time.Second
+	// leastServed: of a class, of a team and of a class's largest jobs.
+	leastServed = 0.5
+	// manyAsks: a controller that was asked so often is to have answered once.
+	manyAsks = 5
+	// largestShare of a class's jobs, rounded up, are its largest.
+	largestShare = 10
+)
+
+// Calm ends every trouble that the world can be in: what was cut, slow, late, down,
+// hung or ended is whole again. It returns when the last process that stands still
+// runs on. What was lost or planted stays so.
+func (w *World) Calm() time.Duration {
+	s := w.Store
+	s.SetDown(false)
+	s.Slow, s.SlowWatch, s.Poison = 0, 0, ""
+	clear(s.Refuse)
+	clear(s.Lose)
+	clear(s.Lag)
+	clear(s.Late)
+	w.Cloud.Down = false
+	w.Door = ""
+	for _, key := range slices.Sorted(maps.Keys(w.cuts)) {
+		w.heal(key)
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.Workers)) {
+		if wk := w.Workers[id]; wk.Hung {
+			wk.Resume()
+		}
+	}
+	over := w.Now
+	for _, name := range w.Order {
+		w.RefusePeers(name, false)
+		w.Nodes[name].Boot()
+		if thaw := w.Nodes[name].thaw; thaw.After(over) {
+			over = thaw
+		}
+	}
+	return over.Sub(w.Start)
+}
+
+// Aftermath ends all troubles, lets answeredWithin pass and checks that no accepted
+// job was forgotten meanwhile, and that no controller sent everybody away.
+func (w *World) Aftermath() {
+	calm := w.Calm()
+	w.RunUntil(calm)
+	for _, name := range w.Order {
+		w.Nodes[name].asks, w.Nodes[name].told = 0, 0
+	}
+	w.RunUntil(calm + answeredWithin)
+	for _, j := range w.sortedJobs() {
+		if j.ofUser() && !j.LastOK.After(w.Start.Add(calm)) {
+			w.Break("forgotten: no question about %s was answered in the last %v", j.UID, answeredWithin)
+		}
+	}
+	for _, name := range w.Order {
+		if c := w.Nodes[name]; c.alive && c.asked.IsZero() && c.asks >= manyAsks && c.told == 0 {
+			w.Break("%s answered none of %d users in the last %v", name, c.asks, answeredWithin)
+		}
+	}
+}
+
+// ofUser tells that a user waits for the job: accepted, not cancelled, and not one of
+// a run's, about which its user asks otherwise.
+func (j *Job) ofUser() bool { return j.Accepted && !j.AbortAsked && !j.SubmittedAt.IsZero() }
+
+func (w *World) sortedJobs() []*Job {
+	out := make([]*Job, 0, len(w.Jobs))
+	for _, uid := range slices.Sorted(maps.Keys(w.Jobs)) {
+		out = append(out, w.Jobs[uid])
+	}
+	return out
+}
+
+// Group is how a class, a team or a class's largest jobs were served.
+type Group struct {
+	Name         string
+	Jobs, Served int
+	Late         int           // began after beginsWithin, or have waited for longer
+	Latest       time.Duration // wait of the one that waited longest
+}
+
+// Share is the part of the jobs that was served, 1 if there were none.
+func (g Group) Share() float64 {
+	if g.Jobs == 0 {
+		return 1
+	}
+	return float64(g.Served) / float64(g.Jobs)
+}
+
+func (g Group) String() string {
+	return fmt.Sprintf("%s: %d of %d served, %d late, the latest after %v", g.Name, g.Served, g.Jobs, g.Late, g.Latest.Round(100*time.Millisecond))
+}
+
+// ServedGroups counts the accepted jobs by class, by team, and of each class the
+// largest tenth by pieces times need. A job is served once it has begun: an array and
+// a service with the first task, a gang with all of them. Jobs that their users
+// cancelled or that can never run do not count.
+func (w *World) ServedGroups() (all, largest []Group) {
+	byName := map[string][]*Job{}
+	byClass := map[string][]*Job{}
+	for _, j := range w.sortedJobs() {
+		if !j.ofUser() || j.FailOn == "every" {
+			continue
+		}
+		byName["class "+j.Class] = append(byName["class "+j.Class], j)
+		byName["team "+j.Owner] = append(byName["team "+j.Owner], j)
+		byClass[j.Class] = append(byClass[j.Class], j)
+	}
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
+		all = append(all, w.group(name, byName[name]))
+	}
+	for _, class := range slices.Sorted(maps.Keys(byClass)) {
+		js := byClass[class]
+		slices.SortStableFunc(js, func(a, b *Job) int { return cmp.Compare(b.size(), a.size()) })
+		largest = append(largest, w.group("largest of "+class, js[:(len(js)+largestShare-1)/largestShare]))
+	}
+	return all, largest
+}
+
+// size is pieces times need, by which the largest of a class are told.
+func (j *Job) size() float64 { return float64(j.Pieces) * j.Accel }
+
+func (w *World) group(name string, js []*Job) Group {
+	g := Group{Name: name, Jobs: len(js)}
+	for _, j := range js {
+		until := w.Now
+		if !j.Begun.IsZero() {
+			until = j.Begun
+			g.Served++
+		}
+		wait := until.Sub(j.SubmittedAt)
+		if g.Latest = max(g.Latest, wait); wait > beginsWithin {
+			g.Late++
+		}
+	}
+	return g
+}
+
+// CheckServed breaks on a class, a team or a class's largest jobs of which less than
+// half was served and, if asked for, on largest jobs that begin late.
+func (w *World) CheckServed(inTime bool) {
+	all, largest := w.ServedGroups()
+	for _, g := range append(all, largest...) {
+		if g.Share() < leastServed {
+			w.Break("served too little: %s", g)
+		}
+	}
+	for _, g := range largest {
+		if inTime && g.Late > 0 {
+			w.Break("begins late: %s", g)
+		}
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -396,6 +396,9 @@
 
 func (wk *Worker) run(p *wpiece) {
 	p.status = "running"
+	if p.job.Begun.IsZero() {
+		p.job.Begun = wk.w.Now
+	}
 	p.gen++
 	wk.changed = true
 	if p.job.Shape == jobs.Standing {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -74,6 +74,7 @@
 // Job is what the users know of a job.
 type Job struct {
 	UID, Shape, Owner   string
+	Class               string
 	Pieces              int
 	Accel               float64
 	RunS, PullS         float64
@@ -93,7 +94,9 @@
 	Starts              int // of its tasks
 	FirstStart,
 	LastDone time.Time
-	LastOK time.Time
+	SubmittedAt time.Time
+	Begun       time.Time // first task runs, of a gang all
+	LastOK      time.Time // a question about it was answered
 }
 
 // NewWorld makes an empty world.
@@ -168,8 +171,9 @@
 }
 
 // Heal ends a cut and delivers what was held.
-func (w *World) Heal(from, to string) {
-	key := from + ">" + to
+func (w *World) Heal(from, to string) { w.heal(from + ">" + to) }
+
+func (w *World) heal(key string) {
 	delete(w.cuts, key)
 	fs := w.held[key]
 	delete(w.held, key)
