Gangs wait for one another's fetches; a watch that lags does not take the lead; reads pass writes that are short

Change: gangs.LaunchAt, fleet.Images.Left; whoever called follows only once its watch has come to its call; within a level reads pass writes that are short, a reading serves all that came before it.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -397,11 +397,15 @@
 			continue
 		}
 		t := &Task{Task: records[i], Piece: jobs.Piece(uid, from+i), N: from + i, Job: j, Slice: sl, Since: b.Now}
-		if was := j.Tasks[t.N]; was != nil {
+		was := j.Tasks[t.N]
+		if was != nil {
 			b.unindex(was)
 		}
 		j.Tasks[t.N], sl.Tasks[i] = t, t
 		b.index(t)
+		if was != nil && !t.On() && t.State != jobs.Finished {
+			b.leftImage(was)
+		}
 	}
 	for i := len(records); i < len(old); i++ {
 		b.unindex(old[i])
--- a/internal/book/placing.go
+++ b/internal/book/placing.go
@@ -46,10 +46,27 @@
 		return
 	}
 	cache := 0.0
-	if b := b.Builds[m.Build]; b != nil {
-		cache = b.CacheGB
+	image := fleet.Image{Bundle: t.Job.Rec.Spec.Bundle, GB: t.Job.Rec.Spec.PullGB, Since: b.Now, Ready: b.Now}
+	if build := b.Builds[m.Build]; build != nil {
+		cache = build.CacheGB
+		if build.PullRate > 0 {
+			image.Ready = b.Now.Add(jobs.Seconds(image.GB / build.PullRate))
+		}
+	}
+	b.Images.Saw(t.Host, image, cache)
+}
+
+// leftImage notes that a task that is not done has left its machine.
+func (b *Book) leftImage(t *Task) {
+	if t.Job.Rec == nil || !t.On() {
+		return
+	}
+	for _, o := range b.OnHost[t.Host] {
+		if o.Job.Rec != nil && o.Job.Rec.Spec.Bundle == t.Job.Rec.Spec.Bundle {
+			return
+		}
 	}
-	b.Images.Saw(t.Host, fleet.Image{Bundle: t.Job.Rec.Spec.Bundle, GB: t.Job.Rec.Spec.PullGB}, cache)
+	b.Images.Left(t.Host, t.Job.Rec.Spec.Bundle, b.Now)
 }
 
 // ZoneAllowed tells whether one more task of the job may go into a zone.
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -196,7 +196,7 @@
 	waiting []poll      // no epoch was asked for since they came
 	asked   []poll      // an epoch is being read
 	rounds  []pollRound // the mirror is to get to an epoch
-	asking  int         // the reading of the epoch that counts; older ones answer nothing
+	asking  int         // the last reading of the epoch
 	out     bool        // it is under way
 	askedAt time.Time
 	lagging bool // the last round was not reached in time
@@ -207,6 +207,7 @@
 	respond func(wire.Reply) // refuses it instead
 	at      time.Time
 	uid     string // of the job that it is about, none if it is about anything else
+	asking  int    // the first reading of the epoch that serves it
 }
 
 // pollRound is the polls that one reading of the epoch serves.
@@ -225,7 +226,7 @@
 		fr.askFor(ask{uid, respond, fr.Now}) // those before it see whether the mirror still lags
 		return
 	}
-	fr.addPoll(poll{func() { fr.answerPoll(uid, respond) }, respond, fr.Now, uid})
+	fr.addPoll(poll{answer: func() { fr.answerPoll(uid, respond) }, respond: respond, at: fr.Now, uid: uid})
 }
 
 // afterEpoch has a question answered once the mirror has got to an epoch that
@@ -269,19 +270,35 @@
 		gap, level = tuning.PollAgain, store.Urgent
 	}
 	since := fr.Now.Sub(p.askedAt)
-	if len(p.waiting) == 0 || since < gap || p.out && since < tuning.PollAgain {
+	if len(p.waiting)+len(p.asked) == 0 || since < gap || p.out && since < tuning.PollAgain {
 		return
 	}
 	p.asking++
 	p.out, p.askedAt = true, fr.Now
+	for i := range p.waiting {
+		p.waiting[i].asking = p.asking
+	}
 	p.asked, p.waiting = append(p.asked, p.waiting...), nil
 	asking := p.asking
 	fr.Client.Epoch(level, func(epoch uint64, err error) {
-		if asking != p.asking {
+		last := asking == p.asking
+		if last {
+			p.out = false
+		}
+		if err != nil && !last {
+			return // a later reading is under way
+		}
+		// A reading serves all that came before it, also where a later one was begun
+		// because it took long: else none would ever serve while all take long.
+		n := 0
+		for n < len(p.asked) && p.asked[n].asking <= asking {
+			n++
+		}
+		asked := p.asked[:n:n]
+		p.asked = p.asked[n:]
+		if len(asked) == 0 {
 			return
 		}
-		asked := p.asked
-		p.asked, p.out = nil, false
 		if err != nil {
 			fr.refusePolls(asked)
 			return
--- a/internal/gangs/gangs.go
+++ b/internal/gangs/gangs.go
@@ -5,6 +5,7 @@
 import (
 	"maps"
 	"sort"
+	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -157,3 +158,22 @@
 	}
 	return out
 }
+
+// LaunchAt is when a task of a gang should be launched, so that it does not wait in vain:
+// each gives up when the gang is not whole within wait of its own image being there, so
+// where one machine holds the image and another fetches it for longer than that, every
+// attempt failed. ready is when each of the tasks' machines should have the image, mine
+// when this one's should. Half of wait is left for fetches that take longer.
+func LaunchAt(mine time.Time, ready []time.Time, wait time.Duration) time.Time {
+	last := mine
+	for _, r := range ready {
+		if r.After(last) {
+			last = r
+		}
+	}
+	at := last.Add(-wait / 2)
+	if !mine.Before(at) {
+		return time.Time{} // it fetches for as long itself
+	}
+	return at
+}
--- a/internal/gangs/gangs_test.go
+++ b/internal/gangs/gangs_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -71,3 +72,28 @@
 		}
 	}
 }
+
+func TestLaunchAt(t *testing.T) {
+	t0 := time.Unix(1000, 0)
+	at := func(s float64) time.Time { return t0.Add(time.Duration(s * float64(time.Second))) }
+	for _, c := range []struct {
+		mine  float64
+		ready []float64
+		want  float64 // 0: at once
+	}{
+		{0, []float64{0, 10}, 0},    // within half of the wait
+		{0, []float64{0, 45}, 30},   // holds the image: half of the wait before the last
+		{28, []float64{28, 45}, 30}, // fetches, and would still give up too soon
+		{31, []float64{31, 45}, 0},  // fetches for as good as long
+		{45, []float64{0, 45}, 0},
+	} {
+		var ready []time.Time
+		for _, r := range c.ready {
+			ready = append(ready, at(r))
+		}
+		got := LaunchAt(at(c.mine), ready, 30*time.Second)
+		if c.want == 0 && !got.IsZero() || c.want != 0 && !got.Equal(at(c.want)) {
+			t.Errorf("%+v: %v", c, got)
+		}
+	}
+}
--- a/internal/membership/calls.go
+++ b/internal/membership/calls.go
@@ -58,7 +58,7 @@
 			x.Members = append(x.Members, standby.Member{Name: m.Name, Inc: m.Inc, Zone: me.ZoneOf[m.Name], Answers: f.Inc == m.Inc && f.Calls})
 		}
 	}
-	x.Lag, x.Unchecked = me.Lag(), me.Unchecked()
+	x.Lag, x.Unchecked, x.Behind = me.Lag(), me.Unchecked(), me.Mirror.Epoch < me.called
 	since := me.standby.Since
 	acts, changed := me.standby.Look(x)
 	if changed {
@@ -120,6 +120,7 @@
 		if err == nil {
 			me.Log.Info("called, their connections ended", "members", names, "wait_ms", wait.Milliseconds())
 			me.Mirror.Commit(t.Writes, epoch)
+			me.called = epoch
 		}
 		me.Wake()
 	})
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -69,6 +69,7 @@
 	calls     map[string]standby.Call // that stand in the state service, by who is called
 	calling   bool
 	answering bool
+	called    uint64   // epoch of its last call
 	silent    []string // members whose calls are unanswered, to be left out of the view
 	leaving   bool     // this controller gives its place away
 	left      bool     // and has
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -151,6 +151,11 @@
 		t.Fatalf("left out too early: %+v", sent[1:])
 	}
 	keep(tuning.CallWait)
+	if len(sent) != 1 {
+		t.Fatalf("left out by one whose watch has not come to the call: %+v", sent[1:])
+	}
+	mirror.Follow(110, nil)
+	keep(0)
 	if len(sent) != 2 {
 		t.Fatalf("%d transactions", len(sent))
 	}
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -9,6 +9,7 @@
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/ending"
 	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/gangs"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -127,6 +128,10 @@
 				out.decisions = append(out.decisions, pt.Gone(t, jobs.Gone, 0))
 				continue
 			}
+			if pt.tooSoon(t) {
+				pt.revisit[s.Host] = true
+				continue
+			}
 			out.orders = append(out.orders, workers.Order{Verb: workers.Launch, Piece: piece, Try: t.Try})
 		case workers.OnIt:
 			if p.Status == workers.Running && !t.Ran {
@@ -167,6 +172,22 @@
 	return out
 }
 
+// tooSoon tells whether a task of a gang should wait with its launch for the fetches of
+// the others (gangs.LaunchAt).
+func (pt *Part) tooSoon(t *book.Task) bool {
+	spec := &t.Job.Rec.Spec
+	if !spec.Gang() || spec.PullGB <= 0 {
+		return false
+	}
+	ready := make([]time.Time, 0, len(t.Job.Active))
+	for _, o := range t.Job.Active {
+		if o.On() {
+			ready = append(ready, pt.Images.Ready(o.Host, spec.Bundle))
+		}
+	}
+	return pt.Now.Before(gangs.LaunchAt(pt.Images.Ready(t.Host, spec.Bundle), ready, jobs.Seconds(pt.Cluster.Workers.GangWaitS)))
+}
+
 // writing tells whether the record of a task is under a transaction.
 func (pt *Part) writing(piece string) bool {
 	if _, booked := pt.Reserved[piece]; booked {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -193,6 +193,8 @@
 		if len(words) > 1 {
 			s.set.Operator.Pipelines.MostRuns = int(s.number(words[1]))
 		}
+	case "images": // images: machines keep those that they have fetched to the end
+		s.w.Images = true
 	case "never": // never COUNT: the next machines never come up
 		s.w.Cloud.Never = int(s.number(words[1]))
 	default:
@@ -439,7 +441,8 @@
 // submit UID SHAPE [key=value ...]
 func (s *script) submit(args []string) {
 	j := &standin.Job{UID: args[0], Shape: args[1], Pieces: 1, Accel: 1, RunS: 10, PullS: 1, Owner: "team"}
-	rank, due, cores, class := "standard", "null", 2.0, "c"
+	rank, due, cores, class, gb := "standard", "null", 2.0, "c", 1.0
+	j.Bundle = "img-1"
 	for _, a := range args[2:] {
 		k, v, _ := strings.Cut(a, "=")
 		switch k {
@@ -453,6 +456,8 @@
 			j.RunS = s.number(v)
 		case "pull":
 			j.PullS = s.number(v)
+		case "gb": // its image, by itself, as large as users say
+			j.PullS, gb, j.Bundle = s.number(v), s.number(v), "img-"+v
 		case "owner":
 			j.Owner = v
 		case "rank":
@@ -489,8 +494,8 @@
 		site = strconv.Quote(j.Site)
 	}
 	j.Body = fmt.Appendf(nil, `{"uid":%q,"jobclass":%q,"owner":%q,"shape":%q,"rank":%q,"pieces":%d,"cores":%v,"accelerators":%v,"memory_gb":8,
-		"bundle":"img-1","pull_gb":1,"builds":%s,"site":%s,"same_place":%v,"scatter":%v,"loaner":%v,"expect_s":%v,"snapshot_s":%v,"stash_s":1,"due_s":%s}`,
-		j.UID, class, j.Owner, j.Shape, rank, j.Pieces, cores, j.Accel, builds, site, j.SamePlace, j.Scatter, j.Loaner, j.RunS, j.SnapshotS, due)
+		"bundle":%q,"pull_gb":%v,"builds":%s,"site":%s,"same_place":%v,"scatter":%v,"loaner":%v,"expect_s":%v,"snapshot_s":%v,"stash_s":1,"due_s":%s}`,
+		j.UID, class, j.Owner, j.Shape, rank, j.Pieces, cores, j.Accel, j.Bundle, gb, builds, site, j.SamePlace, j.Scatter, j.Loaner, j.RunS, j.SnapshotS, due)
 	s.w.Submit(j)
 }
 
@@ -508,7 +513,7 @@
 		if got := s.w.Cloud.Alive(); got > int(s.number(args[1])) {
 			s.fatal("%d machines are rented, more than %s", got, args[1])
 		}
-	case "begun": // expect begun JOB: a task of it has run, all at once of a gang
+	case "has-begun": // expect has-begun JOB: a task of it has run, all at once of a gang
 		if s.job(args[1]).FirstStart.IsZero() {
 			s.fatal("%s has not begun", args[1])
 		}
--- a/internal/standby/standby.go
+++ b/internal/standby/standby.go
@@ -72,6 +72,8 @@
 	Members []Member
 	// Lag is how far this controller is behind: with its watch, or with its own loop.
 	Lag time.Duration
+	// Behind tells that its watch has not come to what it wrote itself.
+	Behind bool
 	// Unchecked is what a leader has still to check.
 	Unchecked []Check
 	// Calls are those that stand in the state service, by who is called.
@@ -211,7 +213,9 @@
 		if call := s.toCall(x, rank); call.Names != nil {
 			acts = append(acts, call)
 		}
-		if out := s.unanswered(x, rank); out != nil {
+		// Whoever is behind its own call would be a leader that can't decide: those after
+		// it see the call and follow instead.
+		if out := s.unanswered(x, rank); out != nil && !x.Behind {
 			acts = append(acts, Act{Kind: DoOut, Names: out})
 		}
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -12,6 +12,7 @@
 
 // Worker stands in for a worker on its machine.
 type Worker struct {
+	images                   map[string]bool
 	w                        *World
 	h                        *cloudHost
 	tenure, tick, baton      uint64
@@ -336,7 +337,17 @@
 		wk.end(p, "no_room", false)
 		return
 	}
-	wk.after(p, j.PullS, func() { wk.begin(p) })
+	fetch := j.PullS
+	if wk.w.Images && wk.images[j.Bundle] {
+		fetch = 0
+	}
+	wk.after(p, fetch, func() {
+		if wk.images == nil {
+			wk.images = map[string]bool{}
+		}
+		wk.images[j.Bundle] = true
+		wk.begin(p)
+	})
 }
 
 // describe makes a job from its record in the store: over sockets the
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -35,6 +35,7 @@
 	Workers map[string]*Worker
 	Jobs    map[string]*Job
 	Runs    map[string]*Run
+	Images  bool // machines keep what they have fetched
 	Nodes   map[string]*Node
 	Order   []string // node names
 
@@ -78,6 +79,7 @@
 	Pieces              int
 	Accel               float64
 	RunS, PullS         float64
+	Bundle              string
 	SamePlace, Scatter  bool
 	Loaner              bool
 	Site                string
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -191,19 +191,22 @@
 	c.writes = min(c.writes+dt*c.wps, c.wps)
 	short := false // of writes: what reads only may still pass
 	for p := range c.queues {
-		for len(c.queues[p]) > 0 {
-			q := c.queues[p][0]
+		for i := 0; i < len(c.queues[p]); {
+			q := c.queues[p][i]
 			// Membership may overdraw: a lost lease costs more than a 429.
 			if Priority(p) != Membership {
 				if c.tokens < 1 {
 					return
 				}
 				if q.puts > 0 && (short || c.writes < min(float64(q.puts), c.wps)) {
+					// What only reads passes it: the epoch that users' questions wait
+					// for stood behind writes for as long as those were short.
 					short, c.pressed = true, true
-					break
+					i++
+					continue
 				}
 			}
-			c.queues[p] = c.queues[p][1:]
+			c.queues[p] = slices.Delete(c.queues[p], i, i+1)
 			c.waiting--
 			c.tokens--
 			c.writes -= float64(q.puts)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -194,3 +194,31 @@
 		t.Error(got)
 	}
 }
+
+// While writes are short, what only reads passes those of its own level: users' questions
+// wait for the epoch, and it is as urgent as many a write.
+func TestReadsPassWritesThatAreShort(t *testing.T) {
+	var sent []string
+	call := func(method, target string, _ []byte, _ time.Duration, _ func(int, []byte, error)) {
+		sent = append(sent, method+" "+target)
+	}
+	c := New(call, call)
+	c.SetBudget(100, 10, 10)
+	c.Pump(time.Unix(0, 0))
+	writes := func(n int) {
+		t := Txn{}
+		for i := range n {
+			t.Writes = append(t.Writes, Write{Put: fmt.Sprint("k", i), Value: json.RawMessage("1")})
+		}
+		c.Multi(Urgent, t, func(uint64, []string, error) {})
+	}
+	writes(5) // all that there is
+	writes(8)
+	c.Get(Urgent, "k", nil, func(*Item, error) {})
+	if len(sent) != 2 || !strings.HasPrefix(sent[1], "GET ") || c.Waiting() != 1 {
+		t.Errorf("sent %v, %d wait", sent, c.Waiting())
+	}
+	if c.Pump(time.Unix(1, 0)); len(sent) != 3 || c.Waiting() != 0 {
+		t.Errorf("sent %v, %d wait", sent, c.Waiting())
+	}
+}
