Cold processes: let in at once the first time, then after a pause that doubles

Need: a process that ends ten times in five seconds cost ten views, and each machine ten batons. Change: members.Comings counts ends of incarnations that stood for less than 10 s, as every controller sees them; from the second on a member is let in once it has stood for 1, 2, 4, at most 8 s. Stand-ins: flapping processes, machines reborn with a new session, reports, commands, transactions and rents that come after their senders gave them up.

--- a/internal/members/members.go
+++ b/internal/members/members.go
@@ -84,6 +84,7 @@
 	View *View             // nil when there is none yet
 	Keys map[string]uint64 // member keys: name to incarnation
 	Out  map[string]bool   // members that workers cannot reach
+	Held map[string]bool   // members that keep ending and are not let in yet
 }
 
 // Role is this controller's state in the cluster.
@@ -117,7 +118,9 @@
 	}
 	var live []Member
 	for name, inc := range s.Keys {
-		if !s.Out[name] {
+		// Whoever is in the view stays, and nobody holds himself back: where all keep
+		// ending, somebody must lead.
+		if !s.Out[name] && (!s.Held[name] || name == s.Me || s.View != nil && s.View.Inc(name) == inc) {
 			live = append(live, Member{name, inc})
 		}
 	}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -55,6 +55,7 @@
 	Env
 
 	keys      map[string]uint64 // member keys: name to incarnation
+	comings   members.Comings
 	forms     map[string]members.Forms
 	hold      uint64 // its lease, which is its incarnation; 0 for none
 	renewedAt time.Time
@@ -76,7 +77,7 @@
 
 // New makes a controller that has not joined; book tells the time.
 func New(b *book.Book, env Env) *Membership {
-	return &Membership{Book: b, Env: env, keys: map[string]uint64{}, forms: map[string]members.Forms{}, certain: members.Certainty{Standing: members.Sure},
+	return &Membership{Book: b, Env: env, keys: map[string]uint64{}, comings: members.Comings{}, forms: map[string]members.Forms{}, certain: members.Certainty{Standing: members.Sure},
 		standby: standby.New(b.Now), calls: map[string]standby.Call{}}
 }
 
@@ -89,6 +90,7 @@
 // KeyChanged takes in a member's key, nil for one that is gone.
 func (me *Membership) KeyChanged(name string, value json.RawMessage) {
 	var inc uint64
+	defer func() { me.comings.Saw(name, me.keys[name], me.Now) }()
 	if value == nil || json.Unmarshal(value, &inc) != nil {
 		if name == me.Me && me.hold != 0 && me.keys[name] == me.hold && !me.leaving {
 			// Its lease ended, or it was called and did not answer in time: either way
@@ -259,7 +261,11 @@
 	for _, name := range me.silent {
 		out[name] = true
 	}
-	next := members.Next(members.Situation{Me: me.Me, Inc: me.hold, View: me.View(), Keys: me.candidates(), Out: out})
+	held := map[string]bool{}
+	for name := range me.keys {
+		held[name] = me.comings.Held(name, me.Now)
+	}
+	next := members.Next(members.Situation{Me: me.Me, Inc: me.hold, View: me.View(), Keys: me.candidates(), Out: out, Held: held})
 	if next == nil {
 		return
 	}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -242,6 +242,25 @@
 		for _, h := range s.host[first-1 : first-1+int(s.number(args[1]))] {
 			w.Workers[h].Die()
 		}
+	case "flap": // flap NODE COUNT [LONGEST]: killed, back 0.2 s later, killed again 0.1 to LONGEST (0.5) s after that, COUNT times
+		longest := 0.5
+		if len(args) > 2 {
+			longest = s.number(args[2])
+		}
+		w.Flap(name(0), int(s.number(args[1])), time.Duration(longest*float64(time.Second)))
+	case "flap-all": // flap-all COUNT: all within a second, each back 0.2 s later, COUNT times
+		for _, n := range w.Order {
+			w.After(time.Duration(w.RNG.IntN(1000))*time.Millisecond, func() { w.Flap(n, int(s.number(args[0])), 1200*time.Millisecond) })
+		}
+	case "rebirth": // rebirth FIRST COUNT: machines of the start die and are back at once, with a new tenure
+		first := int(s.number(args[0]))
+		for _, h := range s.host[first-1 : first-1+int(s.number(args[1]))] {
+			if wk := w.Workers[h]; wk != nil {
+				wk.Reborn()
+			}
+		}
+	case "hold-back": // hold-back beat|cmd|state|rent SECONDS EVERY: each so-manieth request comes so late, its sender has given it up
+		w.HoldBack(args[0], time.Duration(s.number(args[1])*float64(time.Second)), int(s.number(args[2])))
 	case "boot":
 		w.Nodes[name(0)].Boot()
 	case "crash-all":
@@ -559,6 +578,12 @@
 		if got, _ := s.w.Nodes[s.node(args[1])].Standby(); string(got) != args[2] {
 			s.fatal("%s is %s, not %s", args[1], got, args[2])
 		}
+	case "batons": // expect batons MAX: most times that a machine of the start was shown a higher one
+		for _, h := range s.host {
+			if wk := s.w.Workers[h]; wk != nil && wk.Batons > int(s.number(args[1])) {
+				s.fatal("%s was shown a higher baton %d times, more than %s", h, wk.Batons, args[1])
+			}
+		}
 	case "alarms": // expect alarms MIN MAX: calls that were answered, as all count them
 		got := 0
 		for _, n := range s.w.Order {
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -72,14 +72,18 @@
 // Call is a node's way to the cloud.
 func (c *Cloud) Call(from string) func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
 	return func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
-		c.w.call(from, "cloud", timeout, func(answer func(int, []byte)) {
+		serve := func(answer func(int, []byte)) {
 			if c.Down {
 				answer(503, []byte(`{"error":"trouble"}`))
 				return
 			}
 			status, b := c.serve(method, target, body)
 			answer(status, b)
-		}, done)
+		}
+		if method == "POST" {
+			serve = c.w.maybeLate("rent", serve)
+		}
+		c.w.call(from, "cloud", timeout, serve, done)
 	}
 }
 
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -186,6 +186,22 @@
 	c.w.endPeers(c.Name)
 }
 
+// backAfter: a process that has ended is back so much later, as on the users' days.
+const backAfter = 200 * time.Millisecond
+
+// Flap kills the process, has it back backAfter later, and kills it again 0.1 s to longest
+// after that, so many times in all.
+func (w *World) Flap(name string, times int, longest time.Duration) {
+	c := w.Nodes[name]
+	c.Crash()
+	w.After(backAfter, func() {
+		c.Boot()
+		if times > 1 {
+			w.After(100*time.Millisecond+time.Duration(w.RNG.Int64N(int64(longest-100*time.Millisecond))), func() { w.Flap(name, times-1, longest) })
+		}
+	})
+}
+
 // endPeers has the others see that their connections to a controller ended.
 func (w *World) endPeers(name string) {
 	for _, other := range w.Order {
--- a/internal/standin/served.go
+++ b/internal/standin/served.go
@@ -34,6 +34,7 @@
 	clear(s.Lose)
 	clear(s.Lag)
 	clear(s.Late)
+	clear(w.lateness)
 	w.Cloud.Down = false
 	w.Door = ""
 	for _, key := range slices.Sorted(maps.Keys(w.cuts)) {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -172,6 +172,10 @@
 // Call is a node's way to the state service.
 func (s *Store) Call(from string) func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
 	return func(method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
+		serve := func(answer func(int, []byte)) { s.serve(from, method, target, body, answer) }
+		if target == "/multi" {
+			serve = s.w.maybeLate("state", serve)
+		}
 		send := func() {
 			s.w.call(from, "state", timeout, func(answer func(int, []byte)) {
 				slow := s.Slow
@@ -194,7 +198,7 @@
 					s.serve(from, method, target, body, func(int, []byte) {})
 					return
 				}
-				s.serve(from, method, target, body, answer)
+				serve(answer)
 			}, done)
 		}
 		send()
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -23,6 +23,7 @@
 	warning                  *float64
 	queue                    []func()        // what arrives while hanging
 	reaped                   map[string]bool // attempts that were reaped
+	Batons                   int             // times that it was shown a higher baton
 }
 
 // attempt names one try of a task. A report lists each until it is reaped.
@@ -87,6 +88,14 @@
 	wk.w.After(time.Duration(s*float64(time.Second)), func() { wk.w.Cloud.Remove(wk.h.ID) })
 }
 
+// Reborn has the machine die and be back at once with the same address: its tasks are
+// gone, so is what it knew of batons, and it begins its next session.
+func (wk *Worker) Reborn() {
+	wk.pieces, wk.reaped = map[string]*wpiece{}, map[string]bool{}
+	wk.tenure++
+	wk.baton, wk.answered, wk.changed = 0, wk.w.Now, true
+}
+
 // Resume ends a hang; what came meanwhile is handled.
 func (wk *Worker) Resume() {
 	wk.Hung = false
@@ -151,9 +160,9 @@
 	}
 	body, baton := wk.body(), wk.baton
 	send := func(done func(int, []byte, error)) {
-		w.call(wk.h.ID, name, 4*time.Second, func(answer func(int, []byte)) {
+		w.call(wk.h.ID, name, 4*time.Second, w.maybeLate("beat", func(answer func(int, []byte)) {
 			w.Nodes[name].request("POST", "/agent/beat", body, answer)
-		}, done)
+		}), done)
 	}
 	if w.Real != nil {
 		send = func(done func(int, []byte, error)) { w.Real.Beat(name, body, done) }
@@ -194,6 +203,7 @@
 					return
 				}
 				if *r.Baton > wk.baton {
+					wk.Batons++
 					wk.baton, wk.changed = *r.Baton, true
 				}
 				wk.answered = now
@@ -219,7 +229,7 @@
 func (w *World) Call(from string) func(endpoint, method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
 	return func(endpoint, method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
 		id := strings.TrimPrefix(endpoint, "w:")
-		w.call(from+":cmd", id, timeout, func(answer func(int, []byte)) {
+		take := func(answer func(int, []byte)) {
 			wk := w.Workers[id]
 			if wk == nil {
 				return // a machine without power is silent
@@ -230,7 +240,8 @@
 				return
 			}
 			serve()
-		}, done)
+		}
+		w.call(from+":cmd", id, timeout, w.maybeLate("cmd", take), done)
 	}
 }
 
@@ -255,6 +266,7 @@
 		return 409, wk.body()
 	}
 	if *c.Baton > wk.baton {
+		wk.Batons++
 		wk.baton, wk.changed = *c.Baton, true
 	}
 	wk.execute(c.Orders)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -21,10 +21,11 @@
 	RNG   *rand.Rand
 	Log   *slog.Logger
 
-	events eventHeap
-	seq    int
-	cuts   map[string]cutMode
-	held   map[string][]func()
+	events   eventHeap
+	lateness map[string]*lateness
+	seq      int
+	cuts     map[string]cutMode
+	held     map[string][]func()
 	// Old are controllers whose program does not answer calls.
 	Old []string
 	// filtered are controllers whose connections with the others are refused.
@@ -103,7 +104,7 @@
 func NewWorld(seed uint64, log *slog.Logger) *World {
 	w := &World{
 		Start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), RNG: rand.New(rand.NewPCG(seed, 1)), Log: log,
-		cuts: map[string]cutMode{}, held: map[string][]func(){}, filtered: map[string]bool{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
+		cuts: map[string]cutMode{}, lateness: map[string]*lateness{}, held: map[string][]func(){}, filtered: map[string]bool{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
 		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{},
 	}
 	w.Now = w.Start
@@ -203,6 +204,31 @@
 	w.After(w.latency(), f)
 }
 
+// lateness is how requests of one kind are held back.
+type lateness struct {
+	by      time.Duration
+	every   int
+	counted int
+}
+
+// HoldBack has each so-manieth request of a kind (beat, cmd, state's transactions, rent)
+// arrive so late that its sender has given it up, and sent it again if it does that.
+func (w *World) HoldBack(kind string, by time.Duration, every int) {
+	w.lateness[kind] = &lateness{by: by, every: every}
+}
+
+// maybeLate is how a request is served: at once, or late and for a sender that has gone.
+func (w *World) maybeLate(kind string, serve func(answer func(int, []byte))) func(answer func(int, []byte)) {
+	l := w.lateness[kind]
+	if l == nil {
+		return serve
+	}
+	if l.counted++; l.counted%l.every != 0 {
+		return serve
+	}
+	return func(func(int, []byte)) { w.After(l.by, func() { serve(func(int, []byte) {}) }) }
+}
+
 var errTimeout = errors.New("no answer")
 
 // call sends a request and brings back the answer or, after timeout, none.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -189,6 +189,12 @@
 	CallPauseMost = 60 * time.Second
 	// CallForget: after so long without a call what ended its connections is over.
 	CallForget = 5 * time.Minute
+	// ComeStood: an incarnation that has stood for so long was no short one. ComePause,
+	// ComePauseMost: a member that has ended at least twice in a row without having
+	// stood for so long is let in after such a pause, doubled each time.
+	ComeStood     = 10 * time.Second
+	ComePause     = time.Second
+	ComePauseMost = 8 * time.Second
 	// WarmStandbys: members that are ready to lead at once.
 	WarmStandbys = 2
 	// UnfitLag, UnfitFor: a leader that is so far behind for so long hands over. A
