A measurement of what a controller needs at 1.5 and 2 times the size

Change: BenchmarkSize fills 1,800 to 3,600 machines with 30,000 and 45,000 long tasks, lets all processes end and start from nothing after 0.2 s, and reports memory, the mirror, requests and times. Not run by go test.

--- /dev/null
+++ b/internal/scenario/size_test.go
@@ -0,0 +1,149 @@
+package scenario
+
+import (
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standin"
+)
+
+// How the size is reached: jobs of so many tasks that run on for as long as it is
+// measured, a quarter of an accelerator each.
+const (
+	sizeJobTasks = 150
+	sizeJobEvery = 250 * time.Millisecond
+	sizeRunS     = 3000
+	sizeReportS  = 8
+)
+
+// BenchmarkSize fills five controllers' machines with long tasks, lets all processes end
+// at once and start from nothing 0.2 s later, and reports what a controller needs and how
+// long the start takes. Memory is that of this process that one controller held. In
+// simulated time: the figures repeat, but for ns/op and, a little, memory.
+//
+//	go test ./internal/scenario -run '^$' -bench Size -benchtime 1x -timeout 60m
+func BenchmarkSize(b *testing.B) {
+	for _, size := range []struct{ machines, tasks int }{{1800, 30000}, {2700, 45000}, {3600, 45000}} {
+		b.Run(fmt.Sprintf("machines=%d/tasks=%d", size.machines, size.tasks), func(b *testing.B) {
+			for b.Loop() {
+				measureSize(b, size.machines, size.tasks)
+			}
+		})
+	}
+}
+
+func measureSize(b *testing.B, machines, tasks int) {
+	w := standin.NewWorld(5, slog.New(slog.DiscardHandler))
+	set := baseSettings(w)
+	set.Cluster.Size = 5
+	set.Cluster.Teams = []settings.Team{{Name: "team"}}
+	set.Cluster.Workers.ReportS, w.ReportS = sizeReportS, sizeReportS
+	set.Cluster.State.WriteRPS = 50
+	set.Operator.Packs = settings.PacksScarce
+	w.Store.RPS, w.Store.WPS = set.Cluster.State.RPS, set.Cluster.State.WriteRPS
+	w.Cloud.Limit = machines
+	for i := range machines {
+		w.Cloud.AddRunning("g8", []string{"a", "b"}[i%2], false)
+	}
+	w.AddNodes(5, set)
+	count := tasks / sizeJobTasks
+	for i := range count {
+		uid := fmt.Sprintf("wk-%06d", i)
+		w.After(10*time.Second+time.Duration(i)*sizeJobEvery, func() {
+			j := &standin.Job{UID: uid, Shape: jobs.Sweep, Owner: "team", Class: "c", Pieces: sizeJobTasks, Accel: 0.25, RunS: sizeRunS, PullS: 1}
+			j.Body = fmt.Appendf(nil, `{"uid":%q,"jobclass":"c","owner":"team","shape":"sweep","rank":"standard","pieces":%d,"cores":1,"accelerators":0.25,"memory_gb":4,
+				"bundle":"img-1","pull_gb":1,"builds":null,"site":null,"same_place":false,"scatter":false,"loaner":false,"expect_s":%d,"snapshot_s":0,"stash_s":1,"due_s":null}`, uid, sizeJobTasks, sizeRunS)
+			w.Submit(j)
+		})
+	}
+	on := func() int { return w.TasksOn() }
+	full := 10 * time.Second
+	for ; on() < tasks && full < 20*time.Minute; full += time.Second {
+		w.RunUntil(full)
+	}
+	placed := on()
+	requests, writes := w.Store.Requests, w.Store.Writes
+	w.RunUntil(full + 60*time.Second)
+	steadyRequests, steadyWrites := w.Store.Requests-requests, w.Store.Writes-writes
+	keys, bytes := w.Store.Live()
+	expired, starts := w.Expired, totalStarts(w)
+	requests = w.Store.Requests
+	w.Store.Listed = 0
+	for _, n := range w.Order {
+		w.Nodes[n].Crash()
+	}
+	down := w.At()
+	w.RunUntil(down + 200*time.Millisecond)
+	for _, n := range w.Order {
+		w.Nodes[n].Boot()
+	}
+	var led, answered, heard time.Duration
+	var peak float64
+	last := w.Store.Requests
+	for at := w.At(); at < down+60*time.Second; at += 50 * time.Millisecond {
+		w.RunUntil(at)
+		if led == 0 && w.Leader() != "" {
+			led = at - down
+		}
+		if answered == 0 && w.LastAnswer().After(w.Start.Add(down+200*time.Millisecond)) {
+			answered = at - down
+		}
+		var v struct{ Epoch uint64 }
+		if heard == 0 && led > 0 && json.Unmarshal(w.Store.Value("view"), &v) == nil && w.Shown(v.Epoch) {
+			heard = at - down
+		}
+		if (at-down)%time.Second == 0 {
+			peak = max(peak, float64(w.Store.Requests-last))
+			last = w.Store.Requests
+		}
+	}
+	w.RunUntil(w.At() + 30*time.Second)
+	// The memory of the controllers: what there is less without them, once the watches
+	// that they held have ended.
+	before := heap()
+	for _, n := range w.Order {
+		w.Nodes[n].Discard()
+	}
+	w.RunUntil(w.At() + 8*time.Second)
+	held := (before - heap()) / uint64(len(w.Order))
+	b.ReportMetric(float64(placed), "tasks-on")
+	b.ReportMetric(full.Seconds(), "filled-s")
+	b.ReportMetric(float64(keys), "mirror-keys")
+	b.ReportMetric(float64(bytes)/1e6, "mirror-MB")
+	b.ReportMetric(float64(held)/1e6, "controller-MB")
+	b.ReportMetric(float64(steadyRequests)/60, "requests/s")
+	b.ReportMetric(float64(steadyWrites)/60, "changes/s")
+	b.ReportMetric(led.Seconds(), "leads-s")
+	b.ReportMetric(answered.Seconds(), "answers-s")
+	b.ReportMetric(heard.Seconds(), "all-heard-s")
+	b.ReportMetric(float64(w.Store.Listed), "pages")
+	b.ReportMetric(peak, "peak-requests/s")
+	b.ReportMetric(float64(w.Expired-expired), "leases-run-out")
+	b.ReportMetric(float64(totalStarts(w)-starts), "started-again")
+	if len(w.Broken) > 0 {
+		b.Errorf("%d rules broken: %s", len(w.Broken), strings.Join(w.Broken[:min(len(w.Broken), 5)], "\n"))
+	}
+}
+
+func totalStarts(w *standin.World) int {
+	n := 0
+	for _, j := range w.Jobs {
+		n += j.Starts
+	}
+	return n
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -189,6 +189,12 @@
 // backAfter: a process that has ended is back so much later, as on the users' days.
 const backAfter = 200 * time.Millisecond
 
+// Discard ends the process and lets go of what it held.
+func (c *Node) Discard() {
+	c.Crash()
+	c.n = nil
+}
+
 // Flap kills the process, has it back backAfter later, and kills it again 0.1 s to longest
 // after that, so many times in all.
 func (w *World) Flap(name string, times int, longest time.Duration) {
--- a/internal/standin/served.go
+++ b/internal/standin/served.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// LastAnswer is when a question about any job was answered last.
+func (w *World) LastAnswer() (last time.Time) {
+	for _, j := range w.Jobs {
+		if j.LastOK.After(last) {
+			last = j.LastOK
+		}
+	}
+	return last
+}
+
 // Waiting names the jobs about which no question was answered for so long.
 func (w *World) Waiting(long time.Duration) (out []string) {
 	for _, j := range w.sortedJobs() {
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -40,6 +40,7 @@
 	// FailPages has each so-manieth page of a listing refused, 0 none.
 	FailPages      int
 	pages          int
+	Listed         int // pages that were listed
 	Poisoned       int
 	rTokens, wUsed float64
 	filled         time.Time
@@ -235,6 +236,7 @@
 			answer(503, []byte("{}"))
 			return
 		}
+		s.Listed++
 		s.list(q, answer)
 	case method == "GET" && strings.HasPrefix(path, "/store/"):
 		it, ok := s.items[path[len("/store/"):]]
@@ -376,6 +378,16 @@
 // Value is what a key holds.
 func (s *Store) Value(key string) json.RawMessage { return s.items[key].V }
 
+// Live counts the keys that a controller mirrors, and the bytes of their values.
+func (s *Store) Live() (keys, bytes int) {
+	for k, it := range s.items {
+		if !strings.HasPrefix(k, "final/") && !strings.HasPrefix(k, "ran/") {
+			keys, bytes = keys+1, bytes+len(it.V)
+		}
+	}
+	return keys, bytes
+}
+
 // Count is the number of keys with a prefix.
 func (s *Store) Count(prefix string) int {
 	c := 0
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -527,6 +527,19 @@
 	}
 }
 
+// TasksOn counts all tasks that are on machines.
+func (w *World) TasksOn() int {
+	c := 0
+	for _, wk := range w.Workers {
+		for _, p := range wk.pieces {
+			if p.on() {
+				c++
+			}
+		}
+	}
+	return c
+}
+
 // Running counts a job's tasks that are on machines.
 func (w *World) Running(uid string) int {
 	c := 0
