--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,6 +24,7 @@
 	warning                  *float64
 	queue                    []func()        // what arrives while hanging
 	reaped                   map[string]bool // attempts that were reaped
+	Batons                   int             // times that it was shown a higher baton
 }
 
 // attempt names one try of a task. A report lists each until it is reaped.
@@ -88,6 +89,14 @@
 	wk.w.After(time.Duration(s*float64(time.Second)), func() { wk.w.Cloud.Remove(wk.h.ID) })
 }
 
+// Reborn has the machine die and be back at once with the same address: its tasks are
+// gone, so is what it knew of batons, and it begins its next session.
+func (wk *Worker) Reborn() {
+	wk.pieces, wk.reaped = map[string]*wpiece{}, map[string]bool{}
+	wk.tenure++
+	wk.baton, wk.answered, wk.changed = 0, wk.w.Now, true
+}
+
 // Resume ends a hang; what came meanwhile is handled.
 func (wk *Worker) Resume() {
 	wk.Hung = false
@@ -152,9 +161,9 @@
 	}
 	body, baton := wk.body(), wk.baton
 	send := func(done func(int, []byte, error)) {
-		w.call(wk.h.ID, name, 4*time.Second, func(answer func(int, []byte)) {
+		w.call(wk.h.ID, name, 4*time.Second, w.maybeLate("beat", func(answer func(int, []byte)) {
 			w.Nodes[name].request("POST", "/agent/beat", body, answer)
-		}, done)
+		}), done)
 	}
 	if w.Real != nil {
 		send = func(done func(int, []byte, error)) { w.Real.Beat(name, body, done) }
@@ -195,6 +204,7 @@
 					return
 				}
 				if *r.Baton > wk.baton {
+					wk.Batons++
 					wk.baton, wk.changed = *r.Baton, true
 				}
 				wk.answered = now
@@ -220,7 +230,7 @@
 func (w *World) Call(from string) func(endpoint, method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
 	return func(endpoint, method, target string, body []byte, timeout time.Duration, done func(int, []byte, error)) {
 		id := strings.TrimPrefix(endpoint, "w:")
-		w.call(from+":cmd", id, timeout, func(answer func(int, []byte)) {
+		take := func(answer func(int, []byte)) {
 			wk := w.Workers[id]
 			if wk == nil {
 				return // a machine without power is silent
@@ -231,7 +241,8 @@
 				return
 			}
 			serve()
-		}, done)
+		}
+		w.call(from+":cmd", id, timeout, w.maybeLate("cmd", take), done)
 	}
 }
 
@@ -256,6 +267,7 @@
 		return 409, wk.body()
 	}
 	if *c.Baton > wk.baton {
+		wk.Batons++
 		wk.baton, wk.changed = *c.Baton, true
 	}
 	wk.execute(c.Orders)
@@ -526,6 +538,19 @@
 	}
 }
 
+// TasksOn counts all tasks that are on machines.
+func (w *World) TasksOn() int {
+	c := 0
+	for _, wk := range w.Workers {
+		for _, p := range wk.pieces {
+			if p.on() {
+				c++
+			}
+		}
+	}
+	return c
+}
+
 // Running counts a job's tasks that are on machines.
 func (w *World) Running(uid string) int {
 	c := 0
