Records: a pack that is back takes no task back to an earlier try

Need: repeats of requests that were carried out may follow; a transaction that begins a pack passes once more after the pack's key was removed. Measured: TestAPackOnceMore fails without.

--- a/internal/book/packs.go
+++ b/internal/book/packs.go
@@ -58,6 +58,14 @@
 	return uids, err
 }
 
+// later tells whether of two records of a task the first must be the later one.
+func later(a, b *jobs.Task) bool {
+	if done := a.State == jobs.Finished; done != (b.State == jobs.Finished) {
+		return done
+	}
+	return a.Try > b.Try
+}
+
 // claimed is the task of an entry of a pack, nil if a later version of another pack
 // is known to hold it. Where packs are read one after the other, a task that moved
 // meanwhile is in an old version of the one and in the new of the other: the change
@@ -65,8 +73,12 @@
 func (b *Book) claimed(sl *Slice, e *records.Entry, changed map[*Job]bool) *Task {
 	j := b.jobOf(e.UID)
 	t := j.Tasks[e.N]
-	if t != nil && t.Slice != sl && t.Slice.Packed() && t.Slice.Stamp > sl.Stamp {
-		return nil
+	if t != nil && t.Slice != sl && t.Slice.Packed() {
+		// Tries only grow. A transaction that is carried out once more, after the pack
+		// that it began was removed, brings the pack back with what was true then.
+		if later(&t.Task, &e.Task) || !later(&e.Task, &t.Task) && t.Slice.Stamp > sl.Stamp {
+			return nil
+		}
 	}
 	if t != nil && t.Same(&e.Task) {
 		t.Slice = sl
--- a/internal/book/packs_test.go
+++ b/internal/book/packs_test.go
@@ -156,3 +156,28 @@
 		rebuild(b, items)
 	})
 }
+
+// A pack that is back after it was removed, since the transaction that began it was
+// carried out once more, takes no task back to an earlier try, and none that is done,
+// whichever of the packs is read first.
+func TestAPackOnceMore(t *testing.T) {
+	was := records.Encode([]records.Entry{{UID: "wk-1", N: 0, Task: jobs.Task{State: jobs.Placed, Host: "i-1", Try: 1}}, {UID: "wk-1", N: 1, Task: jobs.Task{State: jobs.Placed, Host: "i-1", Try: 1}}})
+	is := records.Encode([]records.Entry{{UID: "wk-1", N: 0, Task: jobs.Task{State: jobs.Placed, Host: "i-2", Try: 2}}, {UID: "wk-1", N: 1, Task: jobs.Task{State: jobs.Finished, Try: 1}}})
+	for _, last := range []string{"pack/a", "pack/b"} {
+		b := New(quota.Flat(nil), func(string) {})
+		_ = b.JobChanged("wk-1", sweep("wk-1"))
+		if last == "pack/a" {
+			_, _ = b.PackChanged("pack/a", was, 1)
+			_, _ = b.PackChanged("pack/b", is, 2)
+			_, _ = b.PackChanged("pack/a", nil, 2)
+			_, _ = b.PackChanged("pack/a", was, 9)
+		} else {
+			_, _ = b.PackChanged("pack/a", was, 9)
+			_, _ = b.PackChanged("pack/b", is, 2)
+		}
+		j := b.Jobs["wk-1"]
+		if on, done := j.Tasks[0], j.Tasks[1]; on.Host != "i-2" || on.Try != 2 || done.State != jobs.Finished || j.Done != 1 || len(b.OnHost["i-1"]) != 0 {
+			t.Errorf("read last %s: %+v, %+v", last, on.Task, done.Task)
+		}
+	}
+}
