--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,6 @@
 	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/sight"
-	"github.com/harrierreel/harrierreel/internal/squaring"
 	"github.com/harrierreel/harrierreel/internal/standby"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -154,7 +153,7 @@
 	})
 	n.rental = rental.New(n.Book, rental.Env{
 		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
-		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) && n.part.Squaring.May(squaring.Rent) },
+		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) && n.part.Squaring.MayRent(n.Now) },
 		Wake: func() { n.dirty = true },
 		Busy: n.isBusy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
 		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commit,
--- a/internal/part/command.go
+++ b/internal/part/command.go
@@ -101,7 +101,7 @@
 func (pt *Part) takes(t *book.Task, m *book.Machine) bool { return pt.Ready(m) && book.Suits(t, m) }
 
 // Ready tells whether a machine takes new tasks at all, by its record.
-func (pt *Part) Ready(m *book.Machine) bool { return pt.Squaring.Open(m.Name, pt.Now) && pt.sound(m) }
+func (pt *Part) Ready(m *book.Machine) bool { return pt.Squaring.Open(m.Name) && pt.sound(m) }
 
 // sound tells whether a machine would take new tasks if it is squared.
 func (pt *Part) sound(m *book.Machine) bool {
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -119,7 +119,7 @@
 			own = append(own, m.Name)
 		}
 	}
-	pt.Squaring.View(own, pt.Now)
+	pt.Squaring.View(own, len(own) < len(pt.Machines), pt.Now)
 	pt.lastSweep = time.Time{}
 }
 
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -58,6 +58,7 @@
 	if r.Baton > s.Baton() {
 		// Another controller holds a later baton: this one is behind, and a
 		// 200 would only keep the worker here while its lease runs out.
+		s.Compare(r.Baton, pt.Now)
 		respond(misdirected(owner))
 		return
 	}
--- a/internal/part/square.go
+++ b/internal/part/square.go
@@ -98,7 +98,7 @@
 	}
 	pt.lastAnew = pt.Now
 	var all []*book.Task
-	awaits := map[*book.Slice]bool{}
+	awaits, has := map[*book.Slice]bool{}, map[*book.Slice]int{}
 	for piece := range pt.vanished {
 		t := pt.task(piece)
 		if t == nil || !t.On() || !pt.again(t) {
@@ -110,10 +110,12 @@
 		}
 		if !awaits[t.Slice] && !pt.Busy(t.Slice.Key) {
 			all = append(all, t)
+			has[t.Slice]++
 		}
 	}
+	// The records first that bring back most by one change; Pass puts them in turn.
 	slices.SortFunc(all, func(a, b *book.Task) int {
-		return cmp.Or(cmp.Compare(a.Job.Rec.Spec.RankOrder(), b.Job.Rec.Spec.RankOrder()), strings.Compare(a.Slice.Key, b.Slice.Key), cmp.Compare(a.N, b.N))
+		return cmp.Or(cmp.Compare(has[b.Slice], has[a.Slice]), strings.Compare(a.Slice.Key, b.Slice.Key), cmp.Compare(a.N, b.N))
 	})
 	var ds []decide.Decision
 	for _, t := range all {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -230,6 +230,37 @@
 		for _, h := range s.host[first-1 : first-1+int(s.number(args[1]))] {
 			w.Workers[h].Die()
 		}
+	case "die-some", "hang-some": // die-some empty|busy COUNT: machines of the start
+		left := int(s.number(args[1]))
+		for _, h := range s.host {
+			if wk := w.Workers[h]; wk != nil && left > 0 && !wk.Hung && wk.Empty() == (args[0] == "empty") {
+				if left--; verb == "die-some" {
+					wk.Die()
+				} else {
+					wk.Hung = true
+				}
+			}
+		}
+		if left > 0 {
+			s.fatal("%d too few are %s", left, args[0])
+		}
+	case "cut-many", "heal-many": // cut-many FIRST COUNT: nothing reaches these machines of the start
+		first := int(s.number(args[0]))
+		for _, h := range s.host[first-1 : first-1+int(s.number(args[1]))] {
+			if w.Heal("*", h); verb == "cut-many" {
+				w.Cut("*", h, false)
+			}
+		}
+	case "rented-unheard": // rented-unheard COUNT BUILD SITE: by a leader that ended before the answer
+		for range int(s.number(args[0])) {
+			s.host = append(s.host, w.Cloud.AddRunning(args[1], args[2], false))
+		}
+	case "abort-many": // abort-many FIRST COUNT
+		for i := range int(s.number(args[1])) {
+			w.Abort(s.job(fmt.Sprintf("wk-%06d", int(s.number(args[0]))+i)))
+		}
+	case "baton": // baton MACHINE EPOCH: it has seen that token
+		w.Workers[s.party(args[0])].Saw(uint64(s.number(args[1])))
 	case "boot":
 		w.Nodes[name(0)].Boot()
 	case "crash-all":
@@ -479,6 +510,7 @@
 // expect not-leader NAME, expect keys PREFIX COUNT.
 func (s *script) expect(args []string) {
 	s.t.Helper()
+	w := s.w
 	switch args[0] {
 	case "tasks":
 		if got := s.w.Running(args[1]); got != int(s.number(args[2])) {
@@ -492,6 +524,23 @@
 		if got := s.job(args[1]).Starts; got > int(s.number(args[2])) {
 			s.fatal("tasks of %s started %d times, more than %s", args[1], got, args[2])
 		}
+	case "begun": // expect begun FIRST COUNT MAX: starts of their tasks beyond one each
+		extra, first := 0, int(s.number(args[1]))
+		for i := range int(s.number(args[2])) {
+			j := s.job(fmt.Sprintf("wk-%06d", first+i))
+			extra += j.Starts - j.Pieces
+		}
+		if extra > int(s.number(args[3])) {
+			s.fatal("%d tasks started that need not have, more than %s", extra, args[3])
+		}
+	case "on": // expect on FIRST COUNT MIN: tasks of these jobs on machines
+		got, first := 0, int(s.number(args[1]))
+		for i := range int(s.number(args[2])) {
+			got += w.Running(fmt.Sprintf("wk-%06d", first+i))
+		}
+		if got < int(s.number(args[3])) {
+			s.fatal("%d tasks are on machines, not %s", got, args[3])
+		}
 	case "rented":
 		if got := s.w.Cloud.Rented; got > int(s.number(args[1])) {
 			s.fatal("%d machines were ever rented, more than %s", got, args[1])
--- a/internal/squaring/fleet.go
+++ b/internal/squaring/fleet.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
 // Phase is how far a controller that has started has come.
@@ -10,7 +12,7 @@
 // Phases, in order. Steady is the end: from then on nothing here holds anything back.
 const (
 	Reading  Phase = "reading"  // the state service; it is in no view yet
-	Hearing  Phase = "hearing"  // some of its machines have not been heard
+	Hearing  Phase = "hearing"  // some machines have not been heard, or others had no time to
 	Squaring Phase = "squaring" // of those heard, some still differ
 	Steady   Phase = "steady"
 )
@@ -64,7 +66,9 @@
 type Facts struct {
 	Begun bool // this controller is in a view
 	Counts
-	For time.Duration // since it came into its first view
+	Others bool          // some machines are other controllers'
+	For    time.Duration // since it came into its first view
+	Viewed time.Duration // since the newest view
 }
 
 // Advance is the one place where the phase changes. within is by when machines that run
@@ -76,7 +80,7 @@
 		return p
 	case f.For >= most:
 		return Steady
-	case f.Unheard > 0 && f.For < within:
+	case f.Unheard > 0 && f.For < within, f.Others && f.Viewed < tuning.SquareOthers:
 		return Hearing
 	case f.Heard+f.Differs > 0:
 		return Squaring
--- a/internal/squaring/squaring_test.go
+++ b/internal/squaring/squaring_test.go
@@ -26,14 +26,14 @@
 		if tr.May(Settle) || tr.May(Rent) {
 			t.Fatal("something may be done before the first view")
 		}
-		tr.View(hosts, now)
+		tr.View(hosts, false, now)
 		for range rapid.IntRange(0, 40).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
 			h := rapid.SampledFrom(hosts).Draw(t, "host")
 			before := tr.Phase()
 			switch e := rapid.SampledFrom([]Event{Shows, Agrees, Departs, Silent, Anew}).Draw(t, "event"); e {
 			case Anew:
-				tr.View(hosts, now)
+				tr.View(hosts, false, now)
 				clear(agreed)
 			default:
 				heard := !tr.Steady() && !slices.Contains([]Machine{Unheard, GivenUp, ""}, tr.machines[h])
@@ -45,13 +45,13 @@
 				}
 			}
 			if tr.Steady() {
-				if !tr.Open(h, now) || tr.machines != nil {
+				if !tr.Open(h) || tr.machines != nil {
 					t.Fatal("steady holds something back")
 				}
 				continue
 			}
-			if tr.Open(h, now) != agreed[h] {
-				t.Fatalf("%s is open: %v, agreed: %v", h, tr.Open(h, now), agreed[h])
+			if tr.Open(h) != agreed[h] {
+				t.Fatalf("%s is open: %v, agreed: %v", h, tr.Open(h), agreed[h])
 			}
 			var again Counts
 			for _, m := range tr.machines {
@@ -71,19 +71,25 @@
 	})
 }
 
-// A machine that another owns takes nothing until that owner had the time to hear it.
+// Another's machine takes nothing, and nothing is rented, until its owner had the time to
+// hear it under the newest view; a machine that goes is waited for no longer.
 func TestOthers(t *testing.T) {
 	tr := New(8, slog.New(slog.DiscardHandler))
-	tr.View([]string{"i-1"}, start)
+	tr.View([]string{"i-1", "i-2"}, true, start)
+	tr.View([]string{"i-1"}, true, start.Add(3*time.Second))
 	tr.Note("i-1", Shows, start)
 	tr.Note("i-1", Departs, start)
-	tr.Settle(start)
-	if tr.Phase() != Squaring || tr.Open("i-9", start.Add(time.Second)) || !tr.Open("i-9", start.Add(5*time.Second)) {
-		t.Errorf("%s, open %v and %v", tr.Phase(), tr.Open("i-9", start.Add(time.Second)), tr.Open("i-9", start.Add(5*time.Second)))
+	for s, open := range []bool{7: false, 8: true} {
+		tr.Settle(start.Add(time.Duration(s) * time.Second))
+		if tr.Open("i-9") != open || tr.MayRent(start.Add(time.Duration(s)*time.Second)) || tr.Open("i-1") {
+			t.Errorf("after %d s %s, open %v", s, tr.Phase(), tr.Open("i-9"))
+		}
+	}
+	if !tr.MayRent(start.Add(10 * time.Second)) {
+		t.Error("does not rent two seconds later")
 	}
-	// A machine that goes is waited for no longer.
 	tr.Lost("i-1")
-	tr.Settle(start)
+	tr.Settle(start.Add(8 * time.Second))
 	if !tr.Steady() {
 		t.Error("waits for a machine that is gone")
 	}
--- a/internal/squaring/tracker.go
+++ b/internal/squaring/tracker.go
@@ -16,6 +16,8 @@
 	phase    Phase
 	since    time.Time // of the first view
 	viewed   time.Time // of the newest view
+	opened   time.Time // when it last went on from hearing
+	others   bool      // some machines are other controllers' under it
 	within   time.Duration
 	most     time.Duration
 	machines map[string]Machine
@@ -48,17 +50,17 @@
 // May tells whether a duty may be done now.
 func (t *Tracker) May(d Duty) bool { return t.phase.May(d) }
 
+// MayRent tells whether machines may be rented: once the queue has been offered those that
+// were heard last.
+func (t *Tracker) MayRent(now time.Time) bool {
+	return t.May(Rent) && now.Sub(t.opened) >= tuning.SquareRent
+}
+
 // Open tells whether a machine takes new work: own ones once they are squared, others'
-// once their owner has had the time under this view to hear them, and to tell which it
-// does not hear.
-func (t *Tracker) Open(host string, now time.Time) bool {
-	switch m, own := t.machines[host]; {
-	case t.Steady():
-		return true
-	case own:
-		return t.May(Hand) && m == Squared
-	}
-	return t.May(HandAny) && now.Sub(t.viewed) >= tuning.SquareOthers
+// once their owners had the time to hear them and to tell which they do not.
+func (t *Tracker) Open(host string) bool {
+	m, own := t.machines[host]
+	return t.Steady() || own && t.May(Hand) && m == Squared || !own && t.May(HandAny)
 }
 
 // Awaits tells whether a machine has yet to be heard and may soon be: what hangs on
@@ -68,15 +70,16 @@
 }
 
 // View begins squaring with the first view, and takes in which machines are this
-// controller's under a later one: all of them have to show the new baton.
-func (t *Tracker) View(hosts []string, now time.Time) {
+// controller's under a later one, and whether there are others: all have to show the new
+// baton.
+func (t *Tracker) View(hosts []string, others bool, now time.Time) {
 	if t.Steady() {
 		return
 	}
 	if t.since.IsZero() {
 		t.since = now
 	}
-	t.viewed = now
+	t.viewed, t.others = now, others
 	was := t.machines
 	t.machines, t.counts = make(map[string]Machine, len(hosts)), Counts{}
 	for _, h := range hosts {
@@ -134,11 +137,14 @@
 
 // Settle moves the phase on, and tells the log when squaring is over.
 func (t *Tracker) Settle(now time.Time) {
-	next := t.phase.Advance(Facts{Begun: !t.since.IsZero(), Counts: t.counts, For: now.Sub(t.since)}, t.within, t.most)
+	next := t.phase.Advance(Facts{Begun: !t.since.IsZero(), Counts: t.counts, Others: t.others, For: now.Sub(t.since), Viewed: now.Sub(t.viewed)}, t.within, t.most)
 	if next == t.phase {
 		return
 	}
 	t.log.Debug("squaring", "phase", string(next), "machines", fmt.Sprintf("%+v", t.counts), "after_ms", now.Sub(t.since).Milliseconds())
+	if t.phase == Hearing {
+		t.opened = now
+	}
 	t.phase = next
 	if next != Steady {
 		return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/workers"
 )
 
 // Worker stands in for a worker on its machine.
@@ -87,6 +88,12 @@
 	wk.w.After(time.Duration(s*float64(time.Second)), func() { wk.w.Cloud.Remove(wk.h.ID) })
 }
 
+// Empty tells whether it holds no task in any state.
+func (wk *Worker) Empty() bool { return len(wk.pieces) == 0 }
+
+// Saw has the machine know a view's token already.
+func (wk *Worker) Saw(epoch uint64) { wk.baton = max(wk.baton, epoch*workers.BatonSpan) }
+
 // Resume ends a hang; what came meanwhile is handled.
 func (wk *Worker) Resume() {
 	wk.Hung = false
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -614,6 +614,9 @@
 	// SquareOthers: by then another owner has called its machines twice, and told which
 	// did not answer.
 	SquareOthers = 5 * time.Second
+	// SquareRent: some looks at the queue, which then has been offered all machines; what it
+	// still lacks is rented.
+	SquareRent = 2 * time.Second
 	// AwaitedCalls: direct calls under way to machines that have not reported to this
 	// process yet; the rest of MaxWorkerCalls is for those that have. Each machine that
 	// died holds a call for CommandTimeout, and 80 of them held all 64 for ten seconds.
--- a/internal/workers/session.go
+++ b/internal/workers/session.go
@@ -89,6 +89,7 @@
 	LastReport time.Time // newest report by beat or command
 	LastBeat   time.Time // newest beat that we could answer 200
 	LastCall   time.Time // last direct command sent
+	Ahead      time.Time // since when it shows a later baton than ours, zero if it doesn't
 	Busy       bool      // a direct command is under way
 	CallFails  int
 
@@ -131,6 +132,16 @@
 	}
 }
 
+// Compare takes note of the highest baton that the worker has seen.
+func (s *Session) Compare(baton uint64, now time.Time) {
+	switch {
+	case baton <= s.Baton():
+		s.Ahead = time.Time{}
+	case s.Ahead.IsZero():
+		s.Ahead = now
+	}
+}
+
 // Newer tells whether a report is newer than all seen so far.
 func (s *Session) Newer(r *Report) bool {
 	return r.Tenure > s.Tenure || (r.Tenure == s.Tenure && r.Tick > s.Tick)
@@ -154,6 +165,7 @@
 			s.lost[p] = try
 		}
 	}
+	s.Compare(r.Baton, now)
 	s.Tenure, s.Tick = r.Tenure, r.Tick
 	s.LastReport = now
 	s.Endpoint, s.Build, s.Site, s.Loaner = r.Endpoint, r.Build, r.Site, r.Loaner
