--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,7 +153,7 @@
 	})
 	n.rental = rental.New(n.Book, rental.Env{
 		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
-		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) && n.part.Squaring.MayRent(n.Now) },
+		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) && n.part.Squaring.MayRent(n.Now) }, Hurried: func() bool { return !n.part.Squaring.Steady() },
 		Wake: func() { n.dirty = true },
 		Busy: n.isBusy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
 		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commit,
--- a/internal/part/square.go
+++ b/internal/part/square.go
@@ -93,7 +93,7 @@
 // The machine's record is no condition, as it is where a task is placed elsewhere: the
 // task is recorded on it before and after, so that whoever deletes it frees the task.
 func (pt *Part) placeAnew() []decide.Decision {
-	if len(pt.vanished) == 0 || !pt.Allows(0, 1) || pt.Now.Sub(pt.lastAnew) < tuning.AnewEvery {
+	if len(pt.vanished) == 0 || !pt.Allows(0, tuning.BatchLeast) || pt.Now.Sub(pt.lastAnew) < tuning.AnewEvery {
 		return nil
 	}
 	pt.lastAnew = pt.Now
--- a/internal/rental/condemn.go
+++ b/internal/rental/condemn.go
@@ -116,7 +116,7 @@
 		}
 	}
 	// The record itself is in no hurry: no task is placed by it any more.
-	if len(re.OnHost[m.Name]) == 0 && !re.Busy(key) && (re.Spare() || re.Now.Sub(re.cloud.deleted[m.Name]) > tuning.RecordLate) {
+	if len(re.OnHost[m.Name]) == 0 && !re.Busy(key) && (re.Spare() || !re.Hurried() && re.Now.Sub(re.cloud.deleted[m.Name]) > tuning.RecordLate) {
 		host := m.Name
 		ds = append(ds, decide.Decision{Writes: []store.Write{decide.Remove(key)}, Done: func(ok bool) {
 			if ok {
--- a/internal/rental/rental.go
+++ b/internal/rental/rental.go
@@ -38,6 +38,8 @@
 	Leads func() (bool, uint64)
 	// MayRent tells whether all is checked that a leader must know before it rents.
 	MayRent func() bool
+	// Hurried tells whether changes are wanted for more than records that nobody reads.
+	Hurried func() bool
 	// Wake has the loop look again.
 	Wake func()
 	// Busy tells whether a record is under a transaction, Recorded whether it is there.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -617,15 +617,16 @@
 	// SquareRent: some looks at the queue, which then has been offered all machines; what it
 	// still lacks is rented.
 	SquareRent = 2 * time.Second
+	// AnewMost: records that a decision to place a gang's tasks where they were may write;
+	// transactions hold no fewer than 16.
+	AnewMost = 12
+	// AnewEvery: between two looks at what has vanished, each of which goes through all of
+	// it.
+	AnewEvery = 100 * time.Millisecond
 	// AwaitedCalls: direct calls under way to machines that have not reported to this
 	// process yet; the rest of MaxWorkerCalls is for those that have. Each machine that
 	// died holds a call for CommandTimeout, and 80 of them held all 64 for ten seconds.
 	// DoubtedCalls: the same for those that left a call unanswered already.
-	// AnewMost: records that a decision to place a gang's tasks where they were may write;
-	// transactions hold no fewer than 16, and a look every AnewEvery, each of which goes
-	// through all tasks that have vanished.
-	AnewMost     = 12
-	AnewEvery    = 100 * time.Millisecond
 	AwaitedCalls = 44
 	DoubtedCalls = 12
 )
