Squaring: members tell one another once they have heard their machines

The hint that members send one another says under which view the sender has heard all its machines; 5 s stay the bound for hints that are lost.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -169,7 +169,7 @@
 	n.part = part.New(n.Book, part.Env{
 		Me: set.NodeName, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Queue: n.queue, Rental: n.rental, Call: out.Worker,
 		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.caughtUp() && !n.member.Unsure() },
-		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, OwnerOf: n.owner, Complain: n.sight.Complain,
+		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, Members: func() []string { return n.view.Names() }, OwnerOf: n.owner, Complain: n.sight.Complain,
 		Busy: n.isBusy, Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit,
 	})
 	n.front = front.New(n.Book, front.Env{
@@ -266,6 +266,7 @@
 	for _, p := range n.set.Peers {
 		if p.NodeName == h.From {
 			n.sight.Hint(h.From, h.StateOK, h.Blind)
+			n.part.Squaring.OtherHeard(h.From, h.Heard)
 			n.member.PeerHeard(h.From)
 		}
 	}
@@ -293,7 +294,7 @@
 		return
 	}
 	n.lastHint, n.hintedEpoch = n.Now, n.mirror.Epoch
-	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.sight.Blind(), Unreached: n.sight.Here()})
+	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.sight.Blind(), Heard: n.part.Squaring.Heard(), Unreached: n.sight.Here()})
 	for _, p := range n.set.Peers {
 		n.out.Hint(p.NodeName, line)
 	}
--- a/internal/part/health.go
+++ b/internal/part/health.go
@@ -32,7 +32,7 @@
 	case !s.Ahead.IsZero() && pt.Now.Sub(s.Ahead) > jobs.Seconds(pt.Cluster.Workers.LeaseS*(1+tuning.SilentDelete)):
 		// Nobody of this view can speak to it: its lease is over, and what it holds with it.
 		return pt.Moving(s.Host, fleet.Sick, "has seen a later baton than this view's")
-	case !pt.Squaring.Steady() && s.Tick == 0 && s.CallFails >= tuning.SilentCalls, // never heard
+	case !pt.Squaring.Steady() && s.Tick == 0 && s.CallFails > 0, // never heard
 		quiet > jobs.Seconds(report*tuning.SilentReports) || s.CallFails >= tuning.SilentCalls && quiet > jobs.Seconds(report*tuning.ReportLate):
 		unheard[s.Host] = true
 	case s.State != workers.Known:
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
@@ -35,8 +36,9 @@
 	// Speaks tells whether this node may answer workers, Outside whether it is
 	// outside the view.
 	Speaks, Outside func() bool
-	// Epoch is the view's.
-	Epoch func() uint64
+	// Epoch is the view's, Members are those in it.
+	Epoch   func() uint64
+	Members func() []string
 	// OwnerOf is the controller that a machine belongs to; Complain notes that a
 	// worker came here although it was sent there.
 	OwnerOf  func(host string) string
@@ -119,7 +121,11 @@
 			own = append(own, m.Name)
 		}
 	}
-	pt.Squaring.View(own, len(own) < len(pt.Machines), pt.Now)
+	var others []string
+	if len(own) < len(pt.Machines) {
+		others = slices.DeleteFunc(pt.Members(), func(m string) bool { return m == pt.Me })
+	}
+	pt.Squaring.View(pt.Epoch(), own, others, pt.Now)
 	pt.lastSweep = time.Time{}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,6 +19,9 @@
 	StateOK bool   `json:"state_ok,omitempty"` // the sender's state service answers
 	// Blind: the sender is outside the view and reaches no worker.
 	Blind bool `json:"blind,omitempty"`
+	// Heard is the view under which the sender has heard all of its machines, or given
+	// them up.
+	Heard uint64 `json:"heard,omitempty"`
 	// Unreached are machines whose workers came to the sender although they
 	// were sent to their owner.
 	Unreached []string `json:"unreached,omitempty"`
--- a/internal/squaring/fleet.go
+++ b/internal/squaring/fleet.go
@@ -66,7 +66,7 @@
 type Facts struct {
 	Begun bool // this controller is in a view
 	Counts
-	Others bool          // some machines are other controllers'
+	Others bool          // some owners of the rest have not told that they heard theirs
 	For    time.Duration // since it came into its first view
 	Viewed time.Duration // since the newest view
 }
--- a/internal/squaring/tracker.go
+++ b/internal/squaring/tracker.go
@@ -14,10 +14,11 @@
 // steady. Then it forgets them and holds nothing back.
 type Tracker struct {
 	phase    Phase
-	since    time.Time // of the first view
-	viewed   time.Time // of the newest view
-	opened   time.Time // when it last went on from hearing
-	others   bool      // some machines are other controllers' under it
+	since    time.Time       // of the first view
+	viewed   time.Time       // of the newest view
+	opened   time.Time       // when it last went on from hearing
+	epoch    uint64          // of it
+	others   map[string]bool // owners that have not told that they heard their machines
 	within   time.Duration
 	most     time.Duration
 	machines map[string]Machine
@@ -71,16 +72,20 @@
 }
 
 // View begins squaring with the first view, and takes in which machines are this
-// controller's under a later one, and whether there are others: all have to show the new
-// baton.
-func (t *Tracker) View(hosts []string, others bool, now time.Time) {
+// controller's under a later one, and which others have some: all machines have to show
+// the new baton.
+func (t *Tracker) View(epoch uint64, hosts, others []string, now time.Time) {
+	t.epoch = epoch
 	if t.Steady() {
 		return
 	}
 	if t.since.IsZero() {
 		t.since = now
 	}
-	t.viewed, t.others = now, others
+	t.viewed, t.others = now, map[string]bool{}
+	for _, o := range others {
+		t.others[o] = true
+	}
 	was := t.machines
 	t.machines, t.counts = make(map[string]Machine, len(hosts)), Counts{}
 	for _, h := range hosts {
@@ -136,6 +141,22 @@
 	}
 }
 
+// Heard is the view under which all of this controller's machines were heard or given up,
+// 0 if they were not.
+func (t *Tracker) Heard() uint64 {
+	if t.since.IsZero() || t.counts.Unheard > 0 {
+		return 0
+	}
+	return t.epoch
+}
+
+// OtherHeard takes in that another member has heard its machines under a view.
+func (t *Tracker) OtherHeard(name string, epoch uint64) {
+	if epoch >= t.epoch {
+		delete(t.others, name)
+	}
+}
+
 // SentOn counts a report of another's machine.
 func (t *Tracker) SentOn(owner string) {
 	if !t.Steady() {
@@ -145,7 +166,7 @@
 
 // Settle moves the phase on, and tells the log when squaring is over.
 func (t *Tracker) Settle(now time.Time) {
-	next := t.phase.Advance(Facts{Begun: !t.since.IsZero(), Counts: t.counts, Others: t.others, For: now.Sub(t.since), Viewed: now.Sub(t.viewed)}, t.within, t.most)
+	next := t.phase.Advance(Facts{Begun: !t.since.IsZero(), Counts: t.counts, Others: len(t.others) > 0, For: now.Sub(t.since), Viewed: now.Sub(t.viewed)}, t.within, t.most)
 	if next == t.phase {
 		return
 	}
@@ -162,5 +183,5 @@
 			"heard_half_ms", t.heard.ValueAtQuantile(50), "heard_last_ms", t.heard.Max(), "squared_half_ms", t.squared.ValueAtQuantile(50), "squared_last_ms", t.squared.Max(),
 			"differences", fmt.Sprint(t.differences), "answers", fmt.Sprint(t.answers), "sent_on", fmt.Sprint(t.sentOn))
 	}
-	t.machines, t.heard, t.squared, t.differences, t.answers, t.sentOn = nil, nil, nil, nil, nil, nil
+	t.machines, t.heard, t.squared, t.differences, t.answers, t.sentOn, t.counts = nil, nil, nil, nil, nil, nil, Counts{}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -611,8 +611,8 @@
 	SquareSlack   = 2 * time.Second
 	// SquareMost: after so long what still differs is what differs on any day.
 	SquareMost = 60 * time.Second
-	// SquareOthers: by then another owner has called its machines twice, and told which
-	// did not answer.
+	// SquareOthers: an owner that has not told by then that it heard its machines is
+	// waited for no longer: it has called them twice, and told which did not answer.
 	SquareOthers = 5 * time.Second
 	// SquareRent: some looks at the queue, which then has been offered all machines; what it
 	// still lacks is rented.
