--- a/internal/jobs/jobs_test.go
+++ b/internal/jobs/jobs_test.go
@@ -82,7 +82,16 @@
 	if _, ok := NextTask(x, TaskEvent{Kind: Place, Host: "i-2", Try: 2}); ok {
 		t.Error("placed twice")
 	}
+	if _, ok := NextTask(x, TaskEvent{Kind: Anew, Try: 1}); ok {
+		t.Error("a try was used again on the same machine")
+	}
+	if again := step(x, TaskEvent{Kind: Anew, Try: 2}); again.Try != 2 || again.Host != "i-1" || again.State != Placed {
+		t.Errorf("%+v", again)
+	}
 	x = step(x, TaskEvent{Kind: Stop, Why: "room"})
+	if _, ok := NextTask(x, TaskEvent{Kind: Anew, Try: 9}); ok {
+		t.Error("what is to be stopped was placed once more")
+	}
 	x = step(x, TaskEvent{Kind: Fail, AfterMs: 5})
 	if x.Fails != 1 || len(x.Bad) != 1 || x.Charged() || x.Try != 1 {
 		t.Errorf("%+v", x)
@@ -92,7 +101,7 @@
 	}
 	x = step(x, TaskEvent{Kind: Place, Host: "i-2", Try: 2})
 	x = step(x, TaskEvent{Kind: Complete})
-	for _, e := range []TaskEventKind{Release, Place, Stop, Gone, Fail, TakeBack, Complete} {
+	for _, e := range []TaskEventKind{Release, Place, Anew, Stop, Gone, Fail, TakeBack, Complete} {
 		if _, ok := NextTask(x, TaskEvent{Kind: e, Try: 9}); ok {
 			t.Errorf("%s after done", e)
 		}
