--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -644,3 +644,31 @@
 	// all changes.
 	ReclaimMost = 50
 )
+
+// Squaring: what a controller that starts does before it knows what its machines have.
+const (
+	// SquareReports, reports, and SquareSlack: by then every machine that runs has
+	// reported twice, the second time with our baton, and been reached directly.
+	SquareReports = 2.0
+	SquareSlack   = 2 * time.Second
+	// SquareMost: after so long what still differs is what differs on any day.
+	SquareMost = 60 * time.Second
+	// SquareOthers: an owner that has not told by then that it heard its machines is
+	// waited for no longer: it has called them twice, and told which did not answer.
+	SquareOthers = 5 * time.Second
+	// SquareRent: some looks at the queue, which then has been offered all machines; what it
+	// still lacks is rented.
+	SquareRent = 2 * time.Second
+	// AnewMost: records that a decision to place a gang's tasks where they were may write;
+	// transactions hold no fewer than 16.
+	AnewMost = 12
+	// AnewEvery: between two looks at what has vanished, each of which goes through all of
+	// it.
+	AnewEvery = 100 * time.Millisecond
+	// AwaitedCalls: direct calls under way to machines that have not reported to this
+	// process yet; the rest of MaxWorkerCalls is for those that have. Each machine that
+	// died holds a call for CommandTimeout, and 80 of them held all 64 for ten seconds.
+	// DoubtedCalls: the same for those that left a call unanswered already.
+	AwaitedCalls = 44
+	DoubtedCalls = 12
+)
