Lending: loans, who gives, the leader's keeping of them (package only, joined nowhere)

Serving that needs more than is free takes by rank, from single tasks only, and nothing remembers what was taken from whom.

--- /dev/null
+++ b/internal/lending/ledger.go
@@ -0,0 +1,66 @@
+package lending
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Prefix is the prefix of the sheets in the state service.
+const Prefix = "loan/"
+
+// Sheet is one value of the shared state: many loans, so that a change of several is
+// one. A loan stays on the sheet on which it began.
+type Sheet struct {
+	Loans []Loan `json:"l"`
+}
+
+// Key is the key of a sheet.
+func Key(sheet int) string { return Prefix + strconv.Itoa(sheet) }
+
+// SheetOf is the inverse of Key; false for a key that none has.
+func SheetOf(key string) (int, bool) {
+	if len(key) <= len(Prefix) || key[:len(Prefix)] != Prefix {
+		return 0, false
+	}
+	n, err := strconv.Atoi(key[len(Prefix):])
+	return n, err == nil && n >= 0 && n < tuning.LoanSheets && Key(n) == key
+}
+
+// Decode reads a sheet and checks it. An error names the first fault.
+func Decode(b []byte) (*Sheet, error) {
+	var s Sheet
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, err
+	}
+	seen := map[int]bool{}
+	for i := range s.Loans {
+		l := &s.Loans[i]
+		switch l.State {
+		case Asked, Vacated, Lent, CalledBack, Returned, BrokenOff:
+		default:
+			return nil, fmt.Errorf("loan %d has unknown state %q", l.ID, l.State)
+		}
+		if seen[l.ID] || l.Host == "" || !jobs.ValidUID(l.Job) || l.N < 0 || l.GPUs < 0 || len(l.From) == 0 {
+			return nil, fmt.Errorf("loan %d is not whole", l.ID)
+		}
+		seen[l.ID] = true
+	}
+	return &s, nil
+}
+
+// without drops the loans that are over and no longer remembered.
+func (s *Sheet) without(nowMs int64) *Sheet {
+	return &Sheet{Loans: slices.DeleteFunc(slices.Clone(s.Loans), func(l Loan) bool {
+		return l.State.Over() && nowMs-l.BeganMs > tuning.LendAgain.Milliseconds()
+	})}
+}
+
+// fits tells whether a sheet can take a loan more, and be changed after that.
+func (s *Sheet) fits(limit int) bool {
+	return len(s.Loans) < tuning.MostOnSheet && len(jobs.Encode(s)) < int(tuning.SheetFull*float64(limit))
+}
--- a/internal/quota/tree.go
+++ b/internal/quota/tree.go
@@ -309,6 +309,21 @@
 	return yields
 }
 
+// Spares tells whether all nodes on a leaf's side still have what they are guaranteed
+// once amount a of it is gone, up to where its side and that of the one which needs the
+// room meet: what shares a guarantee has no claim against its own side.
+func (c *Account) Spares(needs, leaf int, a Amount) bool {
+	spares := true
+	c.tree.up(leaf, func(i int, n *Node) bool {
+		if c.tree.Under(needs, i) {
+			return false
+		}
+		spares = c.used[i].Add(a, -1).Covers(n.Guaranteed)
+		return spares
+	})
+	return spares
+}
+
 // Way is what the sides of the tree that a leaf is on, from the top down, use of the
 // spare capacity for their weight; nil in a tree that has only the platform's teams.
 // What a node with children runs itself is one more side, of weight 1: with ways
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -602,3 +602,46 @@
 	// all changes.
 	ReclaimMost = 50
 )
+
+// Lending.
+const (
+	// LoanSheets, MostOnSheet: values of the shared state that loans stand in, and loans
+	// in one; 160 bytes a loan. SheetFull: share of the most bytes of a value up to which
+	// loans begin on a sheet; the rest is for what they grow by.
+	LoanSheets  = 8
+	MostOnSheet = 40
+	SheetFull   = 0.8
+	// LoanAsked: a lender that has not left after this, on a machine that still counts,
+	// is waited for no longer; saving takes seconds, a silent machine is given up sooner.
+	LoanAsked = 60 * time.Second
+	// LoanVacant: made room is kept so long for its replica.
+	LoanVacant = 20 * time.Second
+	// LoanKept: room that comes back is kept so long for its lender: a look at the queue
+	// comes several times a second, a pause after a stop is none, so what does not come
+	// within this has found a place or cannot use it.
+	LoanKept = 15 * time.Second
+	// LoanLeast: a replica is not called back sooner; a start that is stopped within 30 s
+	// counts for nothing.
+	LoanLeast = 60 * time.Second
+	// CallGap: between two replicas of a service that are called back, on top of the
+	// time that the first takes to leave.
+	CallGap = 10 * time.Second
+	// LendAgain: a job lends once in this time, so that demand that swings by the minute
+	// takes from each at most once in five swings.
+	LendAgain = 5 * time.Minute
+	// LoanNearEnd: what is expected to end so soon is not stopped; LoanPast: share of
+	// its run that a task which has run past its estimate is taken to need still.
+	LoanNearEnd = 20 * time.Second
+	LoanPast    = 0.2
+	// LoanSooner: a difference in the time until a replica runs that outweighs what
+	// lenders lose; a 7 GB image takes 7 to 14 s.
+	LoanSooner = 5 * time.Second
+	// LoanWaste: what an accelerator freed beyond the need counts as lost; the next to
+	// fit comes within about this.
+	LoanWaste = 20 * time.Second
+	// LoanSave: steps that follow from the records are stored at most so late, several
+	// of a sheet at once.
+	LoanSave = 5 * time.Second
+	// LoansSaid: how often the log tells the counts of loans.
+	LoansSaid = time.Minute
+)
