--- a/internal/lending/keeper.go
+++ b/internal/lending/keeper.go
@@ -133,7 +133,7 @@
 		if j == nil {
 			continue
 		}
-		f.LenderWaits = f.LenderWaits || live(j) && (k.Queued[s.Job] == j || leaves(j))
+		f.LenderWaits = f.LenderWaits || live(j) && k.Queued[s.Job] == j
 		for _, t := range k.OnHost[l.Host] {
 			if t.Job == j {
 				f.Leaving = f.Leaving || t.State == jobs.Stopping
@@ -144,17 +144,6 @@
 	return f
 }
 
-// leaves tells whether a job has tasks on their way out: a gang that was stopped waits
-// only once all of them are gone.
-func leaves(j *book.Job) bool {
-	for _, t := range j.Active {
-		if t.State == jobs.Stopping {
-			return true
-		}
-	}
-	return false
-}
-
 func live(j *book.Job) bool { return j.Rec != nil && j.Rec.State == jobs.Live }
 
 // Look brings every loan as far as the records say, and returns what is to be written
--- a/internal/lending/keeper_test.go
+++ b/internal/lending/keeper_test.go
@@ -349,67 +349,86 @@
 	all := func(h string, n int) []string { return slices.Repeat([]string{h}, n) }
 	old := func(y *yard, s time.Duration) { y.Now = y.Now.Add(s) }
 	for name, c := range map[string]struct {
-		with func(y *yard)
-		want string // "" for none
+		with func(y *yard) float64 // what the replica needs
+		want string                // "" for none
 	}{
-		"what lost least since its save": {func(y *yard) {
+		"what lost least since its save": {func(y *yard) float64 {
 			y.job("wk-1", "train", jobs.Sweep, "standard", "x", 1, 8, all("i-0", 4)...)
 			old(y, 100*time.Second)
 			y.job("wk-2", "train", jobs.Sweep, "standard", "x", 1, 8, all("i-1", 4)...)
 			old(y, 30*time.Second) // both have their images
+			return 1
 		}, "i-1 wk-2/0"},
-		"where the weights are": {func(y *yard) {
+		"where the weights are": {func(y *yard) float64 {
 			y.job("wk-1", "train", jobs.Sweep, "standard", "x", 1, 8, all("i-0", 4)...)
 			y.Images.Saw("i-0", fleet.Image{Bundle: "weights", GB: 20}, 100)
 			old(y, 100*time.Second)
 			y.job("wk-2", "train", jobs.Sweep, "standard", "x", 1, 8, all("i-1", 4)...)
+			return 1
 		}, "i-0 wk-1/0"},
-		"not below a guarantee": {func(y *yard) {
+		"not below a guarantee": {func(y *yard) float64 {
 			y.job("wk-1", "train", jobs.Sweep, "standard", "x", 1, 4, all("i-0", 4)...)
 			y.job("wk-2", "batch", jobs.Sweep, "standard", "x", 1, 8, append(all("i-0", 0), all("i-1", 4)...)...)
+			return 1
 		}, "i-1 wk-2/0"},
-		"its own team's work of lower rank last": {func(y *yard) {
+		"its own team's work of lower rank last": {func(y *yard) float64 {
 			y.job("wk-1", "serve", jobs.Sweep, "idle", "x", 1, 4, all("i-0", 4)...)
 			y.job("wk-2", "batch", jobs.Sweep, "standard", "x", 1, 8, all("i-1", 4)...)
+			return 1
 		}, "i-1 wk-2/0"},
-		"but its own team's": {func(y *yard) {
+		"but its own team's": {func(y *yard) float64 {
 			y.job("wk-1", "serve", jobs.Sweep, "idle", "x", 1, 4, all("i-0", 4)...)
 			y.job("wk-2", "train", jobs.Sweep, "standard", "x", 1, 4, all("i-1", 4)...)
+			return 1
 		}, "i-0 wk-1/0"},
-		"nothing at the end of its run": {func(y *yard) {
+		"nothing at the end of its run": {func(y *yard) float64 {
 			y.job("wk-1", "batch", jobs.Sweep, "idle", "x", 1, 4, all("i-0", 4)...)
 			old(y, 590*time.Second)
 			y.job("wk-2", "serve", jobs.Sweep, "prod", "x", 1, 4, all("i-1", 4)...)
+			return 1
 		}, ""},
-		"a gang whole": {func(y *yard) {
+		"a gang whole": {func(y *yard) float64 {
 			y.job("wk-1", "train", jobs.Ensemble, "standard", "x", 4, 2, "i-0", "i-1")
 			y.job("wk-2", "train", jobs.Sweep, "standard", "x", 4, 1, "i-2")
+			return 1
 		}, "i-0 wk-1/0 wk-1/1"},
-		"no gang that has lost a task": {func(y *yard) {
+		"no gang that has lost a task": {func(y *yard) float64 {
 			y.job("wk-1", "train", jobs.Ensemble, "standard", "x", 4, 3, "i-0", "i-1")
 			y.job("wk-2", "train", jobs.Sweep, "standard", "x", 4, 1, "i-2")
+			return 1
 		}, ""},
-		"no gang on a machine that is not heard": {func(y *yard) {
+		"no gang on a machine that is not heard": {func(y *yard) float64 {
 			y.job("wk-1", "train", jobs.Ensemble, "standard", "x", 4, 2, "i-0", "i-1")
 			y.job("wk-2", "train", jobs.Sweep, "standard", "x", 4, 1, "i-2")
 			y.host(1, fleet.Silent)
+			return 1
 		}, ""},
-		"no gang that would take its team below": {func(y *yard) {
+		"no gang that would take its team below": {func(y *yard) float64 {
 			y.job("wk-1", "train", jobs.Ensemble, "standard", "x", 4, 2, "i-0", "i-1") // any one of them could go
+			return 1
 		}, ""},
-		"the fewest accelerators freed in vain": {func(y *yard) {
-			y.job("wk-1", "train", jobs.Sweep, "standard", "x", 4, 2, "i-0")
+		"the fewest accelerators freed in vain": {func(y *yard) float64 {
 			y.job("wk-2", "train", jobs.Sweep, "standard", "x", 1, 8, all("i-1", 4)...)
+			old(y, 240*time.Second)
+			y.job("wk-1", "train", jobs.Sweep, "standard", "x", 4, 2, "i-0")
+			old(y, 30*time.Second)
+			return 1
 		}, "i-1 wk-2/0"},
-		"none while room is coming": {func(y *yard) {
+		"two that go below together": {func(y *yard) float64 {
+			y.job("wk-1", "batch", jobs.Sweep, "standard", "x", 1, 3, all("i-0", 3)...)
+			y.job("wk-2", "serve", jobs.Sweep, "prod", "x", 1, 4, all("i-1", 3)...)
+			return 3
+		}, ""},
+		"none while room is coming": {func(y *yard) float64 {
 			y.job("wk-1", "train", jobs.Sweep, "standard", "x", 1, 8, all("i-0", 4)...)
 			y.job("wk-2", "train", jobs.Sweep, "standard", "x", 1, 3, all("i-1", 3)...)
+			return 1
 		}, ""},
 	} {
 		y := newYard(3)
 		y.host(2, fleet.Warned) // what is there counts for its team, and lends nothing
-		c.with(y)
-		j := y.job("wk-9", "serve", jobs.Standing, "prod", "weights", 1, 2)
+		need := c.with(y)
+		j := y.job("wk-9", "serve", jobs.Standing, "prod", "weights", need, 2)
 		s := y.search(j, 0, false)
 		s.Spared, s.Busy, s.Told, s.Now = func(string) bool { return false }, func(string) bool { return false }, func(m *book.Machine) bool { return m.State == fleet.Up }, y.Now
 		got := ""
@@ -445,30 +464,36 @@
 	y := newYard(4)
 	svc := y.job("wk-9", "serve", jobs.Standing, "prod", "w", 1, 12, "i-0", "i-0", "i-0", "i-0", "i-1", "i-1", "i-2", "i-2", "i-1", "i-2", "i-0", "i-1")
 	y.job("wk-1", "train", jobs.Sweep, "standard", "x", 1, 4)
-	sheet := &Sheet{}
-	for n := range 6 {
+	for n := range 9 {
+		sheet := &Sheet{}
+		if k := y.k.sheets[n%2]; k != nil {
+			sheet = k
+		}
 		sheet.Loans = append(sheet.Loans, Loan{ID: n, State: Lent, Job: "wk-9", N: n, Host: svc.Tasks[n].Host, From: []Share{{"wk-1", 1}}, GPUs: 1, SinceMs: y.Ms()})
+		y.commit(decide.Decision{Writes: []store.Write{decide.Put(Key(n%2), sheet)}}, true)
 	}
-	y.commit(decide.Decision{Writes: []store.Write{decide.Put(Key(0), sheet)}}, true)
-	stopping := func() (n int) {
+	away := func() (n int) {
 		for _, x := range svc.Tasks {
-			if x.State == jobs.Stopping || x.State == jobs.Pending {
+			if x.State != jobs.Placed {
 				n++
 			}
 		}
 		return n
 	}
-	waits := func(uid string) bool { return uid == "wk-1" }
+	nobody, waits := func(string) bool { return false }, func(uid string) bool { return uid == "wk-1" }
 	y.look(waits, true)
-	if stopping() != 0 {
+	if away() != 0 {
 		t.Fatal("called back before it had served")
 	}
-	for step := 1; step <= 12; step++ {
+	for range 30 {
 		y.Now = y.Now.Add(tuning.LoanLeast + time.Second)
-		y.look(func(string) bool { return false }, true)
-		before := stopping()
+		before := away()
+		y.look(nobody, true)
+		if away() != before {
+			t.Fatal("called back for nobody")
+		}
 		y.look(waits, true)
-		if after := stopping(); after > before+1 {
+		if after := away(); after > before+1 {
 			t.Fatalf("%d called back at once", after-before)
 		}
 		for _, x := range svc.Tasks {
@@ -478,11 +503,54 @@
 			}
 		}
 	}
-	if got := stopping(); got != 6 {
+	if got := away(); got != 6 {
 		t.Errorf("%d of 12 were called back, not 6", got)
 	}
 }
 
+// One replica stays in each zone.
+func TestStaysInZone(t *testing.T) {
+	y := newYard(4)
+	svc := y.job("wk-9", "serve", jobs.Standing, "prod", "w", 2, 4, "i-0", "i-0", "i-2", "i-1")
+	y.job("wk-1", "train", jobs.Sweep, "standard", "x", 1, 4)
+	sheet := &Sheet{Loans: []Loan{{ID: 1, State: Lent, Job: "wk-9", N: 3, Host: "i-1", From: []Share{{"wk-1", 2}}, GPUs: 2, SinceMs: 1}}}
+	y.commit(decide.Decision{Writes: []store.Write{decide.Put(Key(0), sheet)}}, true)
+	y.look(func(string) bool { return true }, true)
+	if svc.Tasks[3].State != jobs.Placed {
+		t.Error("the last replica in its zone was called back")
+	}
+}
+
+// A gang's room waits for it while its other tasks still save; they all go in one
+// decision.
+func TestGangGivesAndWaits(t *testing.T) {
+	y := newYard(2)
+	y.job("wk-1", "batch", jobs.Ensemble, "standard", "x", 4, 2, "i-0", "i-1")
+	y.job("wk-2", "batch", jobs.Sweep, "standard", "x", 1, 4)
+	for i := range 2 {
+		y.set(y.Jobs["wk-2"], i, jobs.Task{State: jobs.Released, Part: "n0"})
+	}
+	j := y.job("wk-9", "serve", jobs.Standing, "prod", "w", 1, 1)
+	if !y.ask(t, j, 0, true) || y.Jobs["wk-1"].Tasks[0].State != jobs.Stopping || y.Jobs["wk-1"].Tasks[1].State != jobs.Stopping {
+		t.Fatal("the gang does not give whole")
+	}
+	rec := *j.Rec
+	rec.State = jobs.Cancelled
+	_ = y.JobChanged("wk-9", jobs.Encode(rec))
+	host := y.k.Loans()[0].Host
+	for n, x := range y.Jobs["wk-1"].Tasks {
+		if x.Host == host {
+			next, _ := jobs.NextTask(x.Task, jobs.TaskEvent{Kind: jobs.Gone})
+			y.set(x.Job, n, next)
+			break
+		}
+	}
+	y.look(func(string) bool { return true }, true)
+	if l := y.k.Loans()[0]; l.State != CalledBack {
+		t.Error(l)
+	}
+}
+
 // Few changes: what follows from the records is stored several steps at a time.
 func TestFewChanges(t *testing.T) {
 	y := newYard(1)
