--- a/internal/lending/keeper.go
+++ b/internal/lending/keeper.go
@@ -20,6 +20,8 @@
 // Env is what the keeper is told from outside.
 type Env struct {
 	Limit int // bytes of a value of the shared state
+	// Again: a job that lent is left alone for so long.
+	Again time.Duration
 	// ByRank: where nobody can lend, PROTOCOL's preemption by rank goes on as without
 	// lending, below guarantees too.
 	ByRank bool
@@ -245,7 +247,7 @@
 			out.Loans = append(out.Loans, k.now(l))
 		}
 	}
-	return out.without(k.Ms())
+	return out.without(k.Ms(), k.Again)
 }
 
 // write is the record of a sheet. It is conditional on the version that is known, as
@@ -269,7 +271,7 @@
 	for _, l := range s.Loans {
 		a, changed := k.come(l)
 		due = due || changed && k.Now.Sub(a.at) >= tuning.LoanSave ||
-			l.State.Over() && k.Ms()-l.BeganMs > (tuning.LendAgain+tuning.LoansSaid).Milliseconds()
+			l.State.Over() && k.Ms()-l.BeganMs > (k.Again+tuning.LoansSaid).Milliseconds()
 	}
 	if !due {
 		return decide.Decision{}, false
@@ -295,7 +297,7 @@
 func (k *Keeper) spared() map[string]bool {
 	out := map[string]bool{}
 	for _, l := range k.Loans() {
-		if k.Ms()-l.BeganMs < tuning.LendAgain.Milliseconds() {
+		if k.Ms()-l.BeganMs < k.Again.Milliseconds() {
 			for _, f := range l.From {
 				out[f.Job] = true
 			}
@@ -484,6 +486,8 @@
 	Job  string
 	Host string
 	Need parts.Room
+	// Piece is the replica that a room is for, none where it is a lender's.
+	Piece string
 }
 
 // Rooms lists the rooms that are kept, in order of the loans: for replicas while their
@@ -492,7 +496,7 @@
 	var out []Kept
 	for _, l := range k.Loans() {
 		if j := k.Jobs[l.Job]; l.ForBorrower() && j != nil && live(j) && k.Machines[l.Host] != nil {
-			out = append(out, Kept{l.Job, l.Host, j.Rec.Spec.Need()})
+			out = append(out, Kept{l.Job, l.Host, j.Rec.Spec.Need(), jobs.Piece(l.Job, l.N)})
 		}
 		if !l.ForLender() || k.Machines[l.Host] == nil {
 			continue
@@ -504,7 +508,7 @@
 			}
 			need := j.Rec.Spec.Need()
 			for left := s.GPUs; left > 0 || left == s.GPUs; left -= need.Accelerators {
-				out = append(out, Kept{s.Job, l.Host, need})
+				out = append(out, Kept{s.Job, l.Host, need, ""})
 				if need.Accelerators <= 0 {
 					break
 				}
--- a/internal/lending/keeper_test.go
+++ b/internal/lending/keeper_test.go
@@ -52,7 +52,7 @@
 
 // leader has another controller lead: all that it knows are the records.
 func (y *yard) leader() {
-	y.k = NewKeeper(y.Book, Env{Limit: 8192, Log: slog.New(slog.DiscardHandler), Busy: func(string) bool { return false },
+	y.k = NewKeeper(y.Book, Env{Limit: 8192, Again: tuning.LendAgain, Log: slog.New(slog.DiscardHandler), Busy: func(string) bool { return false },
 		Ready: func(m *book.Machine) bool { return m.State == fleet.Up }, Elsewhere: func(*book.Task) bool { return false }})
 	for _, key := range book.Sorted(y.sheets) {
 		y.k.Changed(key, y.sheets[key])
--- a/internal/lending/ledger.go
+++ b/internal/lending/ledger.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"strconv"
+	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -54,9 +55,9 @@
 }
 
 // without drops the loans that are over and no longer remembered.
-func (s *Sheet) without(nowMs int64) *Sheet {
+func (s *Sheet) without(nowMs int64, again time.Duration) *Sheet {
 	return &Sheet{Loans: slices.DeleteFunc(slices.Clone(s.Loans), func(l Loan) bool {
-		return l.State.Over() && nowMs-l.BeganMs > tuning.LendAgain.Milliseconds()
+		return l.State.Over() && nowMs-l.BeganMs > again.Milliseconds()
 	})}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/front"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/membership"
 	"github.com/harrierreel/harrierreel/internal/part"
@@ -147,7 +148,7 @@
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
 		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.isBusy,
-		Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit, Packing: n.packing,
+		Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit, Packing: n.packing, Lending: set.Operator.Lending,
 		Ready:    func(m *book.Machine) bool { return n.part.Ready(m) },
 		CanPlace: func(t *book.Task, m *book.Machine) bool { return n.part.CanPlace(t, m) },
 	})
@@ -368,6 +369,8 @@
 		n.front.FinalSeen(key[len(jobs.FinalPrefix):], value)
 	case key == quota.StoreKey:
 		n.front.QuotaChanged(value)
+	case hasPrefix(key, lending.Prefix):
+		n.queue.LoansChanged(key, value)
 	case hasPrefix(key, pipelines.RunPrefix):
 		n.front.RunChanged(key[len(pipelines.RunPrefix):], value)
 	}
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -29,7 +29,7 @@
 
 // prefixes are the live prefixes of this node's duties.
 func (n *Node) prefixes() []string {
-	return append(slices.Clone(livePrefixes), n.front.Prefixes()...)
+	return append(slices.Clone(livePrefixes), append(n.front.Prefixes(), n.queue.Prefixes()...)...)
 }
 
 // syncState is how far the mirror has got.
--- /dev/null
+++ b/internal/queue/lend.go
@@ -0,0 +1,165 @@
+package queue
+
+import (
+	"encoding/json"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/lending"
+	"github.com/harrierreel/harrierreel/internal/parts"
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// newLending is the keeping of loans, nil where the operators have not turned it on.
+func (q *Queue) newLending(set *settings.Lending) *lending.Keeper {
+	if set == nil {
+		return nil
+	}
+	return lending.NewKeeper(q.Book, lending.Env{Limit: q.SliceLimit, Again: jobs.Seconds(set.AgainS), ByRank: set.ByRank, Log: q.Log, Busy: q.Busy, Ready: q.Ready,
+		Elsewhere: func(t *book.Task) bool {
+			zones := q.Zones(t.Job)
+			zones[t.Site]--
+			to := q.FindHost(t.Anywhere(), zones)
+			return to != "" && to != t.Host && q.Cached(to, t.Job.Rec.Spec.Bundle)
+		}})
+}
+
+// Prefixes are the keys that loans stand under, where there are any to read.
+func (q *Queue) Prefixes() []string {
+	if q.loans == nil {
+		return nil
+	}
+	return []string{lending.Prefix}
+}
+
+// LoansChanged takes a record of loans in.
+func (q *Queue) LoansChanged(key string, value json.RawMessage) {
+	if q.loans != nil {
+		q.loans.Changed(key, value)
+	}
+}
+
+// lent is what a pass keeps of loans: rooms that are for one job only, and the machine
+// on which room is made for a replica.
+type lent struct {
+	rooms map[string][]*room // by job
+	of    map[string]lending.Loan
+}
+
+// room is a kept one; shut while the pass takes it for used.
+type room struct {
+	lending.Kept
+	shut bool
+}
+
+// keepLoans has the loans looked at, and keeps their rooms from all but the jobs that
+// they are for.
+func (q *Queue) keepLoans(p *pass) {
+	if q.loans == nil {
+		return
+	}
+	waits := map[string]bool{}
+	for _, w := range q.Waiting {
+		waits[w.Task.Job.UID] = true
+	}
+	p.ds = append(p.ds, q.loans.Look(p.account, func(uid string) bool { return waits[uid] })...)
+	p.lent = lent{map[string][]*room{}, map[string]lending.Loan{}}
+	for _, l := range q.loans.Loans() {
+		if l.ForBorrower() {
+			p.lent.of[jobs.Piece(l.Job, l.N)] = l
+		}
+	}
+	for _, k := range q.loans.Rooms() {
+		r := &room{Kept: k}
+		p.lent.rooms[k.Job] = append(p.lent.rooms[k.Job], r)
+		q.shut(r)
+	}
+}
+
+// shut keeps a room from others: for a replica as long as it has no place, for a lender
+// where there is room.
+func (q *Queue) shut(r *room) {
+	if r.Piece != "" {
+		_, booked := q.Reserved[r.Piece]
+		r.shut = !booked
+	} else {
+		m := q.Machines[r.Host]
+		r.shut = m != nil && q.Builds[m.Build] != nil && q.Builds[m.Build].Whole().Sub(q.Used(r.Host)).Fits(r.Need)
+	}
+	if r.shut {
+		q.Occupy(r.Host, r.Need)
+	}
+}
+
+// openRooms lets a job have the rooms that are kept for it; shutRooms keeps what is
+// left of them.
+func (q *Queue) openRooms(uid string, p *pass) {
+	for _, r := range p.lent.rooms[uid] {
+		if r.shut {
+			r.shut = false
+			q.Vacate(r.Host, r.Need)
+		}
+	}
+}
+
+func (q *Queue) shutRooms(uid string, p *pass) {
+	for _, r := range p.lent.rooms[uid] {
+		q.shut(r)
+	}
+}
+
+// pickLent is the candidate that a loan made room on for a task, if it may go there by
+// now, else the best of all.
+func (q *Queue) pickLent(t *book.Task, cands []parts.Candidate, zones map[string]int, p *pass) int {
+	if l, ok := p.lent.of[t.Piece]; ok {
+		spec := &t.Job.Rec.Spec
+		if k := parts.PickIf(spec.Need(), spec.Loaner, cands, func(c *parts.Candidate) bool {
+			return c.Host == l.Host && book.ZoneAllowed(spec, zones, c.Site) && book.Suits(t, q.Machines[c.Host])
+		}); k >= 0 {
+			return k
+		}
+	}
+	return q.pickFor(t, cands, zones)
+}
+
+// lend has others lend room to a replica, on a machine with its image if onlyCached,
+// within so many seconds if that is not 0. It tells whether one does.
+func (q *Queue) lend(w *Waiting, onlyCached bool, inS float64, p *pass) bool {
+	if _, asked := p.lent.of[w.Task.Piece]; asked || p.searches >= tuning.MostSearches {
+		return asked
+	}
+	p.searches++
+	// What the pass has charged is only considered: who is beyond a guarantee is
+	// counted from what truly runs.
+	d, plan, ok := q.loans.Ask(&lending.Search{Task: w.Task, Rank: w.Rank, Entitled: w.Entitled, Account: lending.Leaving(q.Book, q.Account, p.stopping), Zones: q.Zones(w.Task.Job),
+		OnlyCached: onlyCached, InS: inS, Open: func(m *book.Machine) bool { return q.offers(w.Task, m) }, Stopping: p.stopping})
+	if !ok {
+		return false
+	}
+	for _, t := range plan.Tasks {
+		p.stopping[t] = true
+	}
+	q.preempted[w.Task.Piece] = making{q.Now.Add(tuning.PreemptAgain), onlyCached}
+	p.ds = append(p.ds, d)
+	return true
+}
+
+// lendCached tells whether a replica should wait for a machine that holds its weights,
+// and has one vacated, rather than fetch them on one that is free: when that is sooner
+// by more than a little.
+func (q *Queue) lendCached(w *Waiting, host string, p *pass) bool {
+	spec := &w.Task.Job.Rec.Spec
+	rate := q.Builds[q.Machines[host].Build].PullRate
+	if q.Cached(host, spec.Bundle) || rate <= 0 {
+		return false
+	}
+	within := spec.PullGB/rate - tuning.LoanSooner.Seconds()
+	if l, asked := p.lent.of[w.Task.Piece]; asked {
+		return q.Cached(l.Host, spec.Bundle) && float64(q.Ms()-l.BeganMs) < within*1000
+	}
+	if within <= 0 || q.Now.Before(q.preempted[w.Task.Piece].until) {
+		return false
+	}
+	return q.lend(w, true, within, p)
+}
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -28,6 +28,7 @@
 	searches int                  // looks for tasks to stop
 	stopping map[*book.Task]bool  // to be stopped by this pass
 	chosen   int                  // machines newly chosen to be kept
+	lent     lent                 // rooms kept for loans
 	ds       []decide.Decision
 	machines []*book.Machine   // those that the leader may have room on in mind
 	cands    []parts.Candidate // room for the board of one job after another
@@ -86,6 +87,9 @@
 }
 
 func (p *pass) end(q *Queue) {
+	for uid := range p.lent.rooms {
+		q.openRooms(uid, p)
+	}
 	for i, h := range p.hosts {
 		q.Vacate(h, p.holds[i])
 	}
@@ -105,6 +109,9 @@
 
 // hopeless tells whether the same or less found no room in this pass already.
 func (p *pass) hopeless(s *jobs.Spec, pieces int) bool {
+	if p.lent.rooms[s.UID] != nil {
+		return false // room is kept for it
+	}
 	for _, r := range p.nowhere[places(s, pieces)] {
 		if r.pieces <= pieces && s.Need().Fits(r.need) {
 			return true
@@ -126,6 +133,7 @@
 // processor time (docs/incidents/ops-swarm.md).
 func (q *Queue) Release() {
 	p := q.newPass()
+	q.keepLoans(p)
 	before := q.StillWaiting()
 	q.Waiting = nil
 	budget, most := q.Allows(0, 1), tuning.MostReleases
@@ -143,12 +151,14 @@
 		if p.full[q.Leaf(spec)] {
 			continue
 		}
+		q.openRooms(j.UID, p)
 		if spec.Gang() {
 			q.releaseGang(j, p)
 			looked++
-			continue
+		} else {
+			looked += q.releaseTasks(j, p, most-looked)
 		}
-		looked += q.releaseTasks(j, p, most-looked)
+		q.shutRooms(j.UID, p)
 	}
 	q.preempt(p)
 	// What was not looked at waits as it did.
@@ -207,7 +217,7 @@
 			break
 		}
 		within := p.account.Entitled(leaf, spec.Amount(), 1)
-		k := q.pickFor(t, cands, zones)
+		k := q.pickLent(t, cands, zones, p)
 		if k < 0 {
 			if !spec.SamePlace && !spec.Scatter && t.Site == "" && len(t.Bad) == 0 {
 				p.refuse(spec, 1)
--- a/internal/queue/preempt.go
+++ b/internal/queue/preempt.go
@@ -38,7 +38,7 @@
 			continue
 		}
 		for _, t := range w.Tasks {
-			if !q.Now.Before(q.preempted[t.Piece].until) {
+			if _, asked := p.lent.of[t.Piece]; !asked && !q.Now.Before(q.preempted[t.Piece].until) {
 				q.stopFor(&Waiting{Task: t, Rank: w.Rank, Entitled: w.Entitled}, false, p)
 			}
 		}
@@ -57,6 +57,14 @@
 
 // stopFor stops tasks to make room for a waiting one. It tells whether it did.
 func (q *Queue) stopFor(w *Waiting, onlyCached bool, p *pass) bool {
+	if q.loans != nil && w.Task.Job.Rec.Spec.Shape == jobs.Standing {
+		if !onlyCached && q.lend(w, false, 0, p) {
+			return true
+		}
+		if !q.loans.ByRank {
+			return false
+		}
+	}
 	if p.searches >= tuning.MostSearches {
 		return false
 	}
@@ -82,6 +90,10 @@
 // the fetch would take it past its aim, and it may stop others there.
 func (q *Queue) clearCached(w *Waiting, host string, p *pass) bool {
 	rec := w.Task.Job.Rec
+	if q.loans != nil && rec.Spec.Shape == jobs.Standing && q.lendCached(w, host, p) {
+		p.keep(q, host, rec.Spec.Need())
+		return true
+	}
 	if (w.Rank > 1 && !w.within()) || q.Cached(host, rec.Spec.Bundle) {
 		return false
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -10,6 +10,7 @@
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/settings"
 )
 
@@ -37,6 +38,8 @@
 	Packing func() bool
 	// Commit takes decisions.
 	Commit func([]decide.Decision)
+	// Lending is how GPUs are lent to serving, nil for not at all.
+	Lending *settings.Lending
 }
 
 // Queue is what waits, and what is done about it.
@@ -51,11 +54,13 @@
 	preempted map[string]making    // tasks that room is made for
 	holds     map[string]hold      // machines kept, by job
 	claiming  map[string]bool      // gangs whose machines are being claimed
+	loans     *lending.Keeper      // nil if nothing is lent
 }
 
 // New makes an empty queue over a book.
 func New(b *book.Book, env Env) *Queue {
 	q := &Queue{Book: b, Env: env}
+	q.loans = q.newLending(env.Lending)
 	q.Reset()
 	return q
 }
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -30,6 +30,7 @@
 	Packs       Packs           // when tasks of many jobs share a record
 	Pipelines   *Pipelines      // nil: turned off
 	Quotas      *quota.Document // nil: the platform's teams alone
+	Lending     *Lending        // nil: turned off
 }
 
 // TakeOver tells when others take over from a controller that has ended.
@@ -58,6 +59,12 @@
 	ChangesShare float64 // of a node's changes a second
 }
 
+// Lending is how GPUs are lent to serving (package lending).
+type Lending struct {
+	ByRank bool    // where nobody can lend, lower ranks make way as without lending
+	AgainS float64 // seconds in which a job lends once
+}
+
 // operatorFile is the file's form.
 type operatorFile struct {
 	Scaler *struct {
@@ -85,6 +92,10 @@
 	Records *struct {
 		Packs *string `hcl:"packs,optional"`
 	} `hcl:"records,block"`
+	Lending *struct {
+		ByRank *bool    `hcl:"by_rank,optional"`
+		AgainS *float64 `hcl:"again_s,optional"`
+	} `hcl:"lending,block"`
 	Quotas    *quota.Document `hcl:"quotas,block"`
 	Pipelines *struct {
 		MostRuns     *int     `hcl:"most_runs,optional"`
@@ -170,6 +181,13 @@
 		set(c, "users.final_cache", &op.FinalCache, u.FinalCache, 100, 1000000)
 	}
 	op.Quotas = f.Quotas
+	if l := f.Lending; l != nil {
+		op.Lending = DefaultLending()
+		set(c, "lending.again_s", &op.Lending.AgainS, l.AgainS, 60, 86400)
+		if l.ByRank != nil {
+			op.Lending.ByRank = *l.ByRank
+		}
+	}
 	if p := f.Pipelines; p != nil {
 		op.Pipelines = DefaultPipelines()
 		set(c, "pipelines.most_runs", &op.Pipelines.MostRuns, p.MostRuns, 1, 100000)
@@ -179,6 +197,11 @@
 	return op, c.errs
 }
 
+// DefaultLending is how GPUs are lent where the file turns it on and says no more.
+func DefaultLending() *Lending {
+	return &Lending{ByRank: true, AgainS: tuning.LendAgain.Seconds()}
+}
+
 // DefaultPipelines are the limits on runs where the file names none.
 func DefaultPipelines() *Pipelines {
 	return &Pipelines{MostRuns: tuning.MostRuns, MostSteps: tuning.MostRunSteps, ChangesShare: tuning.RunChanges}
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -9,6 +9,7 @@
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/pipelines"
 	"github.com/harrierreel/harrierreel/internal/quota"
@@ -129,6 +130,8 @@
 			if err = json.Unmarshal(v, &f); err == nil {
 				c.finals[name] = f
 			}
+		case lending.Prefix:
+			_, err = lending.Decode(v)
 		case pipelines.RunPrefix:
 			_, err = pipelines.Decode(v)
 		}
