--- a/internal/lending/choose.go
+++ b/internal/lending/choose.go
@@ -31,8 +31,8 @@
 	Open, Told func(m *book.Machine) bool
 	// Busy tells whether a record is under a transaction.
 	Busy func(key string) bool
-	// Spared tells whether a job lent a short while ago.
-	Spared func(uid string) bool
+	// Spared tells whether a job has lent what it may for a while.
+	Spared func(j *book.Job) bool
 	// Stopping are tasks that this look stops already.
 	Stopping map[*book.Task]bool
 	Now      time.Time
@@ -60,7 +60,7 @@
 
 // Choose finds the machine where lending loses the least, first by when the replica
 // would run, since a fetch of weights outweighs all else. False if there is none, or if
-// room is coming already.
+// room is coming already; the plan then names only the machine.
 func Choose(b *book.Book, s *Search) (Plan, bool) {
 	spec := &s.Task.Job.Rec.Spec
 	var best *Plan
@@ -76,7 +76,7 @@
 		}
 		free := s.room(b, m, build)
 		if free.Fits(spec.Need()) {
-			return Plan{}, false // room is coming already
+			return Plan{Host: m.Name}, false // room is coming already
 		}
 		p, ok := s.onMachine(b, m, build, free)
 		if ok && (s.InS == 0 || p.InS <= s.InS) && (best == nil || comparePlans(&p, best) < 0) {
@@ -155,7 +155,7 @@
 	p := Plan{Host: m.Name}
 	for _, u := range chosen {
 		p.Tasks = append(p.Tasks, u.tasks...)
-		p.From = append(p.From, Share{u.uid, u.here.Accelerators})
+		p.give(&u)
 		p.InS, p.own = max(p.InS, u.waitS), p.own || u.own
 		p.LostS += u.lostS
 	}
@@ -166,6 +166,16 @@
 	return p, len(chosen) > 0
 }
 
+// give notes what a unit gives, by job.
+func (p *Plan) give(u *unit) {
+	i := slices.IndexFunc(p.From, func(s Share) bool { return s.Job == u.uid })
+	if i < 0 {
+		i, p.From = len(p.From), append(p.From, Share{Job: u.uid})
+	}
+	p.From[i].GPUs += u.here.Accelerators
+	p.From[i].Tasks += len(u.tasks)
+}
+
 // may tells whether a unit may be stopped for the replica: PROTOCOL's preemption, and no
 // team goes below its guarantee but for its own work of higher rank.
 func (s *Search) may(b *book.Book, account *quota.Account, u *unit) bool {
@@ -183,7 +193,7 @@
 	seen := map[string]bool{}
 	for _, piece := range book.Sorted(b.OnHost[m.Name]) {
 		t := b.OnHost[m.Name][piece]
-		if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live || t.Job.Rec.Spec.Shape == jobs.Standing || t.Job == s.Task.Job || s.Spared(t.Job.UID) {
+		if t.Job.Rec == nil || t.Job.Rec.State != jobs.Live || t.Job.Rec.Spec.Shape == jobs.Standing || t.Job == s.Task.Job || s.Spared(t.Job) {
 			continue
 		}
 		u := unit{tasks: []*book.Task{t}, uid: t.Job.UID}
--- a/internal/lending/keeper.go
+++ b/internal/lending/keeper.go
@@ -293,19 +293,29 @@
 	return 0, false
 }
 
-// spared is the jobs that lent so short a while ago that they are left alone.
-func (k *Keeper) spared() map[string]bool {
-	out := map[string]bool{}
+// lent is how many tasks each job has lent of late.
+func (k *Keeper) lent() map[string]int {
+	out := map[string]int{}
 	for _, l := range k.Loans() {
 		if k.Ms()-l.BeganMs < k.Again.Milliseconds() {
 			for _, f := range l.From {
-				out[f.Job] = true
+				out[f.Job] += f.Tasks
 			}
 		}
 	}
 	return out
 }
 
+// most is how many of a job's tasks may be lent in the time that a job is left alone
+// for: all of a gang or one task alone, once; of a sweep, whose tasks do not need one
+// another, a share.
+func most(spec *jobs.Spec) int {
+	if spec.Shape != jobs.Sweep {
+		return 1
+	}
+	return max(1, int(tuning.SweepLends*float64(spec.Pieces)))
+}
+
 // For is the loan that makes room for a replica, if there is one.
 func (k *Keeper) For(uid string, n int) (Loan, bool) {
 	for _, l := range k.Loans() {
@@ -323,16 +333,20 @@
 	if !ok {
 		return decide.Decision{}, Plan{}, false
 	}
-	spared := k.spared()
+	lent := k.lent()
 	met := false
-	s.Spared = func(uid string) bool {
-		met = met || spared[uid]
-		return spared[uid]
+	s.Spared = func(j *book.Job) bool {
+		spared := lent[j.UID] >= most(&j.Rec.Spec)
+		met = met || spared
+		return spared
 	}
 	s.Busy, s.Now = k.Busy, k.Now
 	s.Told = func(m *book.Machine) bool { return k.Ready(m) }
 	plan, ok := Choose(k.Book, s)
-	if !ok {
+	if !ok && plan.Host != "" {
+		plan.From = k.gangLeaves(plan.Host)
+	}
+	if len(plan.From) == 0 {
 		if met {
 			k.counted.Spared++
 		}
@@ -363,6 +377,30 @@
 	return d, plan, true
 }
 
+// gangLeaves is what gangs that lend have on a machine and are leaving: one that gave
+// whole for one replica gives its other machines to those that wait next.
+func (k *Keeper) gangLeaves(host string) []Share {
+	var out []Share
+	for _, piece := range book.Sorted(k.OnHost[host]) {
+		t := k.OnHost[host][piece]
+		if t.State != jobs.Stopping || t.Job.Rec == nil || !t.Job.Rec.Spec.Gang() || !k.lends(t.Job.UID) {
+			continue
+		}
+		if len(out) == 0 || out[len(out)-1].Job != t.Job.UID {
+			out = append(out, Share{Job: t.Job.UID})
+		}
+		out[len(out)-1].GPUs += t.Job.Rec.Spec.Accel
+	}
+	return out
+}
+
+// lends tells whether a job gave for a loan that is not over.
+func (k *Keeper) lends(uid string) bool {
+	return slices.ContainsFunc(k.Loans(), func(l Loan) bool {
+		return !l.State.Over() && slices.ContainsFunc(l.From, func(s Share) bool { return s.Job == uid })
+	})
+}
+
 // callBack is the decisions that call replicas back: one at a time a service, never
 // below half of its replicas, none that is the last in its zone, and first those that
 // find a place with their image elsewhere, then where the fewest of its image are.
--- a/internal/lending/loan.go
+++ b/internal/lending/loan.go
@@ -40,8 +40,9 @@
 
 // Share is what one job gave.
 type Share struct {
-	Job  string  `json:"j"`
-	GPUs float64 `json:"g"` // of its tasks on the machine
+	Job   string  `json:"j"`
+	GPUs  float64 `json:"g"` // of its tasks on the machine
+	Tasks int     `json:"n"` // that stop, those of a gang elsewhere included
 }
 
 // Event is what the keeper tells a loan.
--- a/internal/queue/lend.go
+++ b/internal/queue/lend.go
@@ -2,11 +2,11 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/lending"
-	"github.com/harrierreel/harrierreel/internal/parts"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -92,35 +92,71 @@
 	}
 }
 
-// openRooms lets a job have the rooms that are kept for it; shutRooms keeps what is
-// left of them.
+// open ends that for a moment.
+func (q *Queue) open(r *room) {
+	if r.shut {
+		r.shut = false
+		q.Vacate(r.Host, r.Need)
+	}
+}
+
+// openRooms lets a job have the rooms that it lent and that are its own again; shutRooms
+// keeps what is left of them.
 func (q *Queue) openRooms(uid string, p *pass) {
 	for _, r := range p.lent.rooms[uid] {
-		if r.shut {
-			r.shut = false
-			q.Vacate(r.Host, r.Need)
+		if r.Piece == "" {
+			q.open(r)
 		}
 	}
 }
 
 func (q *Queue) shutRooms(uid string, p *pass) {
 	for _, r := range p.lent.rooms[uid] {
+		if !r.shut {
+			q.shut(r)
+		}
+	}
+}
+
+// placeLent gives replicas the rooms that were made for them, each by itself: which of
+// a job's tasks goes where matters here.
+func (q *Queue) placeLent(j *book.Job, p *pass) {
+	spec := &j.Rec.Spec
+	for _, r := range p.lent.rooms[j.UID] {
+		m := q.Machines[r.Host]
+		if r.Piece == "" || !r.shut || m == nil || q.Builds[m.Build] == nil {
+			continue
+		}
+		t := q.waitingTask(j, r.Piece)
+		if t == nil || !q.offers(t, m) || !book.ZoneAllowed(spec, q.Zones(j), m.Site) || !p.account.Allows(q.Leaf(spec), spec.Amount(), 1) {
+			continue
+		}
+		if q.open(r); q.Builds[m.Build].Whole().Sub(q.Used(r.Host)).Fits(spec.Need()) {
+			p.account.Charge(spec.Key(), spec.Amount(), 1)
+			p.ds = append(p.ds, q.releasing(j, []offer{{t, r.Host}})...)
+		}
 		q.shut(r)
 	}
 }
 
-// pickLent is the candidate that a loan made room on for a task, if it may go there by
-// now, else the best of all.
-func (q *Queue) pickLent(t *book.Task, cands []parts.Candidate, zones map[string]int, p *pass) int {
-	if l, ok := p.lent.of[t.Piece]; ok {
-		spec := &t.Job.Rec.Spec
-		if k := parts.PickIf(spec.Need(), spec.Loaner, cands, func(c *parts.Candidate) bool {
-			return c.Host == l.Host && book.ZoneAllowed(spec, zones, c.Site) && book.Suits(t, q.Machines[c.Host])
-		}); k >= 0 {
-			return k
+// waitingTask is a task of a job by its name, if it waits and may be released now.
+func (q *Queue) waitingTask(j *book.Job, piece string) *book.Task {
+	for _, t := range q.pending(j, j.Rec.Spec.Pieces) {
+		if t.Piece == piece {
+			return t
 		}
 	}
-	return q.pickFor(t, cands, zones)
+	return nil
+}
+
+// unlent leaves out the tasks that room is being made for: those that would take what
+// is free elsewhere would have had others stopped in vain. Not for long: a lender may
+// hang.
+func (q *Queue) unlent(tasks []*book.Task, p *pass) []*book.Task {
+	return slices.DeleteFunc(tasks, func(t *book.Task) bool {
+		l, asked := p.lent.of[t.Piece]
+		return asked && q.Ms()-l.BeganMs < tuning.LoanSooner.Milliseconds()
+	})
 }
 
 // lend has others lend room to a replica, on a machine with its image if onlyCached,
@@ -132,7 +168,7 @@
 	p.searches++
 	// What the pass has charged is only considered: who is beyond a guarantee is
 	// counted from what truly runs.
-	d, plan, ok := q.loans.Ask(&lending.Search{Task: w.Task, Rank: w.Rank, Entitled: w.Entitled, Account: lending.Leaving(q.Book, q.Account, p.stopping), Zones: q.Zones(w.Task.Job),
+	d, plan, ok := q.loans.Ask(&lending.Search{Task: w.Task, Rank: w.Rank, Entitled: w.Entitled, Account: lending.Leaving(q.Book, q.Account, p.stopping), Zones: q.zonesLent(w.Task.Job, p),
 		OnlyCached: onlyCached, InS: inS, Open: func(m *book.Machine) bool { return q.offers(w.Task, m) }, Stopping: p.stopping})
 	if !ok {
 		return false
@@ -140,11 +176,24 @@
 	for _, t := range plan.Tasks {
 		p.stopping[t] = true
 	}
+	p.lent.of[w.Task.Piece] = lending.Loan{Job: w.Task.Job.UID, N: w.Task.N, Host: plan.Host, BeganMs: q.Ms()}
 	q.preempted[w.Task.Piece] = making{q.Now.Add(tuning.PreemptAgain), onlyCached}
+	p.keep(q, plan.Host, w.Task.Job.Rec.Spec.Need()) // this room is no other's
 	p.ds = append(p.ds, d)
 	return true
 }
 
+// zonesLent counts a job's tasks by zone, with those that room is being made for.
+func (q *Queue) zonesLent(j *book.Job, p *pass) map[string]int {
+	zones := q.Zones(j)
+	for _, l := range p.lent.of {
+		if m := q.Machines[l.Host]; l.Job == j.UID && m != nil {
+			zones[m.Site]++
+		}
+	}
+	return zones
+}
+
 // lendCached tells whether a replica should wait for a machine that holds its weights,
 // and has one vacated, rather than fetch them on one that is free: when that is sooner
 // by more than a little.
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -87,8 +87,10 @@
 }
 
 func (p *pass) end(q *Queue) {
-	for uid := range p.lent.rooms {
-		q.openRooms(uid, p)
+	for _, rooms := range p.lent.rooms {
+		for _, r := range rooms {
+			q.open(r)
+		}
 	}
 	for i, h := range p.hosts {
 		q.Vacate(h, p.holds[i])
@@ -156,6 +158,7 @@
 			q.releaseGang(j, p)
 			looked++
 		} else {
+			q.placeLent(j, p)
 			looked += q.releaseTasks(j, p, most-looked)
 		}
 		q.shutRooms(j.UID, p)
@@ -196,7 +199,7 @@
 		}
 	}
 	probing := q.Trust(j, "") == jobs.Probing
-	tasks := q.pending(j, min(most, room+tuning.WaitingEach, q.unstarted(j)))
+	tasks := q.unlent(q.pending(j, min(most, room+tuning.WaitingEach, q.unstarted(j))), p)
 	if probing {
 		tasks = q.probe(j)
 	}
@@ -217,7 +220,7 @@
 			break
 		}
 		within := p.account.Entitled(leaf, spec.Amount(), 1)
-		k := q.pickLent(t, cands, zones, p)
+		k := q.pickFor(t, cands, zones)
 		if k < 0 {
 			if !spec.SamePlace && !spec.Scatter && t.Site == "" && len(t.Bad) == 0 {
 				p.refuse(spec, 1)
--- /dev/null
+++ b/internal/scenario/lending_test.go
@@ -0,0 +1,101 @@
+package scenario
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/members"
+	"github.com/harrierreel/harrierreel/internal/parts"
+)
+
+// watchLoans has the rules of loans checked.
+func (s *script) watchLoans() {
+	guarantee := map[string]float64{}
+	for _, team := range s.set.Cluster.Teams {
+		guarantee[team.Name] = team.Gpus
+	}
+	s.w.WatchLoans(guarantee)
+}
+
+// loanVerb: end-on STATE leader|owner|others|all [SECONDS], hang-on, die-on, notice-on
+// STATE, outage-on STATE SECONDS, abort-on STATE JOB: once the first loan comes to a state, or "told": a gang's
+// first task is told to stop. Controllers that end are back after SECONDS, 4 if none are
+// given.
+func (s *script) loanVerb(verb string, args []string) {
+	w := s.w
+	switch verb {
+	case "abort-many": // abort-many FIRST COUNT
+		for i := range int(s.number(args[1])) {
+			w.Abort(s.job(fmt.Sprintf("wk-%06d", int(s.number(args[0]))+i)))
+		}
+		return
+	case "isolated-ends": // the machines of the start are cut no more
+		for _, h := range s.host {
+			w.Heal(h, "*")
+			w.Heal("*", h)
+		}
+		return
+	}
+	w.Loans.On[args[0]] = func(host string) {
+		switch verb {
+		case "hang-on":
+			w.Workers[host].Hung = true
+		case "die-on":
+			w.Workers[host].Die()
+		case "notice-on":
+			w.Workers[host].Take(20)
+		case "outage-on":
+			w.Store.SetDown(true)
+			w.After(time.Duration(s.number(args[1])*float64(time.Second)), func() { w.Store.SetDown(false) })
+		case "abort-on":
+			w.Abort(s.job(args[1]))
+		case "end-on":
+			back := 4.0
+			if len(args) > 2 {
+				back = s.number(args[2])
+			}
+			owner := ""
+			if v, ok := members.Decode(w.Store.Value(members.ViewKey)); ok {
+				owner = parts.Owner(host, v.Names())
+			}
+			for _, n := range w.Order {
+				if args[1] == "all" || args[1] == "leader" && n == w.Leader() || args[1] == "owner" && n == owner || args[1] == "others" && n != owner && n != w.Leader() {
+					w.Nodes[n].Crash()
+					w.After(time.Duration(back*float64(time.Second)), w.Nodes[n].Boot)
+				}
+			}
+		}
+	}
+}
+
+// expectLoans: expect loans STATE|open|all MIN MAX, expect used TEAM MIN MAX (its tasks
+// on machines, in accelerators), expect upto JOB MIN (its tasks on machines), expect
+// gangs saved|fell MIN MAX.
+func (s *script) expectLoans(args []string) {
+	s.t.Helper()
+	got := 0
+	switch args[0] {
+	case "loans":
+		for _, l := range s.w.Loans.Ledger() {
+			if args[1] == "all" || args[1] == "open" && !l.State.Over() || strings.ReplaceAll(string(l.State), " ", "-") == args[1] {
+				got++
+			}
+		}
+	case "used":
+		for uid, j := range s.w.Jobs {
+			if j.Owner == args[1] {
+				got += int(float64(s.w.Running(uid)) * j.Accel)
+			}
+		}
+	case "upto":
+		got = s.w.Running(args[1])
+	case "gangs":
+		if got = s.w.Loans.Saved; args[1] == "fell" {
+			got = s.w.Loans.Fell
+		}
+	}
+	if got < int(s.number(args[2])) || len(args) > 3 && got > int(s.number(args[3])) {
+		s.fatal("%v: %d, not %v; %+v", args, got, args[2:], s.w.Loans.Ledger())
+	}
+}
--- /dev/null
+++ b/internal/standin/loans.go
@@ -0,0 +1,166 @@
+package standin
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/lending"
+	"github.com/harrierreel/harrierreel/internal/records"
+)
+
+// Loans is what is seen of loans in a world where GPUs are lent.
+type Loans struct {
+	w     *World
+	specs map[string]*jobs.Spec
+	tasks map[string]jobs.Task
+	now   map[string]jobs.Task // of this transaction, before it
+	state map[int]lending.State
+	// On is called once when the first loan comes to a state, or a gang's first task is
+	// told to stop ("told"), with a machine of it.
+	On map[string]func(host string)
+	// Saved and Fell count gangs that were stopped with and without a save.
+	Saved, Fell int
+}
+
+// WatchLoans checks at each commit that what stops for a loan leaves no other team below
+// its guarantee, in accelerators, while it has work that waits or runs, and that gangs
+// stop whole; and it has gangs save as the protocol says.
+func (w *World) WatchLoans(guarantee map[string]float64) *Loans {
+	lo := &Loans{w: w, specs: map[string]*jobs.Spec{}, tasks: map[string]jobs.Task{}, now: map[string]jobs.Task{}, state: map[int]lending.State{}, On: map[string]func(string){}}
+	w.Loans = lo
+	next, settled := w.Store.Committed, w.Store.Settled
+	w.Store.Committed = func(key string, v json.RawMessage) {
+		if next != nil {
+			next(key, v)
+		}
+		switch {
+		case strings.HasPrefix(key, jobs.JobPrefix):
+			if r, err := jobs.DecodeRecord(key[len(jobs.JobPrefix):], v); err == nil {
+				lo.specs[r.Spec.UID] = &r.Spec
+			}
+		case strings.HasPrefix(key, jobs.TaskPrefix), strings.HasPrefix(key, records.Prefix):
+			for _, e := range tasksOf(key, v) {
+				piece := jobs.Piece(e.UID, e.N)
+				if _, known := lo.now[piece]; !known {
+					lo.now[piece] = lo.tasks[piece]
+				}
+				lo.tasks[piece] = e.Task
+			}
+		}
+	}
+	w.Store.Settled = func() {
+		if settled != nil {
+			settled()
+		}
+		lo.check(guarantee)
+		clear(lo.now)
+		lo.fire()
+	}
+	return lo
+}
+
+// check looks at what a transaction stopped for loans.
+func (lo *Loans) check(guarantee map[string]float64) {
+	for piece, was := range lo.now {
+		t := lo.tasks[piece]
+		if was.State == jobs.Stopping || t.State != jobs.Stopping || !strings.HasPrefix(t.Why, "lends its place to ") {
+			continue
+		}
+		uid, _, _ := jobs.SplitPiece(piece)
+		spec := lo.specs[uid]
+		borrower, _, _ := jobs.SplitPiece(strings.TrimPrefix(t.Why, "lends its place to "))
+		if spec == nil || lo.specs[borrower] == nil {
+			lo.w.Break("%s lends to %s, of which there is no job", piece, borrower)
+			continue
+		}
+		used := 0.0
+		for other, o := range lo.tasks {
+			id, _, _ := jobs.SplitPiece(other)
+			if s := lo.specs[id]; s != nil && s.Owner == spec.Owner && (o.State == jobs.Placed || o.State == jobs.Released) {
+				used += s.Accel
+			}
+			if id == uid && spec.Gang() && o.State == jobs.Placed {
+				lo.w.Break("%s stops for a loan, %s of its gang does not", piece, other)
+			}
+		}
+		if spec.Owner != lo.specs[borrower].Owner && used < guarantee[spec.Owner] {
+			lo.w.Break("%s goes below its guarantee by a loan of %s: %v of %v", spec.Owner, piece, used, guarantee[spec.Owner])
+		}
+	}
+}
+
+// Ledger lists the loans as stored.
+func (lo *Loans) Ledger() []lending.Loan {
+	var out []lending.Loan
+	for key := range lo.w.Store.items {
+		if strings.HasPrefix(key, lending.Prefix) {
+			if s, err := lending.Decode(lo.w.Store.Value(key)); err == nil {
+				out = append(out, s.Loans...)
+			} else {
+				lo.w.Break("%s can't be read: %v", key, err)
+			}
+		}
+	}
+	return out
+}
+
+// fire calls what waits for a loan's state.
+func (lo *Loans) fire() {
+	if len(lo.On) == 0 {
+		return
+	}
+	for _, l := range lo.Ledger() {
+		lo.tell(string(l.State), l.Host)
+		leaving := false
+		for piece, t := range lo.tasks {
+			uid, _, _ := jobs.SplitPiece(piece)
+			leaving = leaving || t.Host == l.Host && t.State == jobs.Stopping && uid == l.From[0].Job
+		}
+		if l.State == lending.Asked && !leaving {
+			lo.tell(string(lending.Vacated), l.Host)
+		}
+	}
+}
+
+func (lo *Loans) tell(what, host string) {
+	if f := lo.On[strings.ReplaceAll(what, " ", "-")]; f != nil {
+		delete(lo.On, strings.ReplaceAll(what, " ", "-"))
+		lo.w.After(0, func() { f(host) })
+	}
+}
+
+// stopInOrder is a gang's task that is told to stop and to save. Progress is safe only
+// if all are told within GangPeerS of the first.
+func (wk *Worker) stopInOrder(p *wpiece) {
+	w := wk.w
+	if p.status != "running" {
+		wk.end(p, "stopped", false)
+		return
+	}
+	p.status, wk.changed = "saving", true
+	mates := w.mates(p.job, p.try)
+	first, all := true, len(mates) == p.job.Pieces
+	for m := range mates {
+		first = first && (m == p || m.status != "saving")
+		all = all && m.status == "saving"
+	}
+	if first {
+		w.Loans.tell("told", wk.h.ID)
+		w.After(time.Duration(w.GangPeerS*float64(time.Second)), func() {
+			if !p.saved {
+				w.Loans.Fell++
+			}
+			for m, at := range w.mates(p.job, p.try) {
+				at.end(m, "mates_gone", false)
+			}
+		})
+	}
+	if all {
+		w.Loans.Saved++
+		for m, at := range mates {
+			at.after(m, 1, func() { at.end(m, "stopped", true) })
+		}
+	}
+}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -35,6 +35,7 @@
 	Workers map[string]*Worker
 	Jobs    map[string]*Job
 	Runs    map[string]*Run
+	Loans   *Loans // where GPUs are lent
 	Nodes   map[string]*Node
 	Order   []string // node names
 
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -608,7 +608,7 @@
 	// LoanSheets, MostOnSheet: values of the shared state that loans stand in, and loans
 	// in one; 160 bytes a loan. SheetFull: share of the most bytes of a value up to which
 	// loans begin on a sheet; the rest is for what they grow by.
-	LoanSheets  = 8
+	LoanSheets  = 16
 	MostOnSheet = 40
 	SheetFull   = 0.8
 	// LoanAsked: a lender that has not left after this, on a machine that still counts,
@@ -629,6 +629,9 @@
 	// LendAgain: a job lends once in this time, so that demand that swings by the minute
 	// takes from each at most once in five swings.
 	LendAgain = 5 * time.Minute
+	// SweepLends: share of a sweep's tasks that may be lent in that time; they do not need
+	// one another, so that a sweep is slowed by no more than this.
+	SweepLends = 0.25
 	// LoanNearEnd: what is expected to end so soon is not stopped; LoanPast: share of
 	// its run that a task which has run past its estimate is taken to need still.
 	LoanNearEnd = 20 * time.Second
