--- a/internal/lending/keeper.go
+++ b/internal/lending/keeper.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"log/slog"
+	"maps"
 	"slices"
 	"time"
 
@@ -43,6 +44,7 @@
 	sheets  map[int]*Sheet // as stored; nil for one that cannot be read
 	ahead   map[int]ahead  // loans that have come further than what is stored
 	taken   map[int]bool   // sheets written by this look
+	asking  map[string]int // tasks asked for by this look, by job
 	nextID  int
 	counted Counts
 	said    time.Time
@@ -63,7 +65,7 @@
 
 // NewKeeper makes the keeping of loans over a book.
 func NewKeeper(b *book.Book, env Env) *Keeper {
-	return &Keeper{Book: b, Env: env, sheets: map[int]*Sheet{}, ahead: map[int]ahead{}, taken: map[int]bool{}}
+	return &Keeper{Book: b, Env: env, sheets: map[int]*Sheet{}, ahead: map[int]ahead{}, taken: map[int]bool{}, asking: map[string]int{}}
 }
 
 // Changed takes a sheet in, nil for one that is gone. One that cannot be read is told
@@ -153,6 +155,7 @@
 // the queue.
 func (k *Keeper) Look(account *quota.Account, waits func(uid string) bool) []decide.Decision {
 	clear(k.taken)
+	clear(k.asking)
 	stored := map[int]bool{}
 	for _, n := range sortedKeys(k.sheets) {
 		if k.sheets[n] == nil {
@@ -295,7 +298,7 @@
 
 // lent is how many tasks each job has lent of late.
 func (k *Keeper) lent() map[string]int {
-	out := map[string]int{}
+	out := maps.Clone(k.asking)
 	for _, l := range k.Loans() {
 		if k.Ms()-l.BeganMs < k.Again.Milliseconds() {
 			for _, f := range l.From {
@@ -373,6 +376,9 @@
 			k.count(Wanted, &l)
 		}
 	}
+	for _, f := range plan.From {
+		k.asking[f.Job] += f.Tasks
+	}
 	k.nextID++
 	return d, plan, true
 }
@@ -415,7 +421,7 @@
 	var all []back
 	away := map[string]bool{} // services with a replica that goes or has just gone
 	for _, l := range k.Loans() {
-		if l.State == CalledBack && (l.FreeMs == 0 || k.Ms()-l.FreeMs < tuning.CallGap.Milliseconds()) {
+		if l.State == CalledBack && l.FreeMs == 0 || l.FreeMs > 0 && k.Ms()-l.FreeMs < tuning.CallGap.Milliseconds() {
 			away[l.Job] = true
 		}
 	}
--- /dev/null
+++ b/internal/scenario/testdata/quotas/lent.hcl
@@ -0,0 +1,7 @@
+# Training by itself.
+quotas {
+  grace_s = 20
+  organisation "work" {
+    team "train" {}
+  }
+}
