--- a/internal/lending/choose.go
+++ b/internal/lending/choose.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -42,10 +41,11 @@
 type Plan struct {
 	Host  string
 	Tasks []*book.Task // to stop, whole gangs, those elsewhere included
-	From  []Share      // by job, of what they hold on the machine
+	From  []Share      // by job, of what the replica takes
 	InS   float64      // seconds until the replica runs there, as a guess
 	LostS float64      // seconds of an accelerator's work lost, as a guess
 	own   bool         // it needs the team's own work of lower rank
+	cost  float64      // of all that, see costs
 }
 
 // unit is what stops together: a task, or a gang.
@@ -58,8 +58,7 @@
 	own   bool    // the borrower's own team's
 }
 
-// Choose finds the machine where lending loses the least, first by when the replica
-// would run, since a fetch of weights outweighs all else. False if there is none, or if
+// Choose finds the machine where lending costs the least. False if there is none, or if
 // room is coming already; the plan then names only the machine.
 func Choose(b *book.Book, s *Search) (Plan, bool) {
 	spec := &s.Task.Job.Rec.Spec
@@ -79,7 +78,10 @@
 			return Plan{Host: m.Name}, false // room is coming already
 		}
 		p, ok := s.onMachine(b, m, build, free)
-		if ok && (s.InS == 0 || p.InS <= s.InS) && (best == nil || comparePlans(&p, best) < 0) {
+		if !ok || s.InS > 0 && p.InS > s.InS {
+			continue
+		}
+		if p.cost = s.costs(&p); best == nil || p.cost < best.cost {
 			best = &p
 		}
 	}
@@ -94,17 +96,14 @@
 	return build.CacheGB <= 0 || spec.PullGB <= build.CacheGB
 }
 
-// comparePlans orders two plans: sooner by steps that matter, then what lies beyond
-// guarantees before a team's own, then the least lost.
-func comparePlans(a, b *Plan) int {
-	step := func(p *Plan) float64 { return math.Floor(p.InS / tuning.LoanSooner.Seconds()) }
-	own := func(p *Plan) int {
-		if p.own {
-			return 1
-		}
-		return 0
+// costs is what a plan costs in seconds of an accelerator: what lenders lose, and what
+// the replica's waiting is worth; an image that takes minutes outweighs all else.
+func (s *Search) costs(p *Plan) float64 {
+	cost := p.LostS + p.InS*tuning.LoanServes*max(s.Task.Job.Rec.Spec.Accel, 1)
+	if p.own {
+		cost += tuning.LoanOwn.Seconds() * max(s.Task.Job.Rec.Spec.Accel, 1)
 	}
-	return cmp.Or(cmp.Compare(step(a), step(b)), cmp.Compare(own(a), own(b)), cmp.Compare(a.LostS, b.LostS), cmp.Compare(a.Host, b.Host))
+	return cost
 }
 
 // room is what is free on a machine, with what is on its way out.
@@ -153,9 +152,10 @@
 		return false
 	})
 	p := Plan{Host: m.Name}
+	left := need.Accelerators
 	for _, u := range chosen {
 		p.Tasks = append(p.Tasks, u.tasks...)
-		p.give(&u)
+		p.give(&u, &left)
 		p.InS, p.own = max(p.InS, u.waitS), p.own || u.own
 		p.LostS += u.lostS
 	}
@@ -166,13 +166,15 @@
 	return p, len(chosen) > 0
 }
 
-// give notes what a unit gives, by job.
-func (p *Plan) give(u *unit) {
+// give notes what a unit gives of what is left to give, by job.
+func (p *Plan) give(u *unit, left *float64) {
+	gpus := min(u.here.Accelerators, *left)
+	*left -= gpus
 	i := slices.IndexFunc(p.From, func(s Share) bool { return s.Job == u.uid })
 	if i < 0 {
 		i, p.From = len(p.From), append(p.From, Share{Job: u.uid})
 	}
-	p.From[i].GPUs += u.here.Accelerators
+	p.From[i].GPUs += gpus
 	p.From[i].Tasks += len(u.tasks)
 }
 
--- a/internal/lending/keeper.go
+++ b/internal/lending/keeper.go
@@ -347,7 +347,7 @@
 	s.Told = func(m *book.Machine) bool { return k.Ready(m) }
 	plan, ok := Choose(k.Book, s)
 	if !ok && plan.Host != "" {
-		plan.From = k.gangLeaves(plan.Host)
+		plan.From = k.gangLeaves(plan.Host, s.Task.Job.Rec.Spec.Accel)
 	}
 	if len(plan.From) == 0 {
 		if met {
@@ -385,19 +385,14 @@
 
 // gangLeaves is what gangs that lend have on a machine and are leaving: one that gave
 // whole for one replica gives its other machines to those that wait next.
-func (k *Keeper) gangLeaves(host string) []Share {
-	var out []Share
+func (k *Keeper) gangLeaves(host string, gpus float64) []Share {
 	for _, piece := range book.Sorted(k.OnHost[host]) {
 		t := k.OnHost[host][piece]
-		if t.State != jobs.Stopping || t.Job.Rec == nil || !t.Job.Rec.Spec.Gang() || !k.lends(t.Job.UID) {
-			continue
-		}
-		if len(out) == 0 || out[len(out)-1].Job != t.Job.UID {
-			out = append(out, Share{Job: t.Job.UID})
+		if t.State == jobs.Stopping && t.Job.Rec != nil && t.Job.Rec.Spec.Gang() && k.lends(t.Job.UID) {
+			return []Share{{Job: t.Job.UID, GPUs: min(gpus, t.Job.Rec.Spec.Accel)}}
 		}
-		out[len(out)-1].GPUs += t.Job.Rec.Spec.Accel
 	}
-	return out
+	return nil
 }
 
 // lends tells whether a job gave for a loan that is not over.
--- a/internal/lending/loan.go
+++ b/internal/lending/loan.go
@@ -31,7 +31,7 @@
 	N       int     `json:"n"`           // which of them
 	Host    string  `json:"h"`           // machine
 	From    []Share `json:"f"`           // from whom, in the order in which it goes back
-	GPUs    float64 `json:"g"`           // accelerators taken
+	GPUs    float64 `json:"g"`           // accelerators lent
 	BeganMs int64   `json:"at"`          // time of day when it was asked for
 	SinceMs int64   `json:"t"`           // when it came to its state
 	FreeMs  int64   `json:"k,omitempty"` // called back: since when the room is the lender's, 0 while the replica is there
@@ -41,7 +41,7 @@
 // Share is what one job gave.
 type Share struct {
 	Job   string  `json:"j"`
-	GPUs  float64 `json:"g"` // of its tasks on the machine
+	GPUs  float64 `json:"g"` // of what the replica takes
 	Tasks int     `json:"n"` // that stop, those of a gang elsewhere included
 }
 
--- a/internal/queue/lend.go
+++ b/internal/queue/lend.go
@@ -73,8 +73,16 @@
 	for _, k := range q.loans.Rooms() {
 		r := &room{Kept: k}
 		p.lent.rooms[k.Job] = append(p.lent.rooms[k.Job], r)
+		p.held[k.Host] = true // nor kept for another besides
 		q.shut(r)
 	}
+	// Before anything else is looked at: what is kept for others by this pass would
+	// stand in the way on a machine that was made room on for this.
+	for _, uid := range book.Sorted(p.lent.rooms) {
+		if j := q.Queued[uid]; j != nil && q.Allows(p.writes(), 1) {
+			q.placeLent(j, p)
+		}
+	}
 }
 
 // shut keeps a room from others: for a replica as long as it has no place, for a lender
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -158,7 +158,6 @@
 			q.releaseGang(j, p)
 			looked++
 		} else {
-			q.placeLent(j, p)
 			looked += q.releaseTasks(j, p, most-looked)
 		}
 		q.shutRooms(j.UID, p)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -636,8 +636,15 @@
 	// its run that a task which has run past its estimate is taken to need still.
 	LoanNearEnd = 20 * time.Second
 	LoanPast    = 0.2
-	// LoanSooner: a difference in the time until a replica runs that outweighs what
-	// lenders lose; a 7 GB image takes 7 to 14 s.
+	// LoanServes: what a second that a replica waits counts for each of its accelerators
+	// against a second of lenders' work lost: users wait for it, and 10 s of fetching are
+	// worth a gang's start anew, which takes a minute on a few accelerators.
+	LoanServes = 30.0
+	// LoanOwn: what it counts, for each accelerator, that a team's own work of lower rank
+	// gives rather than what others have beyond their guarantees.
+	LoanOwn = 300 * time.Second
+	// LoanSooner: a fetch that room made on another machine saves less of is not worth
+	// it; and a replica waits so long for its room before it looks elsewhere, too.
 	LoanSooner = 5 * time.Second
 	// LoanWaste: what an accelerator freed beyond the need counts as lost; the next to
 	// fit comes within about this.
