--- a/internal/scenario/lending_test.go
+++ b/internal/scenario/lending_test.go
@@ -18,10 +18,10 @@
 	s.w.WatchLoans(guarantee)
 }
 
-// loanVerb: end-on STATE leader|owner|others|all [SECONDS], hang-on, die-on, notice-on
-// STATE, outage-on STATE SECONDS, abort-on STATE JOB: once the first loan comes to a state, or "told": a gang's
-// first task is told to stop. Controllers that end are back after SECONDS, 4 if none are
-// given.
+// loanVerb: end-on, freeze-on STATE leader|owner|others|all [SECONDS], hang-on, die-on, notice-on
+// STATE, cut-on (its machine from all), outage-on STATE SECONDS, abort-on STATE JOB: once the first loan comes to a state, or "told": a gang's
+// first task is told to stop. Controllers that end or stand still are back after SECONDS,
+// 4 if none are given.
 func (s *script) loanVerb(verb string, args []string) {
 	w := s.w
 	switch verb {
@@ -48,9 +48,16 @@
 		case "outage-on":
 			w.Store.SetDown(true)
 			w.After(time.Duration(s.number(args[1])*float64(time.Second)), func() { w.Store.SetDown(false) })
+		case "cut-on":
+			w.Cut(host, "*", false)
+			w.Cut("*", host, false)
+			w.After(time.Duration(s.number(args[1])*float64(time.Second)), func() {
+				w.Heal(host, "*")
+				w.Heal("*", host)
+			})
 		case "abort-on":
 			w.Abort(s.job(args[1]))
-		case "end-on":
+		case "end-on", "freeze-on":
 			back := 4.0
 			if len(args) > 2 {
 				back = s.number(args[2])
@@ -61,6 +68,10 @@
 			}
 			for _, n := range w.Order {
 				if args[1] == "all" || args[1] == "leader" && n == w.Leader() || args[1] == "owner" && n == owner || args[1] == "others" && n != owner && n != w.Leader() {
+					if verb == "freeze-on" {
+						w.Nodes[n].Freeze(time.Duration(back * float64(time.Second)))
+						continue
+					}
 					w.Nodes[n].Crash()
 					w.After(time.Duration(back*float64(time.Second)), w.Nodes[n].Boot)
 				}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -326,7 +326,7 @@
 		case "take": // take MACHINE SECONDS of notice
 			wk.Take(s.number(args[1]))
 		}
-	case "end-on", "hang-on", "die-on", "notice-on", "abort-on", "outage-on", "abort-many", "isolated-ends":
+	case "end-on", "freeze-on", "cut-on", "hang-on", "die-on", "notice-on", "abort-on", "outage-on", "abort-many", "isolated-ends":
 		s.loanVerb(verb, args)
 	case "let": // let VAR host-of JOB | leader | follower
 		s.vars[args[0]] = s.value(args[1:])
