--- a/internal/queue/lend.go
+++ b/internal/queue/lend.go
@@ -191,11 +191,12 @@
 	return true
 }
 
-// zonesLent counts a job's tasks by zone, with those that room is being made for.
+// zonesLent counts a job's tasks by zone, with those that room is being made for and
+// that look nowhere else: another that took their zone meanwhile would leave them none.
 func (q *Queue) zonesLent(j *book.Job, p *pass) map[string]int {
 	zones := q.Zones(j)
 	for _, l := range p.lent.of {
-		if m := q.Machines[l.Host]; l.Job == j.UID && m != nil {
+		if m := q.Machines[l.Host]; l.Job == j.UID && m != nil && q.Ms()-l.BeganMs < tuning.LoanSooner.Milliseconds() {
 			zones[m.Site]++
 		}
 	}
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -205,7 +205,7 @@
 	if len(tasks) == 0 {
 		return 1
 	}
-	zones := q.Zones(j)
+	zones := q.zonesLent(j, p)
 	cands = q.gatherParts(spec, cands, len(tasks))
 	var offers []offer
 	looked := 0
