--- a/internal/lending/keeper_test.go
+++ b/internal/lending/keeper_test.go
@@ -583,3 +583,40 @@
 		t.Error("wk-1 lends twice within", tuning.LendAgain)
 	}
 }
+
+// A replica that is released to its machine holds the loan until it is there.
+func TestComing(t *testing.T) {
+	y := newYard(1)
+	y.job("wk-1", "batch", jobs.Sweep, "standard", "x", 1, 7, "i-0", "i-0", "i-0", "i-0")
+	j := y.job("wk-9", "serve", jobs.Standing, "prod", "w", 1, 1)
+	if !y.ask(t, j, 0, true) {
+		t.Fatal("nobody lends")
+	}
+	for _, x := range y.Jobs["wk-1"].Tasks {
+		if x.State == jobs.Stopping {
+			next, _ := jobs.NextTask(x.Task, jobs.TaskEvent{Kind: jobs.Gone})
+			y.set(x.Job, x.N, next)
+		}
+	}
+	y.set(j, 0, jobs.Task{State: jobs.Released, Part: "n0", Site: "a", Want: "i-0"})
+	y.look(func(string) bool { return true }, true)
+	if l := y.k.Loans()[0]; l.State != Asked {
+		t.Error(l)
+	}
+}
+
+// Loans that cannot be read are left alone, and none is begun on their sheet.
+func TestUnreadableSheet(t *testing.T) {
+	y := newYard(1)
+	for n := range tuning.LoanSheets - 1 {
+		y.k.Changed(Key(n), []byte(`{"l":[{"i":1,"s":"odd"}]}`))
+	}
+	y.job("wk-1", "batch", jobs.Sweep, "standard", "x", 1, 7, "i-0", "i-0", "i-0", "i-0")
+	if !y.ask(t, y.job("wk-9", "serve", jobs.Standing, "prod", "w", 1, 1), 0, true) || y.sheets[Key(tuning.LoanSheets-1)] == nil {
+		t.Error(y.sheets)
+	}
+	y.k.Changed(Key(tuning.LoanSheets-1), []byte(`7`))
+	if y.ask(t, y.job("wk-8", "serve", jobs.Standing, "prod", "w", 1, 1), 0, true) {
+		t.Error("a loan was begun over what cannot be read")
+	}
+}
