--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -37,6 +37,9 @@
 			t.Parallel()
 			run(t, f, settings.PacksScarce, nil)
 		})
+		if strings.HasPrefix(filepath.Base(f), "lending") {
+			continue // more machines than changes a second: packed as it is
+		}
 		// The same must hold when all that can be packed is.
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt")+"-packed", func(t *testing.T) {
 			t.Parallel()
