--- a/internal/queue/lend.go
+++ b/internal/queue/lend.go
@@ -174,9 +174,13 @@
 		return asked
 	}
 	p.searches++
+	zones := w.zones
+	if zones == nil {
+		zones = q.zonesLent(w.Task.Job, p)
+	}
 	// What the pass has charged is only considered: who is beyond a guarantee is
 	// counted from what truly runs.
-	d, plan, ok := q.loans.Ask(&lending.Search{Task: w.Task, Rank: w.Rank, Entitled: w.Entitled, Account: lending.Leaving(q.Book, q.Account, p.stopping), Zones: q.zonesLent(w.Task.Job, p),
+	d, plan, ok := q.loans.Ask(&lending.Search{Task: w.Task, Rank: w.Rank, Entitled: w.Entitled, Account: lending.Leaving(q.Book, q.Account, p.stopping), Zones: zones,
 		OnlyCached: onlyCached, InS: inS, Open: func(m *book.Machine) bool { return q.offers(w.Task, m) }, Stopping: p.stopping})
 	if !ok {
 		return false
@@ -186,6 +190,7 @@
 	}
 	p.lent.of[w.Task.Piece] = lending.Loan{Job: w.Task.Job.UID, N: w.Task.N, Host: plan.Host, BeganMs: q.Ms()}
 	q.preempted[w.Task.Piece] = making{q.Now.Add(tuning.PreemptAgain), onlyCached}
+	zones[q.Machines[plan.Host].Site]++              // those that the look places next count it
 	p.keep(q, plan.Host, w.Task.Job.Rec.Spec.Need()) // this room is no other's
 	p.ds = append(p.ds, d)
 	return true
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -231,7 +231,7 @@
 			break
 		}
 		c := &cands[k]
-		if !probing && q.clearCached(&Waiting{Task: t, Rank: spec.RankOrder(), Entitled: within}, c.Host, p) {
+		if !probing && q.clearCached(&Waiting{Task: t, Rank: spec.RankOrder(), Entitled: within, zones: zones}, c.Host, p) {
 			c.Free = c.Free.Sub(spec.Need())
 			p.account.Charge(spec.Key(), spec.Amount(), 1)
 			continue
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -81,6 +81,8 @@
 	// Entitled is the node of the quotas' tree within whose guarantee it lies,
 	// below 0 for none.
 	Entitled int
+
+	zones map[string]int // of its job's tasks in the look under way, nil if they are to be counted
 }
 
 func (w *Waiting) within() bool { return w.Entitled >= 0 }
