--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -215,6 +215,21 @@
 	}
 }
 
+// Whoever gives keeps what all nodes on its side are guaranteed, up to where its side and
+// the taker's meet.
+func TestSpares(t *testing.T) {
+	tree := world(t)
+	c := NewAccount(tree)
+	c.Charge(Key{"stazioni", "z"}, gpus(1), 14) // 4 beyond italia's 10
+	store, staz := tree.Leaf(Key{"storefront", "x"}), tree.Leaf(Key{"stazioni", "z"})
+	if !c.Spares(store, staz, gpus(4)) || c.Spares(store, staz, gpus(5)) {
+		t.Error("italia can spare 4 for kenya")
+	}
+	if !c.Spares(staz, staz, gpus(14)) {
+		t.Error("what shares a guarantee has no claim against its own side")
+	}
+}
+
 // What does not lend keeps its guarantee free for itself; what does not borrow ends
 // at its guarantee.
 func TestBorrowAndLend(t *testing.T) {
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -127,6 +127,13 @@
 	if err != nil || op.Pipelines == nil || op.Pipelines.MostRuns != 5 || op.Pipelines.MostSteps != DefaultPipelines().MostSteps {
 		t.Errorf("%+v %v", op.Pipelines, err)
 	}
+	op, err = operator(t, "lending {\n  by_rank = false\n}\n")
+	if err != nil || op.Lending == nil || op.Lending.ByRank || op.Lending.AgainS != DefaultLending().AgainS || DefaultOperator().Lending != nil {
+		t.Errorf("%+v %v", op.Lending, err)
+	}
+	if _, err = operator(t, "lending {\n  again_s = 5\n}\n"); err == nil || !strings.Contains(err.Error(), "lending.again_s") {
+		t.Errorf("%v", err)
+	}
 	one, two := filepath.Join(t.TempDir(), "one.hcl"), filepath.Join(t.TempDir(), "two.hcl")
 	if os.WriteFile(one, []byte("pipelines {}\n"), 0o600) != nil || os.WriteFile(two, []byte("quotas {\n  organisation \"o\" {\n    weight = 2\n    team \"t\" {}\n  }\n}\n"), 0o600) != nil {
 		t.Fatal("no files")
--- a/internal/snapshot/snapshot_test.go
+++ b/internal/snapshot/snapshot_test.go
@@ -291,6 +291,7 @@
 		"beyond the job's tasks":   {func(s *State) { put(s, "task/wk-3/9", json.RawMessage(jobs.EncodeSlice([]jobs.Task{on}, 8192))) }, "of a job of 9 tasks"},
 		"an unreadable pack":       {func(s *State) { put(s, "pack/a", 7) }, "can't be read"},
 		"an unreadable view":       {func(s *State) { put(s, "view", 7) }, "not a view"},
+		"unreadable loans":         {func(s *State) { put(s, "loan/0", 7) }, "can't be read"},
 		"an unreadable final":      {func(s *State) { put(s, "final/wk-8", 7) }, "can't be read"},
 		"more than a team's limit": {func(*State) {}, "more than its limit"},
 	} {
