--- a/internal/lending/keeper.go
+++ b/internal/lending/keeper.go
@@ -534,7 +534,7 @@
 func (k *Keeper) Rooms() []Kept {
 	var out []Kept
 	for _, l := range k.Loans() {
-		if j := k.Jobs[l.Job]; l.ForBorrower() && j != nil && live(j) && k.Machines[l.Host] != nil {
+		if j := k.Jobs[l.Job]; l.ForBorrower() && j != nil && live(j) && j.Active[l.N] == nil && k.Machines[l.Host] != nil {
 			out = append(out, Kept{l.Job, l.Host, j.Rec.Spec.Need(), jobs.Piece(l.Job, l.N)})
 		}
 		if !l.ForLender() || k.Machines[l.Host] == nil {
