--- a/internal/queue/lend.go
+++ b/internal/queue/lend.go
@@ -43,8 +43,9 @@
 // lent is what a pass keeps of loans: rooms that are for one job only, and the machine
 // on which room is made for a replica.
 type lent struct {
-	rooms map[string][]*room // by job
-	of    map[string]lending.Loan
+	rooms    map[string][]*room // by job
+	of       map[string]lending.Loan
+	searches int // looks for somebody who lends
 }
 
 // room is a kept one; shut while the pass takes it for used.
@@ -64,7 +65,7 @@
 		waits[w.Task.Job.UID] = true
 	}
 	p.ds = append(p.ds, q.loans.Look(p.account, func(uid string) bool { return waits[uid] })...)
-	p.lent = lent{map[string][]*room{}, map[string]lending.Loan{}}
+	p.lent = lent{rooms: map[string][]*room{}, of: map[string]lending.Loan{}}
 	for _, l := range q.loans.Loans() {
 		if l.ForBorrower() {
 			p.lent.of[jobs.Piece(l.Job, l.N)] = l
@@ -170,10 +171,10 @@
 // lend has others lend room to a replica, on a machine with its image if onlyCached,
 // within so many seconds if that is not 0. It tells whether one does.
 func (q *Queue) lend(w *Waiting, onlyCached bool, inS float64, p *pass) bool {
-	if _, asked := p.lent.of[w.Task.Piece]; asked || p.searches >= tuning.MostSearches {
+	if _, asked := p.lent.of[w.Task.Piece]; asked || p.lent.searches >= tuning.MostLends {
 		return asked
 	}
-	p.searches++
+	p.lent.searches++
 	zones := w.zones
 	if zones == nil {
 		zones = q.zonesLent(w.Task.Job, p)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -629,6 +629,9 @@
 	// LendAgain: a job lends once in this time, so that demand that swings by the minute
 	// takes from each at most once in five swings.
 	LendAgain = 5 * time.Minute
+	// MostLends: looks in one pass for somebody who lends. In a burst of serving some 15
+	// replicas a second wait; one looks at machines with the weights only, mostly.
+	MostLends = 10
 	// SweepLends: share of a sweep's tasks that may be lent in that time; they do not need
 	// one another, so that a sweep is slowed by no more than this.
 	SweepLends = 0.25
