--- a/internal/lending/choose.go
+++ b/internal/lending/choose.go
@@ -159,7 +159,7 @@
 		p.InS, p.own = max(p.InS, u.waitS), p.own || u.own
 		p.LostS += u.lostS
 	}
-	p.InS += pullS(b, s.Now, m, build, spec)
+	p.InS += PullS(b, s.Now, m, build, spec)
 	// What is freed beyond the need may find no one of its size: whole machines are
 	// not broken up if another place costs less.
 	p.LostS += free.Sub(need).Accelerators * tuning.LoanWaste.Seconds()
@@ -272,25 +272,27 @@
 	return true
 }
 
-// pullS is how long a machine takes to have a job's image: fetches on one machine share
-// its rate, so those under way count.
-func pullS(b *book.Book, now time.Time, m *book.Machine, build *jobs.Build, spec *jobs.Spec) float64 {
+// PullS is how long a machine takes to have a job's image, in seconds: fetches on one
+// machine share its rate, so those under way count.
+func PullS(b *book.Book, now time.Time, m *book.Machine, build *jobs.Build, spec *jobs.Spec) float64 {
 	if b.Cached(m.Name, spec.Bundle) || build.PullRate <= 0 {
 		return 0
 	}
 	left := map[string]float64{}
 	for _, t := range b.OnHost[m.Name] {
-		if t.Job.Rec == nil || t.State != jobs.Placed || t.Ran {
+		if t.Job.Rec == nil || t.State != jobs.Placed {
 			continue
 		}
 		other := &t.Job.Rec.Spec
-		if gb := other.PullGB - now.Sub(t.Since).Seconds()*build.PullRate; gb > left[other.Bundle] {
-			left[other.Bundle] = gb
+		gb := other.PullGB - now.Sub(t.Since).Seconds()*build.PullRate
+		if was, known := left[other.Bundle]; t.Ran || known && was < gb {
+			gb = was // the oldest of its tasks tells; one that runs has it
 		}
+		left[other.Bundle] = gb
 	}
 	sum := spec.PullGB
 	for _, gb := range left {
-		sum += min(gb, spec.PullGB) // by halves and thirds until the shorter is done
+		sum += min(max(gb, 0), spec.PullGB) // by halves and thirds until the shorter is done
 	}
 	return sum / build.PullRate
 }
--- a/internal/queue/lend.go
+++ b/internal/queue/lend.go
@@ -209,6 +209,15 @@
 	return zones
 }
 
+// pullS is how long a machine would fetch a job's image, in seconds. Where serving
+// counts, a replica's on a machine that fetches others takes longer.
+func (q *Queue) pullS(m *book.Machine, build *jobs.Build, spec *jobs.Spec) float64 {
+	if q.loans != nil && spec.Shape == jobs.Standing {
+		return lending.PullS(q.Book, q.Now, m, build, spec)
+	}
+	return spec.PullGB / build.PullRate
+}
+
 // lendCached tells whether a replica should wait for a machine that holds its weights,
 // and has one vacated, rather than fetch them on one that is free: when that is sooner
 // by more than a little.
@@ -218,7 +227,7 @@
 	if q.Cached(host, spec.Bundle) || rate <= 0 {
 		return false
 	}
-	within := spec.PullGB/rate - tuning.LoanSooner.Seconds()
+	within := q.pullS(q.Machines[host], q.Builds[q.Machines[host].Build], spec) - tuning.LoanSooner.Seconds()
 	if l, asked := p.lent.of[w.Task.Piece]; asked {
 		return q.Cached(l.Host, spec.Bundle) && float64(q.Ms()-l.BeganMs) < within*1000
 	}
--- a/internal/queue/place.go
+++ b/internal/queue/place.go
@@ -126,7 +126,7 @@
 			Load: used.Share(whole), Cached: q.Cached(m.Name, spec.Bundle),
 		}
 		if !c.Cached && b.PullRate > 0 {
-			c.PullS = spec.PullGB / b.PullRate
+			c.PullS = q.pullS(m, b, spec)
 		}
 		out = append(out, c)
 	}
