--- a/internal/lending/choose.go
+++ b/internal/lending/choose.go
@@ -284,15 +284,17 @@
 			continue
 		}
 		other := &t.Job.Rec.Spec
-		gb := other.PullGB - now.Sub(t.Since).Seconds()*build.PullRate
-		if was, known := left[other.Bundle]; t.Ran || known && was < gb {
-			gb = was // the oldest of its tasks tells; one that runs has it
+		gb := 0.0 // one that runs has it
+		if !t.Ran {
+			gb = max(other.PullGB-now.Sub(t.Since).Seconds()*build.PullRate, 0)
+		}
+		if was, known := left[other.Bundle]; !known || gb < was {
+			left[other.Bundle] = gb // the oldest of its tasks tells
 		}
-		left[other.Bundle] = gb
 	}
 	sum := spec.PullGB
 	for _, gb := range left {
-		sum += min(max(gb, 0), spec.PullGB) // by halves and thirds until the shorter is done
+		sum += min(gb, spec.PullGB) // by halves and thirds until the shorter is done
 	}
 	return sum / build.PullRate
 }
