--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -653,8 +653,8 @@
 	// fit comes within about this.
 	LoanWaste = 20 * time.Second
 	// LoanSave: steps that follow from the records are stored at most so late, several
-	// of a sheet at once. At 5 s they were 430 changes on a day of 553 loans.
-	LoanSave = 20 * time.Second
+	// of a sheet at once. At 5 s they were 430 changes on a day of 553 loans, at 20 s 210.
+	LoanSave = 30 * time.Second
 	// LoansSaid: how often the log tells the counts of loans.
 	LoansSaid = time.Minute
 )
