A controller that stands alone keeps room for all machines' connections

Need: at 1.5 times the size 2,700 machines and up to 1,560 users' kept connections meet 2,600 allowed ones when one controller is left; machines that find none open lose their leases. Change: above 85% of the allowed connections each ends with its answer. A read tells that a job is live within 30 ms only. Measured: TestCrowdedServerKeepsNoConnection fails without it.

--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -46,6 +46,10 @@
 	// UserConns: share of the connections that users may keep open; the rest is
 	// for workers, who must not be crowded out when users ask many times as often.
 	UserConns = 0.6
+	// CrowdedShare: of the connections allowed; while more are open, each ends with its
+	// answer. 2,700 machines that report each 8 s are then 340 connections a second, open
+	// for some milliseconds each.
+	CrowdedShare = 0.85
 	// StateConns, connections kept to the state service: one per concurrent
 	// call at the highest rate (250/s at 10 ms) and some air.
 	StateConns = 8
@@ -89,7 +93,7 @@
 	AskHurry = 300 * time.Millisecond
 	// ReadFresh: such a read's answer that took longer is too old to tell that a job is
 	// live; most take 10 ms.
-	ReadFresh = 100 * time.Millisecond
+	ReadFresh = 30 * time.Millisecond
 	// ReadsKept: share of a second's requests that reads for polls leave to others.
 	ReadsKept = 0.25
 	// FollowGap: least pause between two watches, so that a busy store does not
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -43,7 +43,8 @@
 	MaxConns    int
 	// IsGuest, if set, tells a guest's request: users come in any number, workers
 	// do not. Beyond MaxGuests of them a guest's connection ends with its answer,
-	// so that users who keep theirs open leave room for workers.
+	// so that users who keep theirs open leave room for workers. Beyond
+	// tuning.CrowdedShare of MaxConns everybody's does.
 	IsGuest   func(m *Message) bool
 	MaxGuests int
 	// Handle is called on the listener's goroutine. It must call respond
@@ -262,7 +263,10 @@
 		cc.guest = true
 		s.guest.Add(1)
 	}
-	crowded := cc.guest && int(s.guest.Load()) > s.MaxGuests
+	// Where nearly all connections are open, everybody's ends with its answer: a
+	// controller that stands alone has more machines than it may have connections, and
+	// those that found none open would lose their leases.
+	crowded := cc.guest && int(s.guest.Load()) > s.MaxGuests || float64(s.open.Load()) > float64(s.MaxConns)*tuning.CrowdedShare
 	cc.mu.Unlock()
 	s.Handle(m, func(r Reply) {
 		r.Close = r.Close || crowded
--- a/internal/wire/server_test.go
+++ b/internal/wire/server_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"os"
 	"os/exec"
@@ -14,6 +15,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
 // patience bounds each wait on a socket or a process. It decides no verdict: what
@@ -163,6 +166,27 @@
 	}
 }
 
+// A controller that stands alone has more machines than connections: while nearly all
+// are open they must not be kept.
+func TestCrowdedServerKeepsNoConnection(t *testing.T) {
+	const most = 10.0
+	s, _ := serve(t, int(most))
+	kept := int(math.Floor(most * tuning.CrowdedShare))
+	for i := range kept + 1 {
+		c := dial(t, s.Front)
+		fmt.Fprint(c, "GET /worker HTTP/1.1\r\n\r\n")
+		buf := make([]byte, 4096)
+		n, err := c.Read(buf)
+		if err != nil {
+			t.Fatal(err)
+		}
+		m, _, err := Parse(Response, buf[:n], 1<<16)
+		if err != nil || m == nil || m.Close != (i == kept) {
+			t.Fatalf("connection %d: %+v %v", i+1, m, err)
+		}
+	}
+}
+
 // Machines that are taken away leave their connections open: they must not use
 // up the cap for good.
 func TestStaleConnections(t *testing.T) {
@@ -188,14 +212,17 @@
 }
 
 func TestServerClosesBeyondItsCap(t *testing.T) {
-	s, _ := serve(t, 3)
-	for range 3 {
+	s, _ := serve(t, 20)
+	for range 17 { // as many as stay open after an answer (CrowdedShare)
 		c := dial(t, s.Front)
 		fmt.Fprint(c, "GET / HTTP/1.1\r\n\r\n")
 		if _, err := c.Read(make([]byte, 10)); err != nil {
 			t.Fatal(err)
 		}
 	}
+	for range 3 {
+		dial(t, s.Front)
+	}
 	if n, err := dial(t, s.Front).Read(make([]byte, 10)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("a connection beyond the cap got %d bytes: %v", n, err)
 	}
