--- /dev/null
+++ b/internal/calendar/service.go
@@ -0,0 +1,453 @@
+package calendar
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/fleet"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// Env is what the service is told from outside.
+type Env struct {
+	OffMs  float64 // how far a controller's time of day may be off
+	Limit  int     // bytes of a record
+	TxnOps int     // puts and deletes of a transaction
+	FreshS float64 // seconds for which a new leader prepares nothing
+	Log    *slog.Logger
+	Mirror *store.Mirror
+
+	// WallMs is the time of day of the event under way.
+	WallMs func() int64
+	// Busy tells whether a record is under a transaction.
+	Busy func(key string) bool
+	// Commit takes decisions.
+	Commit func([]decide.Decision)
+	// QuietSince tells since when nobody has heard a machine, if so.
+	QuietSince func(m *book.Machine) (time.Time, bool)
+	// Moving is the decision that a machine's record changes by an event, if it does.
+	Moving func(host string, e fleet.Event, why string) []decide.Decision
+}
+
+// Service joins the keeper to a controller. A nil one does nothing: the calendar is
+// turned off.
+type Service struct {
+	*book.Book
+	Env
+	keeper *Keeper
+	since  time.Time // when this node began to lead, zero if it does not
+	looked time.Time // last look for what must be stopped
+	told   map[string]bool
+	toldAt time.Time
+	old    bool // it was told that another document holds
+	// strange: the document in force can't be read, so it is neither replaced nor
+	// gone by.
+	strange bool
+}
+
+// New makes the service of a controller's own file; nil for none.
+func New(b *book.Book, file *Document, env Env) *Service {
+	if file == nil {
+		return nil
+	}
+	plan, err := Compile(file)
+	if err != nil {
+		env.Log.Error("calendar of the file can't be used", "error", err) // it was checked when it was read
+		return nil
+	}
+	return &Service{Book: b, Env: env, keeper: NewKeeper(plan, env.Limit), told: map[string]bool{}}
+}
+
+// Keys are the keys that every decision is conditional on because of the calendar, and
+// the prefixes to read.
+func (s *Service) Keys() []string {
+	if s == nil {
+		return nil
+	}
+	return []string{StoreKey}
+}
+
+// Conds is how many conditions more a decision may have because of the calendar: the
+// document, and the tracks of two revisions.
+func (s *Service) Conds() int {
+	if s == nil {
+		return 0
+	}
+	return 3
+}
+
+// Changed takes a change of the calendar's keys in. It tells whether the key is one.
+func (s *Service) Changed(key string, value json.RawMessage) bool {
+	if key != StoreKey && !strings.HasPrefix(key, TrackPrefix) {
+		return false
+	}
+	if s == nil {
+		return true
+	}
+	var err error
+	if key == StoreKey {
+		err = s.keeper.Document(value)
+		s.old, s.strange = false, err != nil
+	} else {
+		err = s.keeper.Changed(strings.TrimPrefix(key, TrackPrefix), value)
+	}
+	if err != nil {
+		s.Log.Error("unreadable record of the calendar set aside", "key", key, "error", err)
+	}
+	return true
+}
+
+// now is the time for the keeper. Machines boot for as long as the slowest known type.
+func (s *Service) now() Now {
+	lead := tuning.PrepareLeast
+	for _, b := range s.Builds {
+		lead = max(lead, jobs.Seconds(b.ReadyS*tuning.PrepareBoots))
+	}
+	return Now{s.WallMs(), int64(s.OffMs), lead.Milliseconds()}
+}
+
+// Gate judges a job's class for the queue. A fresh leader prepares nothing yet.
+func (s *Service) Gate(spec *jobs.Spec) Verdict {
+	if s == nil {
+		return Free
+	}
+	v, _ := s.keeper.Gate(s.now(), spec.Key())
+	if v == Soon && s.Now.Sub(s.since) < jobs.Seconds(s.FreshS) {
+		return Shut
+	}
+	return v
+}
+
+// Guard drops the decisions that would have work begin whose window is not open, and
+// makes the others conditional on its being so. Every decision of this controller
+// comes through here, so none can be forgotten.
+func (s *Service) Guard(ds []decide.Decision) []decide.Decision {
+	if s == nil {
+		return ds
+	}
+	g := guard{s: s, now: s.now(), known: map[quota.Key]verdict{}}
+	out := make([]decide.Decision, 0, len(ds))
+	for _, d := range ds {
+		keys, ok := g.judge(&d)
+		if !ok {
+			d.Drop()
+			continue
+		}
+		if len(keys) > 0 {
+			d.Seen = append(slices.Clone(d.Seen), keys...)
+		}
+		out = append(out, d)
+	}
+	return out
+}
+
+// guard judges the decisions of one moment.
+type guard struct {
+	s     *Service
+	now   Now
+	known map[quota.Key]verdict
+}
+
+type verdict struct {
+	v    Verdict
+	keys []string
+}
+
+// judge tells whether a decision may be taken, and the keys that it hangs on then.
+func (g *guard) judge(d *decide.Decision) (keys []string, ok bool) {
+	ok = true
+	begins := func(uid string, j *book.Job) {
+		if j = cmp.Or(j, g.s.Jobs[uid]); j == nil || j.Rec == nil {
+			return
+		}
+		class := j.Rec.Spec.Key()
+		k, known := g.known[class]
+		if !known {
+			k.v, k.keys = g.s.keeper.Gate(g.now, class)
+			g.known[class] = k
+		}
+		ok = ok && (k.v == Free || k.v == Allowed)
+		for _, key := range k.keys {
+			if !slices.Contains(keys, key) {
+				keys = append(keys, key)
+			}
+		}
+	}
+	given := func(t *jobs.Task) bool { return t.State == jobs.Released || t.State == jobs.Placed }
+	for _, c := range d.Changes {
+		if given(&c.Next) && c.Next.State != c.Task.State {
+			begins("", c.Task.Job)
+		}
+	}
+	for _, f := range d.Fresh {
+		if given(&f.Entry.Task) {
+			begins(f.Entry.UID, nil)
+		}
+	}
+	for _, w := range d.Writes { // a slice that is begun
+		if uid, _, is := jobs.SplitPiece(strings.TrimPrefix(w.Put, jobs.TaskPrefix)); is {
+			begins(uid, nil)
+		}
+	}
+	return keys, ok
+}
+
+// Pass does what only the leader does, while it leads.
+func (s *Service) Pass() {
+	if s == nil {
+		return
+	}
+	if s.since.IsZero() {
+		s.since = s.Now
+		s.keeper.Touch()
+	}
+	if s.enforce() {
+		return
+	}
+	n := s.now()
+	var ds []decide.Decision
+	for _, c := range s.keeper.Look(n, &world{s: s}) {
+		ds = append(ds, s.change(&c))
+	}
+	if s.Now.Sub(s.looked) >= tuning.CalendarLook {
+		s.looked = s.Now
+		ds = append(ds, s.withdraw(n)...)
+		s.tell(n)
+	}
+	s.Commit(ds)
+}
+
+// Reset forgets what only a leader keeps.
+func (s *Service) Reset() {
+	if s != nil {
+		s.since, s.told = time.Time{}, map[string]bool{}
+	}
+}
+
+// enforce puts this controller's own file in force if its revision is the highest. It
+// tells whether there is no calendar in force yet.
+func (s *Service) enforce() bool {
+	held, own := 0, s.keeper.file.Revision
+	if s.keeper.plan != nil {
+		held = s.keeper.plan.Revision
+	}
+	none := s.Mirror.Stamp(StoreKey) == 0
+	switch {
+	case s.strange:
+		return true
+	case none || s.keeper.plan != nil && own > held:
+		if !s.Busy(StoreKey) {
+			s.Commit([]decide.Decision{{Urgent: true, Writes: []store.Write{{Put: StoreKey, Value: EncodeDocument(&s.keeper.file.Doc)}}, Done: func(ok bool) {
+				if ok {
+					s.Log.Info("calendar in force", "revision", own)
+				}
+			}}})
+		}
+	case !s.old && own < held:
+		s.old = true
+		s.Log.Error("a calendar of a higher revision is in force; this controller's file is not used", "revision", held, "file", own)
+	case !s.old && own == held && !bytes.Equal(jobs.Encode(s.keeper.plan.Doc), jobs.Encode(s.keeper.file.Doc)):
+		s.old = true
+		s.Log.Error("another calendar of the same revision is in force; this controller's file is not used", "revision", held)
+	}
+	return s.keeper.plan == nil
+}
+
+// change is the decision that a track's record changes.
+func (s *Service) change(c *Change) decide.Decision {
+	key := TrackKey(c.Track)
+	w := store.Write{Put: key, Value: c.Value}
+	if c.Value == nil {
+		w = decide.Remove(key)
+	}
+	// A window that closes must not stand behind what others want: its end is a rule.
+	return decide.Decision{Urgent: true, Writes: []store.Write{w}, Done: func(ok bool) {
+		if !ok {
+			s.keeper.Touch()
+			return
+		}
+		for _, m := range c.Moves {
+			s.Log.Info("window", "track", c.Track, "window", m.Window, "begin", time.UnixMilli(m.Begin).UTC().Format(time.RFC3339), "from", string(m.From), "to", string(m.To))
+		}
+	}}
+}
+
+// withdraw takes back what was given to a part and may not begin any more, and stops
+// what is on machines of windows that end so. Services have no end of their own, so
+// they are stopped at every end.
+func (s *Service) withdraw(n Now) []decide.Decision {
+	var ds []decide.Decision
+	for _, piece := range book.Sorted(s.Released) {
+		t := s.Released[piece]
+		if t.Job.Rec == nil || len(ds) >= tuning.CalendarStops {
+			continue
+		}
+		if v, _ := s.keeper.Gate(n, t.Job.Rec.Spec.Key()); v == Shut || v == Soon {
+			ds = append(ds, s.withdrawn("window is not open", t)...)
+		}
+	}
+	for _, track := range book.Sorted(s.keeper.holds) {
+		h := s.keeper.holds[track]
+		if h.State != Closing {
+			continue
+		}
+		wanted := s.wanted(track, n)
+		for _, uid := range book.Sorted(s.Jobs) {
+			j := s.Jobs[uid]
+			if j.Rec == nil || len(j.Active) == 0 || !h.Has(j.Rec.Spec.Key()) || !h.Stop && j.Rec.Spec.Shape != jobs.Standing || len(ds) >= tuning.CalendarStops {
+				continue
+			}
+			var on []*book.Task
+			for _, num := range slices.Sorted(maps.Keys(j.Active)) {
+				t := j.Active[num]
+				if t.State == jobs.Placed {
+					on = append(on, t)
+				}
+				if wanted && t.State == jobs.Stopping {
+					ds = append(ds, s.clear(t)...)
+				}
+			}
+			if !j.Rec.Spec.Gang() {
+				on = on[:min(len(on), tuning.CalendarStops)]
+			}
+			ds = append(ds, s.withdrawn("window "+h.Window+" ended", on...)...)
+		}
+	}
+	return ds
+}
+
+// withdrawn is the decision that some tasks of a job make way, all in one where they
+// are a gang: it saves only if all of it is told at once.
+func (s *Service) withdrawn(why string, ts ...*book.Task) []decide.Decision {
+	var ds []decide.Decision
+	var whole decide.Decision
+	for _, t := range ts {
+		next, ok := jobs.Withdraw(t.Task, why)
+		if !ok || t.Slice == nil || s.Busy(t.Slice.Key) {
+			continue
+		}
+		change := decide.Become(t, next)
+		whole.Changes = append(whole.Changes, change...)
+		ds = append(ds, decide.Decision{Changes: change})
+	}
+	if len(ts) > 1 && ts[0].Job.Rec.Spec.Gang() && len(whole.Keys()) <= s.TxnOps/2 && len(whole.Changes) > 0 {
+		return []decide.Decision{whole}
+	}
+	return ds
+}
+
+// wanted tells whether another window of a track is due, or about to be.
+func (s *Service) wanted(track string, n Now) bool {
+	rec := s.keeper.tracks[track]
+	return rec != nil && slices.ContainsFunc(rec.Occurrences, func(o Occurrence) bool { return o.State == Preparing || o.State == Slipped })
+}
+
+// clear has a machine deleted that nobody hears while a task on it, which is to stop,
+// holds up the next window: only the delete proves that it is gone.
+func (s *Service) clear(t *book.Task) []decide.Decision {
+	m := s.Machines[t.Host]
+	if m == nil || s.Now.Sub(t.Since) < tuning.HoldsGiveUp || s.Now.Sub(s.since) < tuning.HoldsGiveUp {
+		return nil
+	}
+	if since, quiet := s.QuietSince(m); !quiet || s.Now.Sub(since) < tuning.HoldsGiveUp {
+		return nil
+	}
+	return s.Moving(t.Host, fleet.Condemn, "holds up a window of the calendar with "+t.Piece)
+}
+
+// tell logs the jobs that wait for a window and cannot end by their time, each once.
+func (s *Service) tell(n Now) {
+	if s.Now.Sub(s.toldAt) < tuning.CalendarTell {
+		return
+	}
+	s.toldAt = s.Now
+	maps.DeleteFunc(s.told, func(uid string, _ bool) bool { return s.Jobs[uid] == nil })
+	for _, uid := range book.Sorted(s.Queued) {
+		r := s.Queued[uid].Rec
+		if s.told[uid] || r.Spec.DueS == nil {
+			continue
+		}
+		if v, _ := s.keeper.Gate(n, r.Spec.Key()); v != Shut && v != Soon {
+			continue
+		}
+		due := r.AtMs + int64(*r.Spec.DueS*1000)
+		if next := s.keeper.NextOpening(r.Spec.Key()); next == 0 || max(next, n.Ms)+int64(r.Spec.ExpectS*1000) > due {
+			s.told[uid] = true
+			s.Log.Info("waits for its window and can't end in time", "job", uid, "class", r.Spec.Class, "due", time.UnixMilli(due).UTC().Format(time.RFC3339), "opens", time.UnixMilli(next).UTC().Format(time.RFC3339))
+		}
+	}
+}
+
+// world is what one look of the keeper is told of tasks, counted once.
+type world struct {
+	s       *Service
+	counted map[quota.Key]int
+	unknown int
+}
+
+// Settled tells whether the records are known up to the newest change of the calendar:
+// a commit of this node's own is known before what others committed earlier.
+func (w *world) Settled() bool {
+	newest := w.s.Mirror.Stamp(StoreKey)
+	for track := range w.s.keeper.tracks {
+		newest = max(newest, w.s.Mirror.Stamp(TrackKey(track)))
+	}
+	return w.s.Mirror.Epoch >= newest
+}
+
+// Attempts counts what is given to a part, may be on a machine, or is under a
+// transaction of this node's. A record of a task goes only when a report under our
+// baton or an answered delete has proven it gone, so none of them counts here.
+func (w *world) Attempts(of func(quota.Key) bool) int {
+	if w.counted == nil {
+		w.count()
+	}
+	sum := w.unknown
+	for k, n := range w.counted {
+		if of(k) {
+			sum += n
+		}
+	}
+	return sum
+}
+
+func (w *world) count() {
+	w.counted = map[quota.Key]int{}
+	for uid, j := range w.s.Jobs {
+		n := len(j.Active)
+		// Nobody knows which tasks a record holds that can't be read.
+		if j.Unreadable || j.Doubted || w.s.MayHold(uid) {
+			n++
+		}
+		switch {
+		case n == 0:
+		case j.Rec == nil:
+			w.unknown += n
+		default:
+			w.counted[j.Rec.Spec.Key()] += n
+		}
+	}
+	if w.s.MayHold("") {
+		w.unknown++ // a record that says not even which jobs it is about
+	}
+	for piece, r := range w.s.Reserved {
+		if !strings.HasPrefix(piece, Kept) && r.Task.Job.Rec != nil {
+			w.counted[r.Task.Job.Rec.Spec.Key()]++
+		}
+	}
+}
+
+// Kept begins the names of bookings that only keep room for a window that is about to
+// open.
+const Kept = "kept "
