Calendar joined: guard on every decision, room kept before a window opens, one scenario

A release or placement of a class with windows passes one guard in commit, and carries the stamp of its track and of the document. The queue leaves shut classes out, and keeps room for those about to open.

--- a/internal/calendar/service.go
+++ b/internal/calendar/service.go
@@ -28,7 +28,7 @@
 	Log    *slog.Logger
 	Mirror *store.Mirror
 
-	// WallMs is the time of day of the event under way.
+	// WallMs is the time of day in ms, nil for that of the event under way.
 	WallMs func() int64
 	// Busy tells whether a record is under a transaction.
 	Busy func(key string) bool
@@ -66,6 +66,9 @@
 		env.Log.Error("calendar of the file can't be used", "error", err) // it was checked when it was read
 		return nil
 	}
+	if env.WallMs == nil {
+		env.WallMs = b.Ms
+	}
 	return &Service{Book: b, Env: env, keeper: NewKeeper(plan, env.Limit), told: map[string]bool{}}
 }
 
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -40,6 +40,7 @@
 		return
 	}
 	n.front.QuotaPass()
+	n.cal.Pass()
 	n.dropClaims()
 	// Where the budget does not allow all, each gets its turn.
 	duties := []func(){n.closeJobs, n.rental.Condemn, n.takeBack, n.releasePass}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -58,6 +58,7 @@
 		// that it gave up may be in use under the next one.
 		n.lead.reset()
 		n.queue.Reset()
+		n.cal.Reset()
 		n.rental.Reset()
 	}
 	n.role, n.roleEpoch = role, epoch
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/front"
@@ -49,6 +50,7 @@
 	Cloud  store.Call
 	Worker func(endpoint, method, target string, body []byte, timeout time.Duration, done func(status int, body []byte, err error))
 	Hint   func(peer string, line []byte)
+	WallMs func() int64 // time of day in ms; nil: that of the loop
 }
 
 // counted is the same with all answers that are refusals counted.
@@ -106,6 +108,7 @@
 	part   *part.Part
 	sight  *sight.Sight
 	member *membership.Membership
+	cal    *calendar.Service // nil: turned off
 
 	dirty       bool
 	lastPass    time.Time
@@ -144,12 +147,19 @@
 		Live: func() bool { return n.sync.live }, View: func() *members.View { return n.view }, Unreachable: n.sight.Unreachable,
 		Wake: func() { n.dirty = true }, Follow: n.followNow, TxnOps: set.Cluster.State.TxnOps, Calls: set.Operator.TakeOver == settings.TakeOverCalls,
 		ZoneOf: set.Zones(), Lag: n.lag, Unchecked: n.unchecked})
+	n.cal = calendar.New(n.Book, set.Operator.Calendar, calendar.Env{
+		OffMs: set.Cluster.ClockOffMs, Limit: n.sliceLimit(), TxnOps: set.Cluster.State.TxnOps, FreshS: set.Operator.StepS * float64(set.Operator.FreshSteps),
+		Log: log, Mirror: n.mirror, WallMs: out.WallMs, Busy: n.isBusy, Commit: n.commit,
+		QuietSince: func(m *book.Machine) (time.Time, bool) { return n.part.QuietSince(m) },
+		Moving:     func(host string, e fleet.Event, why string) []decide.Decision { return n.part.Moving(host, e, why) },
+	})
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
 		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.isBusy,
 		Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit, Packing: n.packing,
 		Ready:    func(m *book.Machine) bool { return n.part.Ready(m) },
 		CanPlace: func(t *book.Task, m *book.Machine) bool { return n.part.CanPlace(t, m) },
+		Gate:     func(s *jobs.Spec) calendar.Verdict { return n.cal.Gate(s) }, MoreConds: n.cal.Conds(),
 	})
 	n.rental = rental.New(n.Book, rental.Env{
 		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
@@ -327,6 +337,7 @@
 func (n *Node) changed(key string, value json.RawMessage, stamp uint64) {
 	n.dirty = true
 	switch {
+	case n.cal.Changed(key, value):
 	case key == members.ViewKey:
 		if v, ok := members.Decode(value); ok {
 			n.view = v
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -29,7 +29,7 @@
 
 // prefixes are the live prefixes of this node's duties.
 func (n *Node) prefixes() []string {
-	return append(slices.Clone(livePrefixes), n.front.Prefixes()...)
+	return append(append(slices.Clone(livePrefixes), n.front.Prefixes()...), n.cal.Keys()...)
 }
 
 // syncState is how far the mirror has got.
@@ -141,7 +141,7 @@
 		}
 		return
 	}
-	ds = slices.DeleteFunc(ds, func(d decide.Decision) bool {
+	ds = slices.DeleteFunc(n.cal.Guard(ds), func(d decide.Decision) bool {
 		held := n.aside.Holds(&d, n.Now)
 		if held {
 			d.Drop()
@@ -162,7 +162,7 @@
 	return &decide.Packer{
 		Form: decide.Form{
 			Limits: store.Limits{Ops: state.TxnOps, Conds: state.TxnOps * tuning.CondsPerOp, Body: tuning.MaxRequestBody, Value: n.sliceLimit()},
-			Always: append([]string{members.ViewKey, n.fence.key}, n.front.Conds()...),
+			Always: append(append([]string{members.ViewKey, n.fence.key}, n.front.Conds()...), n.cal.Keys()...),
 			Stamp:  n.mirror.Stamp, Known: n.mirror.Epoch, Mine: n.mine, NewKey: n.newPack,
 		},
 		Ending:   n.ending,
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -89,7 +89,7 @@
 		hosts[o.host] = true
 	}
 	// View, fence and quotas, the job, and a slice that the first task does not begin.
-	const others = 5
+	others := 5 + q.MoreConds
 	slices := spec.Pieces/q.SliceMost + 1
 	return len(hosts)+slices+others <= q.TxnOps*tuning.CondsPerOp && spec.Pieces*tuning.SliceTaskBytes <= tuning.TxnBytes
 }
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -125,6 +126,7 @@
 // for a place for each of them on every pass took all of a controller's
 // processor time (docs/incidents/ops-swarm.md).
 func (q *Queue) Release() {
+	q.letGo()
 	p := q.newPass()
 	before := q.StillWaiting()
 	q.Waiting = nil
@@ -143,6 +145,14 @@
 		if p.full[q.Leaf(spec)] {
 			continue
 		}
+		switch q.gate(spec) {
+		case calendar.Shut:
+			continue
+		case calendar.Soon:
+			looked += q.prepare(j, p, most-looked)
+			continue
+		case calendar.Free, calendar.Allowed:
+		}
 		if spec.Gang() {
 			q.releaseGang(j, p)
 			looked++
--- a/internal/queue/preempt.go
+++ b/internal/queue/preempt.go
@@ -34,7 +34,7 @@
 func (q *Queue) preempt(p *pass) {
 	for _, w := range q.Waiting {
 		spec := &w.Task.Job.Rec.Spec
-		if !w.within() && !q.lowerRuns(w.Rank) || spec.Gang() {
+		if !w.within() && !q.lowerRuns(w.Rank) || spec.Gang() || w.Soon {
 			continue
 		}
 		for _, t := range w.Tasks {
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/settings"
 )
 
@@ -37,6 +39,10 @@
 	Packing func() bool
 	// Commit takes decisions.
 	Commit func([]decide.Decision)
+	// Gate tells whether work may begin by the calendar, nil if there is none; MoreConds
+	// is how many conditions more a decision may have because of it.
+	Gate      func(*jobs.Spec) calendar.Verdict
+	MoreConds int
 }
 
 // Queue is what waits, and what is done about it.
@@ -51,6 +57,7 @@
 	preempted map[string]making    // tasks that room is made for
 	holds     map[string]hold      // machines kept, by job
 	claiming  map[string]bool      // gangs whose machines are being claimed
+	kept      []string             // bookings for windows that are about to open
 }
 
 // New makes an empty queue over a book.
@@ -62,6 +69,7 @@
 
 // Reset forgets what only a leader keeps: a new one starts from the records.
 func (q *Queue) Reset() {
+	q.letGo()
 	q.Waiting = nil
 	q.avoid, q.preempted, q.holds, q.claiming = map[string]time.Time{}, map[string]making{}, map[string]hold{}, map[string]bool{}
 }
@@ -76,6 +84,7 @@
 	// Entitled is the node of the quotas' tree within whose guarantee it lies,
 	// below 0 for none.
 	Entitled int
+	Soon     bool // its window is yet to open
 }
 
 func (w *Waiting) within() bool { return w.Entitled >= 0 }
--- /dev/null
+++ b/internal/scenario/calendar_test.go
@@ -0,0 +1,128 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/hcl/v2/hclsimple"
+
+	"github.com/harrierreel/harrierreel/internal/calendar"
+	"github.com/harrierreel/harrierreel/internal/settings"
+)
+
+// windows is what a scenario has seen of the calendar.
+type windows struct {
+	upon   map[string][]string       // what to do upon a window's state
+	state  map[string]calendar.State // the last that a window came to, but for planned
+	opened map[string][]time.Time
+}
+
+// calendar reads a file of testdata/calendars.
+func (s *script) calendar(name string) *calendar.Document {
+	var f struct {
+		Calendar calendar.Document `hcl:"calendar,block"`
+	}
+	if err := hclsimple.DecodeFile(filepath.Join("testdata", "calendars", name+".hcl"), nil, &f); err != nil {
+		s.fatal("%v", err)
+	}
+	if _, faults := calendar.Build(&f.Calendar, calendar.Known{}, s.w.Start); len(faults) > 0 {
+		s.fatal("%v", faults)
+	}
+	return &f.Calendar
+}
+
+// watchCalendar has every scenario with a calendar checked for its rules.
+func (s *script) watchCalendar() {
+	if s.set.Operator.Calendar == nil {
+		return
+	}
+	s.windows = &windows{upon: map[string][]string{}, state: map[string]calendar.State{}, opened: map[string][]time.Time{}}
+	s.set.Cluster.ClockOffMs = 500
+	s.w.WatchCalendar(func(window string, to calendar.State) {
+		if to != calendar.Planned {
+			s.windows.state[window] = to
+		}
+		if to == calendar.Open {
+			s.windows.opened[window] = append(s.windows.opened[window], s.w.Now)
+		}
+		if words := s.windows.upon[window+" "+string(to)]; words != nil {
+			delete(s.windows.upon, window+" "+string(to))
+			s.do(words[0], words[1:])
+		}
+	})
+}
+
+// expect window WINDOW STATE: the last that it came to; expect opened WINDOW COUNT;
+// expect began JOB WINDOW SECONDS: its first task within so long of the window's last
+// opening.
+func (s *script) expectWindow(args []string) {
+	switch args[0] {
+	case "window":
+		if got := s.windows.state[args[1]]; string(got) != args[2] {
+			s.fatal("window %s is %q, not %q", args[1], got, args[2])
+		}
+	case "opened":
+		if got := len(s.windows.opened[args[1]]); got != int(s.number(args[2])) {
+			s.fatal("window %s opened %d times, not %s", args[1], got, args[2])
+		}
+	case "began":
+		opened := s.windows.opened[args[2]]
+		if len(opened) == 0 || s.job(args[1]).FirstStart.IsZero() || s.job(args[1]).FirstStart.Sub(opened[len(opened)-1]).Seconds() > s.number(args[3]) {
+			s.fatal("%s began at %v, its window opened at %v", args[1], s.job(args[1]).FirstStart, opened)
+		}
+	}
+}
+
+// night is a change from one window to the next with five controllers and 200 machines;
+// upon is what goes wrong, then what is expected besides.
+const night = `
+nodes 5
+calendar markets
+team shop 60
+team prices 60
+machines 100 g8 a
+machines 100 g4 b
+capacity 200
+report 6
+%s
+5 submit wk-000001 sweep owner=shop class=export pieces=40 run=200 snapshot=10
+5 submit wk-000002 ensemble owner=shop class=export pieces=8 run=300 snapshot=10
+6 submit wk-000003 sweep owner=prices class=weekend pieces=30 run=30
+6 submit wk-000004 sweep owner=prices class=other pieces=10 run=30
+50 expect wk-000001 pending
+%s
+600 boot-all
+900 boot-all
+900 expect wk-000004 done
+`
+
+// TestCalendarEndsAtEachStep: the leader, or every controller, ends right after each
+// change of an occurrence of either window, and whatever else may go wrong just then.
+func TestCalendarEndsAtEachStep(t *testing.T) {
+	for _, window := range []string{"export", "weekend"} {
+		for _, state := range []calendar.State{calendar.Preparing, calendar.Open, calendar.Closing, calendar.Closed} {
+			for name, then := range map[string]string{
+				"leader": "crash leader", "frozen": "freeze leader 20", "all": "crash-all",
+			} {
+				t.Run(fmt.Sprint(window, "-", state, "-", name), func(t *testing.T) {
+					t.Parallel()
+					back := ""
+					if name == "all" {
+						back = "240 boot-all\n"
+					}
+					text := fmt.Sprintf(night, "", "50 upon "+window+" "+string(state)+" "+then+"\n"+back)
+					text += "900 expect wk-000003 done\n"
+					file := filepath.Join(t.TempDir(), "night.txt")
+					if err := os.WriteFile(file, []byte(strings.TrimSpace(text)), 0o600); err != nil {
+						t.Fatal(err)
+					}
+					run(t, file, settings.PacksAlways, nil)
+				})
+			}
+		}
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -58,6 +58,7 @@
 	old     []string       // controllers that don't answer calls
 	stops   map[string]int // by cause, while quotas are watched
 	applied map[string]int // answers to applied trees
+	windows *windows       // of the calendar, nil if there is none
 }
 
 // run plays a scenario. committed, if given, is told of each write of a
@@ -97,6 +98,7 @@
 				s.stops = s.w.WatchQuotas(s.set.TeamMap(), nil)
 			}
 			s.w.Old = s.old
+			s.watchCalendar()
 			s.w.AddNodes(s.size, s.set)
 		}
 		s.w.RunUntil(time.Duration(at * float64(time.Second)))
@@ -181,6 +183,8 @@
 		if len(words) > 1 {
 			s.set.Operator.Pipelines.MostRuns = int(s.number(words[1]))
 		}
+	case "calendar": // calendar FILE: of testdata/calendars, turned on
+		s.set.Operator.Calendar = s.calendar(words[1])
 	case "never": // never COUNT: the next machines never come up
 		s.w.Cloud.Never = int(s.number(words[1]))
 	default:
@@ -230,6 +234,12 @@
 		for _, h := range s.host[first-1 : first-1+int(s.number(args[1]))] {
 			w.Workers[h].Die()
 		}
+	case "calendar": // calendar NODE FILE: another file, read when it next starts
+		w.Nodes[name(0)].SetCalendar(s.calendar(args[1]))
+	case "upon": // upon WINDOW STATE VERB ...: once, as soon as it is committed
+		s.windows.upon[args[0]+" "+args[1]] = args[2:]
+	case "clock": // clock NODE SECONDS: its time of day is so far off
+		w.ClockOff[name(0)] = time.Duration(s.number(args[1]) * float64(time.Second))
 	case "boot":
 		w.Nodes[name(0)].Boot()
 	case "crash-all":
@@ -480,6 +490,8 @@
 func (s *script) expect(args []string) {
 	s.t.Helper()
 	switch args[0] {
+	case "opened", "window", "began":
+		s.expectWindow(args)
 	case "tasks":
 		if got := s.w.Running(args[1]); got != int(s.number(args[2])) {
 			s.fatal("%s has %d tasks on machines, not %s", args[1], got, args[2])
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -9,6 +9,7 @@
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclparse"
 
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -25,11 +26,12 @@
 	ReviveSteps int
 	MemberTTLS  float64
 	FinalCache  int
-	TakeOver    TakeOver        // when a controller that has ended is known for dead
-	FollowCloud bool            // those that are to follow the leader read the cloud's list, too
-	Packs       Packs           // when tasks of many jobs share a record
-	Pipelines   *Pipelines      // nil: turned off
-	Quotas      *quota.Document // nil: the platform's teams alone
+	TakeOver    TakeOver           // when a controller that has ended is known for dead
+	FollowCloud bool               // those that are to follow the leader read the cloud's list, too
+	Packs       Packs              // when tasks of many jobs share a record
+	Pipelines   *Pipelines         // nil: turned off
+	Quotas      *quota.Document    // nil: the platform's teams alone
+	Calendar    *calendar.Document // nil: turned off
 }
 
 // TakeOver tells when others take over from a controller that has ended.
@@ -85,7 +87,8 @@
 	Records *struct {
 		Packs *string `hcl:"packs,optional"`
 	} `hcl:"records,block"`
-	Quotas    *quota.Document `hcl:"quotas,block"`
+	Quotas    *quota.Document    `hcl:"quotas,block"`
+	Calendar  *calendar.Document `hcl:"calendar,block"`
 	Pipelines *struct {
 		MostRuns     *int     `hcl:"most_runs,optional"`
 		MostSteps    *int     `hcl:"most_steps,optional"`
@@ -169,7 +172,7 @@
 	if u := f.Users; u != nil {
 		set(c, "users.final_cache", &op.FinalCache, u.FinalCache, 100, 1000000)
 	}
-	op.Quotas = f.Quotas
+	op.Quotas, op.Calendar = f.Quotas, f.Calendar
 	if p := f.Pipelines; p != nil {
 		op.Pipelines = DefaultPipelines()
 		set(c, "pipelines.most_runs", &op.Pipelines.MostRuns, p.MostRuns, 1, 100000)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,7 +11,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/quota"
 )
@@ -118,9 +120,24 @@
 			opErrs = append(opErrs, errors.New("quotas: "+f))
 		}
 	}
+	if op.Calendar != nil && len(errs) == 0 {
+		opErrs = append(opErrs, s.checkCalendar(op.Calendar)...)
+	}
 	return s, errors.Join(append(errs, opErrs...)...)
 }
 
+// checkCalendar tells every fault of the calendar, by its place.
+func (s *Settings) checkCalendar(d *calendar.Document) (errs []error) {
+	_, faults := calendar.Build(d, calendar.Known{Teams: s.TeamMap(), Classes: s.Classes()}, time.Now())
+	for _, f := range faults {
+		errs = append(errs, errors.New("calendar: "+f))
+	}
+	if size := len(calendar.EncodeDocument(d)); float64(size) > s.Cluster.State.ValueKB*1024 {
+		errs = append(errs, fmt.Errorf("calendar: takes %d bytes, more than a value of the state service holds", size))
+	}
+	return errs
+}
+
 // Parse reads and checks the platform's file. Unknown fields are ignored.
 func Parse(b []byte) (*Settings, []error) {
 	s := &Settings{}
--- /dev/null
+++ b/internal/standin/calendar.go
@@ -0,0 +1,184 @@
+package standin
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/calendar"
+	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/quota"
+	"github.com/harrierreel/harrierreel/internal/records"
+)
+
+// lateStart is how long after a window's end a start of its work may be committed: the
+// clocks differ, and a transaction takes its time.
+const lateStart = time.Second
+
+// calendarWatch is what the records say of the calendar.
+type calendarWatch struct {
+	w      *World
+	plan   *calendar.Plan
+	tracks map[string]*calendar.Record
+	before map[string]*calendar.Record // as of the transaction before
+	specs  map[string]quota.Key
+	given  map[string]jobs.Task // tasks given to a part or on a machine, by piece
+	begun  []string             // by this transaction
+	// opened counts the openings of each occurrence, final is how it ended.
+	opened map[occurrence]int
+	final  map[occurrence]calendar.State
+	moved  func(window string, to calendar.State)
+}
+
+type occurrence struct {
+	track, window string
+	begin         int64
+}
+
+// WatchCalendar checks that no work of a class with windows begins but in an open
+// occurrence, that no two windows of a track are ever on machines at once, and that an
+// occurrence opens once and ends once. moved is told of each change.
+func (w *World) WatchCalendar(moved func(window string, to calendar.State)) {
+	c := &calendarWatch{w: w, tracks: map[string]*calendar.Record{}, before: map[string]*calendar.Record{}, specs: map[string]quota.Key{},
+		given: map[string]jobs.Task{}, opened: map[occurrence]int{}, final: map[occurrence]calendar.State{}, moved: moved}
+	next, settled := w.Store.Committed, w.Store.Settled
+	w.Store.Committed = func(key string, v json.RawMessage) {
+		if next != nil {
+			next(key, v)
+		}
+		c.committed(key, v)
+	}
+	w.Store.Settled = func() {
+		if settled != nil {
+			settled()
+		}
+		c.settled()
+	}
+	w.Launched = c.launched
+}
+
+func (c *calendarWatch) committed(key string, v json.RawMessage) {
+	switch {
+	case key == calendar.StoreKey:
+		if d, err := calendar.DecodeDocument(v); err == nil {
+			c.plan, _ = calendar.Compile(d)
+		}
+	case strings.HasPrefix(key, calendar.TrackPrefix):
+		track := strings.TrimPrefix(key, calendar.TrackPrefix)
+		rec, err := calendar.DecodeRecord(v)
+		if err != nil && v != nil {
+			return // planted by a scenario
+		}
+		c.moves(track, c.tracks[track], rec)
+		c.tracks[track] = rec
+	case strings.HasPrefix(key, jobs.JobPrefix):
+		uid := key[len(jobs.JobPrefix):]
+		if r, err := jobs.DecodeRecord(uid, v); err == nil {
+			c.specs[uid] = r.Spec.Key()
+		}
+	case strings.HasPrefix(key, jobs.TaskPrefix), strings.HasPrefix(key, records.Prefix):
+		for _, e := range tasksOf(key, v) {
+			piece := jobs.Piece(e.UID, e.N)
+			was := c.given[piece]
+			if e.Task.State != was.State && (e.Task.State == jobs.Released || e.Task.State == jobs.Placed) {
+				c.begun = append(c.begun, piece)
+			}
+			c.given[piece] = e.Task
+		}
+	}
+}
+
+func (c *calendarWatch) moves(track string, was, is *calendar.Record) {
+	state := map[occurrence]calendar.State{}
+	if was != nil {
+		for _, o := range was.Occurrences {
+			state[occurrence{track, o.Window, o.Begin}] = o.State
+		}
+	}
+	if is == nil {
+		return
+	}
+	for _, o := range is.Occurrences {
+		id := occurrence{track, o.Window, o.Begin}
+		if state[id] == o.State {
+			continue
+		}
+		if end := c.final[id]; end != "" {
+			c.w.Break("calendar: %s is %s after it was %s", o.Window, o.State, end)
+		}
+		if o.State.Final() {
+			c.final[id] = o.State
+		}
+		if o.State == calendar.Open {
+			if c.opened[id]++; c.opened[id] > 1 {
+				c.w.Break("calendar: %s opened twice", o.Window)
+			}
+			if c.w.Now.UnixMilli() < o.Begin {
+				c.w.Break("calendar: %s opened %d ms before its time", o.Window, o.Begin-c.w.Now.UnixMilli())
+			}
+		}
+		if c.moved != nil {
+			window, to := o.Window, o.State
+			c.w.After(0, func() { c.moved(window, to) })
+		}
+	}
+}
+
+// settled looks at what a transaction let begin.
+func (c *calendarWatch) settled() {
+	for _, piece := range c.begun {
+		uid, _, _ := jobs.SplitPiece(piece)
+		key := c.specs[uid]
+		t := c.plan.TrackOf(key)
+		if t != nil && !c.open(c.tracks[t.Name], key) && !c.open(c.before[t.Name], key) {
+			c.w.Break("calendar: %s of %s begins out of its window", piece, key.Class)
+		}
+	}
+	c.begun = nil
+	for name, rec := range c.tracks {
+		c.before[name] = rec
+	}
+}
+
+// open tells whether a class may begin by a track's record.
+func (c *calendarWatch) open(r *calendar.Record, key quota.Key) bool {
+	if r == nil {
+		return false
+	}
+	for _, o := range r.Occurrences {
+		if o.State == calendar.Open && o.Has(key) && c.w.Now.UnixMilli() <= o.End+lateStart.Milliseconds() {
+			return true
+		}
+	}
+	return false
+}
+
+// launched looks for two windows of a track on machines at once.
+func (c *calendarWatch) launched(piece string) {
+	uid, _, _ := jobs.SplitPiece(piece)
+	key := c.specs[uid]
+	t := c.plan.TrackOf(key)
+	if t == nil {
+		return
+	}
+	for _, wk := range c.w.Workers {
+		for _, p := range wk.pieces {
+			other, _, _ := jobs.SplitPiece(p.piece)
+			ok := c.specs[other]
+			if p.status == "ended" || ok == key || c.plan.TrackOf(ok) != t || c.together(t, key, ok) {
+				continue
+			}
+			c.w.Break("calendar: %s of %s starts while %s of %s is on %s", piece, key.Class, p.piece, ok.Class, wk.h.ID)
+		}
+	}
+}
+
+// together tells whether a window is for two classes.
+func (c *calendarWatch) together(t *calendar.Track, a, b quota.Key) bool {
+	for _, w := range t.Windows {
+		if w.Has(a) && w.Has(b) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/node"
 	"github.com/harrierreel/harrierreel/internal/settings"
@@ -52,6 +53,9 @@
 	f()
 }
 
+// SetCalendar gives a controller another file, which it reads when it next starts.
+func (c *Node) SetCalendar(d *calendar.Document) { c.set.Operator.Calendar = d }
+
 // AddNodes makes n controllers, named n0, n1 and so on.
 func (w *World) AddNodes(n int, set settings.Settings) {
 	w.Enforce(set.Cluster)
@@ -115,6 +119,7 @@
 		Worker: func(e, m, t string, b []byte, d time.Duration, done func(int, []byte, error)) {
 			worker(e, m, t, b, d, back(done))
 		},
+		WallMs: func() int64 { return c.w.Now.Add(c.w.ClockOff[c.Name]).UnixMilli() },
 		Hint: func(peer string, line []byte) {
 			if c.w.refuses(c.Name, peer) {
 				c.w.After(c.w.latency(), func() { c.peerEnded(peer) })
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -336,6 +336,9 @@
 		wk.end(p, "no_room", false)
 		return
 	}
+	if w.Launched != nil {
+		w.Launched(o.Piece)
+	}
 	wk.after(p, j.PullS, func() { wk.begin(p) })
 }
 
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -46,6 +46,8 @@
 	Breaches                                       int       // of the protocol's limits, in Broken as well
 	Real                                           *Real     // set when the parties speak over sockets
 	Door                                           string    // the node that users reach, any if empty
+	ClockOff                                       map[string]time.Duration // of controllers' time of day
+	Launched                                       func(piece string)       // told of each launch, if set
 	Expired                                        int       // leases that ran out with tasks on the machine
 }
 
@@ -101,7 +103,7 @@
 	w := &World{
 		Start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), RNG: rand.New(rand.NewPCG(seed, 1)), Log: log,
 		cuts: map[string]cutMode{}, held: map[string][]func(){}, filtered: map[string]bool{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
-		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{},
+		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{}, ClockOff: map[string]time.Duration{},
 	}
 	w.Now = w.Start
 	w.Store = newStore(w)
