--- a/internal/calendar/document.go
+++ b/internal/calendar/document.go
@@ -312,7 +312,7 @@
 	}
 	if w.Length < tuning.LeastWindow || w.Length > tuning.MostWindow {
 		b.fail(path+".length", "%q is outside %s to %s", d.Length, tuning.LeastWindow, tuning.MostWindow)
-	} else if w.Slip+tuning.LeastWindow > w.Length {
+	} else if w.Slip > tuning.LeastSlip && w.Slip+tuning.LeastWindow > w.Length {
 		b.fail(path+".slip", "%s leaves less than %s of its %s", w.Slip, tuning.LeastWindow, w.Length)
 	}
 }
@@ -350,6 +350,9 @@
 func (b *builder) clocks(from time.Time) {
 	for _, t := range b.plan.Tracks {
 		for _, w := range t.Windows {
+			if !w.until.set {
+				continue
+			}
 			for _, o := range w.between(from, from.Add(tuning.CalendarAhead)) {
 				if left := o.End.Sub(o.Begin); left < tuning.LeastWindow+w.Slip {
 					b.fail(t.Name+"."+w.Name, "the change of the clock on %s leaves it %s, less than %s and its slip", o.Begin.Format(timeForm), left, tuning.LeastWindow)
--- a/internal/calendar/document_test.go
+++ b/internal/calendar/document_test.go
@@ -171,3 +171,29 @@
 		t.Errorf("200 windows take %d bytes, more than a value of 8 KiB", size)
 	}
 }
+
+// TestNothingBeginsPastItsEnd: where nobody has closed a window, because all were away,
+// its time alone shuts it; and of one that is on a track that nobody can read nothing
+// begins at all.
+func TestNothingBeginsPastItsEnd(t *testing.T) {
+	k := NewKeeper(built(t, good), 8<<10)
+	class := quota.Key{Team: "shop", Class: "export"}
+	rec := Record{Occurrences: []Occurrence{{Window: "export", Begin: 1000, End: 9000, Opened: 1500, State: Open, Team: "shop", Classes: []string{"export"}}}}
+	if err := k.Changed("markets", rec.encode(8<<10)); err != nil {
+		t.Fatal(err)
+	}
+	for at, want := range map[int64]Verdict{2000: Allowed, 8499: Allowed, 8500: Shut, 20000: Shut} {
+		if v, _ := k.Gate(Now{Ms: at, OffMs: 500}, class); v != want {
+			t.Errorf("at %d: %d, not %d", at, v, want)
+		}
+	}
+	if v, keys := k.Gate(Now{Ms: 2000}, quota.Key{Team: "shop", Class: "match"}); v != Free || keys != nil {
+		t.Error("a class without windows is judged", v, keys)
+	}
+	if err := k.Changed("markets", []byte(`{"v":7}`)); err == nil {
+		t.Error("an unknown version was read")
+	}
+	if v, _ := k.Gate(Now{Ms: 2000}, class); v != Shut {
+		t.Error("work begins on a track that nobody can read", v)
+	}
+}
--- a/internal/calendar/gate.go
+++ b/internal/calendar/gate.go
@@ -49,10 +49,10 @@
 		switch h := rec.holder(); {
 		case k.aside[own.Name]:
 			return Shut, nil
-		case h != nil && !h.Has(class):
-			return Shut, nil
 		case open == nil:
 			return rec.soon(own, class), nil
+		case h != nil && !h.Has(class):
+			return Shut, nil
 		}
 	}
 	// Not past its end either, though nobody has closed it yet: all controllers may
--- a/internal/calendar/service.go
+++ b/internal/calendar/service.go
@@ -24,7 +24,8 @@
 	OffMs  float64 // how far a controller's time of day may be off
 	Limit  int     // bytes of a record
 	TxnOps int     // puts and deletes of a transaction
-	FreshS float64 // seconds for which a new leader prepares nothing
+	StepS  float64 // seconds of a step of the scaler
+	Fresh  int     // steps for which a new leader prepares nothing
 	Log    *slog.Logger
 	Mirror *store.Mirror
 
@@ -111,13 +112,14 @@
 	return true
 }
 
-// now is the time for the keeper. Machines boot for as long as the slowest known type.
+// now is the time for the keeper. Machines are rented at the scaler's next step, and boot
+// for as long as the slowest known type.
 func (s *Service) now() Now {
 	lead := tuning.PrepareLeast
 	for _, b := range s.Builds {
 		lead = max(lead, jobs.Seconds(b.ReadyS*tuning.PrepareBoots))
 	}
-	return Now{s.WallMs(), int64(s.OffMs), lead.Milliseconds()}
+	return Now{s.WallMs(), int64(s.OffMs), (lead + jobs.Seconds(s.StepS)).Milliseconds()}
 }
 
 // Gate judges a job's class for the queue. A fresh leader prepares nothing yet.
@@ -126,7 +128,7 @@
 		return Free
 	}
 	v, _ := s.keeper.Gate(s.now(), spec.Key())
-	if v == Soon && s.Now.Sub(s.since) < jobs.Seconds(s.FreshS) {
+	if v == Soon && s.Now.Sub(s.since) < jobs.Seconds(s.StepS*float64(s.Fresh)) {
 		return Shut
 	}
 	return v
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -148,7 +148,7 @@
 		Wake: func() { n.dirty = true }, Follow: n.followNow, TxnOps: set.Cluster.State.TxnOps, Calls: set.Operator.TakeOver == settings.TakeOverCalls,
 		ZoneOf: set.Zones(), Lag: n.lag, Unchecked: n.unchecked})
 	n.cal = calendar.New(n.Book, set.Operator.Calendar, calendar.Env{
-		OffMs: set.Cluster.ClockOffMs, Limit: n.sliceLimit(), TxnOps: set.Cluster.State.TxnOps, FreshS: set.Operator.StepS * float64(set.Operator.FreshSteps),
+		OffMs: set.Cluster.ClockOffMs, Limit: n.sliceLimit(), TxnOps: set.Cluster.State.TxnOps, StepS: set.Operator.StepS, Fresh: set.Operator.FreshSteps,
 		Log: log, Mirror: n.mirror, WallMs: out.WallMs, Busy: n.isBusy, Commit: n.commit,
 		QuietSince: func(m *book.Machine) (time.Time, bool) { return n.part.QuietSince(m) },
 		Moving:     func(host string, e fleet.Event, why string) []decide.Decision { return n.part.Moving(host, e, why) },
