--- a/internal/calendar/document.go
+++ b/internal/calendar/document.go
@@ -97,6 +97,7 @@
 type Plan struct {
 	Doc      Document
 	Revision int
+	Zone     *time.Location
 	Tracks   []*Track
 	of       map[quota.Key]*Track
 }
@@ -160,6 +161,21 @@
 	return b.plan, nil
 }
 
+// Latest is the latest of the windows' first times: from then on all of them are there.
+// A controller checks a document from this time on, so that the same file never is
+// faulty at one start that was none at another.
+func (d *Document) Latest() time.Time {
+	var latest time.Time
+	for _, t := range d.Tracks {
+		for i := range t.Windows {
+			if at, err := time.Parse(startForm, t.Windows[i].Start); err == nil && at.After(latest) {
+				latest = at
+			}
+		}
+	}
+	return latest
+}
+
 func newPlan(d *Document) *Plan {
 	return &Plan{Doc: *d, Revision: d.Revision, of: map[quota.Key]*Track{}}
 }
@@ -171,6 +187,7 @@
 		b.fail("revision", "expected a whole number above 0")
 	}
 	zone := b.zone("zone", d.Zone)
+	b.plan.Zone = zone
 	tracks, windows := map[string]bool{}, 0
 	for _, t := range d.Tracks {
 		b.name("track", t.Name, tracks)
--- a/internal/calendar/service.go
+++ b/internal/calendar/service.go
@@ -380,16 +380,12 @@
 	maps.DeleteFunc(s.told, func(uid string, _ bool) bool { return s.Jobs[uid] == nil })
 	for _, uid := range book.Sorted(s.Queued) {
 		r := s.Queued[uid].Rec
-		if s.told[uid] || r.Spec.DueS == nil {
+		if s.told[uid] {
 			continue
 		}
-		if v, _ := s.keeper.Gate(n, r.Spec.Key()); v != Shut && v != Soon {
-			continue
-		}
-		due := r.AtMs + int64(*r.Spec.DueS*1000)
-		if next := s.keeper.NextOpening(r.Spec.Key()); next == 0 || max(next, n.Ms)+int64(r.Spec.ExpectS*1000) > due {
+		if opens, due, late := s.keeper.late(n, r); late {
 			s.told[uid] = true
-			s.Log.Info("waits for its window and can't end in time", "job", uid, "class", r.Spec.Class, "due", time.UnixMilli(due).UTC().Format(time.RFC3339), "opens", time.UnixMilli(next).UTC().Format(time.RFC3339))
+			s.Log.Info("waits for its window and can't end in time", "job", uid, "class", r.Spec.Class, "due", time.UnixMilli(due).UTC().Format(time.RFC3339), "opens", time.UnixMilli(opens).UTC().Format(time.RFC3339))
 		}
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/fleet"
@@ -128,7 +127,7 @@
 
 // checkCalendar tells every fault of the calendar, by its place.
 func (s *Settings) checkCalendar(d *calendar.Document) (errs []error) {
-	_, faults := calendar.Build(d, calendar.Known{Teams: s.TeamMap(), Classes: s.Classes()}, time.Now())
+	_, faults := calendar.Build(d, calendar.Known{Teams: s.TeamMap(), Classes: s.Classes()}, d.Latest())
 	for _, f := range faults {
 		errs = append(errs, errors.New("calendar: "+f))
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -138,3 +138,23 @@
 		t.Errorf("%v", err)
 	}
 }
+
+// TestCalendarIsChecked: against the platform's teams, all its faults together with others.
+func TestCalendarIsChecked(t *testing.T) {
+	dir := t.TempDir()
+	config, op := filepath.Join(dir, "config.toml"), filepath.Join(dir, "calendar.hcl")
+	text := "calendar {\n revision = 1\n zone = \"Africa/Nairobi\"\n track \"k\" {\n window \"w\" {\n team = \"t\"\n classes = [\"c\"]\n start = \"2026-01-01T01:00\"\n rule = \"FREQ=DAILY\"\n length = \"1h\"\n need {\n accelerators = 5\n }\n }\n }\n}\n"
+	if os.WriteFile(config, []byte(good), 0o600) != nil || os.WriteFile(op, []byte(text), 0o600) != nil {
+		t.Fatal("no files")
+	}
+	_, err := Load(config, op)
+	if err == nil || err.Error() != "calendar: k.w.need.accelerators: 5 is above t's limit of 4" {
+		t.Error(err)
+	}
+	if os.WriteFile(op, []byte(strings.Replace(text, "= 5", "= 4", 1)), 0o600) != nil {
+		t.Fatal("no file")
+	}
+	if s, err := Load(config, op); err != nil || s.Operator.Calendar == nil {
+		t.Error(err)
+	}
+}
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
@@ -107,6 +108,8 @@
 		}
 	case key == quota.StoreKey:
 		_, err = quota.Decode(v)
+	case key == calendar.StoreKey:
+		_, err = calendar.DecodeDocument(v)
 	default:
 		switch first + "/" {
 		case jobs.JobPrefix:
@@ -129,6 +132,8 @@
 			if err = json.Unmarshal(v, &f); err == nil {
 				c.finals[name] = f
 			}
+		case calendar.TrackPrefix:
+			_, err = calendar.DecodeRecord(v)
 		case pipelines.RunPrefix:
 			_, err = pipelines.Decode(v)
 		}
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -41,14 +41,14 @@
 	LeaseS, ReportS, CancelS, GangWaitS, GangPeerS float64
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
-	sent                                           time.Time // when the answer that is being taken left its controller
-	Sent503                                        int       // answers to submissions and cancellations
-	Breaches                                       int       // of the protocol's limits, in Broken as well
-	Real                                           *Real     // set when the parties speak over sockets
-	Door                                           string    // the node that users reach, any if empty
+	sent                                           time.Time                // when the answer that is being taken left its controller
+	Sent503                                        int                      // answers to submissions and cancellations
+	Breaches                                       int                      // of the protocol's limits, in Broken as well
+	Real                                           *Real                    // set when the parties speak over sockets
+	Door                                           string                   // the node that users reach, any if empty
 	ClockOff                                       map[string]time.Duration // of controllers' time of day
 	Launched                                       func(piece string)       // told of each launch, if set
-	Expired                                        int       // leases that ran out with tasks on the machine
+	Expired                                        int                      // leases that ran out with tasks on the machine
 }
 
 // Real carries what the world otherwise does by itself over sockets.
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -622,6 +622,8 @@
 	CalendarAhead = 400 * 24 * time.Hour
 	// MostOccurrences: of one window that are looked at at once.
 	MostOccurrences = 10000
+	// PlanDays: that `calendar plan` lists at most.
+	PlanDays = 400
 	// MostCalendarBytes: of an unpacked document.
 	MostCalendarBytes = 4 << 20
 	// EndedKept: occurrences of a track that are kept to be shown after their end.
