Calendar: a gang told whole or not yet, changes paced, what waits for its track told

A gang whose records were partly under a transaction would have been stopped in two parts, and its save lost; what is only planned or prepared goes in the budget's turn, sixteen tracks a look; scenarios fail if what they wait for never comes.

--- a/internal/calendar/keeper.go
+++ b/internal/calendar/keeper.go
@@ -31,6 +31,9 @@
 	Track string
 	Value json.RawMessage // nil: the record goes
 	Moves []Move
+	// Urgent: something opens or ends with it. What is only planned or prepared waits
+	// for its turn in the budget.
+	Urgent bool
 }
 
 // Move is an occurrence that changes state, for the log.
@@ -48,16 +51,19 @@
 	tracks map[string]*Record
 	holds  map[string]*Occurrence // those that have their track, by track
 	aside  map[string]bool        // tracks whose records can't be read
-	limit  int                    // bytes of a record
-	last   int64                  // when it last looked, ms
-	next   int64                  // when it looks again, ms
-	dirty  bool
+	// blocked is the windows whose time has come, but whose track is not proven free,
+	// by track, as of the last look.
+	blocked map[string]Move
+	limit   int   // bytes of a record
+	last    int64 // when it last looked, ms
+	next    int64 // when it looks again, ms
+	dirty   bool
 }
 
 // NewKeeper makes a keeper that knows a controller's own file, and writes records of at
 // most so many bytes.
 func NewKeeper(file *Plan, limit int) *Keeper {
-	return &Keeper{file: file, tracks: map[string]*Record{}, holds: map[string]*Occurrence{}, aside: map[string]bool{}, limit: limit, dirty: true}
+	return &Keeper{file: file, tracks: map[string]*Record{}, holds: map[string]*Occurrence{}, aside: map[string]bool{}, blocked: map[string]Move{}, limit: limit, dirty: true}
 }
 
 // Plan is the plan that classes are judged by: the one in force, or that of the file
@@ -131,12 +137,17 @@
 	if k.plan == nil || !k.dirty && n.Ms >= k.last && n.Ms < k.next {
 		return nil
 	}
+	clear(k.blocked)
 	k.dirty, k.last, k.next = false, n.Ms, n.Ms+tuning.CalendarIdle.Milliseconds()
 	var out []Change
 	for _, name := range k.names() {
 		if k.aside[name] {
 			continue
 		}
+		if len(out) == tuning.CalendarChanges {
+			k.wake(n, n.Ms+1) // the others have their turn next
+			break
+		}
 		if c := k.look(name, n, w); c != nil {
 			out = append(out, *c)
 			k.wake(n, n.Ms+1) // should it not be committed, it is decided again
@@ -198,15 +209,16 @@
 			d.await(o)
 		}
 	}
+	d.fill() // first, so that a late one sees what comes after it
 	d.open()
-	d.fill()
 	if d.track == nil && len(d.rec.Occurrences) > 0 && d.old() {
 		return &Change{Track: name, Moves: d.moves}
 	}
 	if !d.touched {
 		return nil
 	}
-	return &Change{Track: name, Value: d.rec.encode(k.limit), Moves: d.moves}
+	urgent := slices.ContainsFunc(d.moves, func(m Move) bool { return m.To.Holds() || m.To == Closed })
+	return &Change{Track: name, Value: d.rec.encode(k.limit), Moves: d.moves, Urgent: urgent}
 }
 
 // old tells whether a track that is planned no more may be forgotten: nothing of it
@@ -322,6 +334,7 @@
 				return
 			}
 			d.k.wake(d.n, d.n.Ms+1)
+			d.k.blocked[d.track.Name] = Move{o.Window, o.Begin, o.State, Open}
 			if !late {
 				return // what was missed before must not go in between
 			}
--- a/internal/calendar/service.go
+++ b/internal/calendar/service.go
@@ -225,6 +225,7 @@
 	for _, c := range s.keeper.Look(n, &world{s: s}) {
 		ds = append(ds, s.change(&c))
 	}
+	s.tellBlocked()
 	if s.Now.Sub(s.looked) >= tuning.CalendarLook {
 		s.looked = s.Now
 		ds = append(ds, s.withdraw(n)...)
@@ -277,7 +278,7 @@
 		w = decide.Remove(key)
 	}
 	// A window that closes must not stand behind what others want: its end is a rule.
-	return decide.Decision{Urgent: true, Writes: []store.Write{w}, Done: func(ok bool) {
+	return decide.Decision{Urgent: c.Urgent, Writes: []store.Write{w}, Done: func(ok bool) {
 		if !ok {
 			s.keeper.Touch()
 			return
@@ -307,53 +308,77 @@
 		if h.State != Closing {
 			continue
 		}
-		wanted := s.wanted(track, n)
-		for _, uid := range book.Sorted(s.Jobs) {
-			j := s.Jobs[uid]
-			if j.Rec == nil || len(j.Active) == 0 || !h.Has(j.Rec.Spec.Key()) || !h.Stop && j.Rec.Spec.Shape != jobs.Standing || len(ds) >= tuning.CalendarStops {
-				continue
+		for _, j := range s.ofWindow(h) {
+			if len(ds) < tuning.CalendarStops {
+				ds = append(ds, s.wind(j, h, s.wanted(track))...)
 			}
-			var on []*book.Task
-			for _, num := range slices.Sorted(maps.Keys(j.Active)) {
-				t := j.Active[num]
-				if t.State == jobs.Placed {
-					on = append(on, t)
-				}
-				if wanted && t.State == jobs.Stopping {
-					ds = append(ds, s.clear(t)...)
-				}
-			}
-			if !j.Rec.Spec.Gang() {
-				on = on[:min(len(on), tuning.CalendarStops)]
-			}
-			ds = append(ds, s.withdrawn("window "+h.Window+" ended", on...)...)
 		}
 	}
 	return ds
 }
 
+// ofWindow lists the jobs with tasks that an occurrence let begin, by their uids.
+func (s *Service) ofWindow(h *Occurrence) []*book.Job {
+	var out []*book.Job
+	for _, j := range s.Jobs {
+		if len(j.Active) > 0 && j.Rec != nil && j.Rec.State == jobs.Live && h.Has(j.Rec.Spec.Key()) {
+			out = append(out, j)
+		}
+	}
+	slices.SortFunc(out, func(a, b *book.Job) int { return strings.Compare(a.UID, b.UID) })
+	return out
+}
+
+// wind has a job's tasks make way at its window's end, if they must: of a gang that is
+// not whole on machines no more will come, so the rest goes too.
+func (s *Service) wind(j *book.Job, h *Occurrence, wanted bool) (ds []decide.Decision) {
+	var on []*book.Task
+	for _, num := range slices.Sorted(maps.Keys(j.Active)) {
+		t := j.Active[num]
+		if t.State == jobs.Placed {
+			on = append(on, t)
+		}
+		if wanted && t.State == jobs.Stopping {
+			ds = append(ds, s.clear(t)...)
+		}
+	}
+	spec := &j.Rec.Spec
+	torn := spec.Gang() && len(on) < spec.Pieces
+	if !h.Stop && spec.Shape != jobs.Standing && !torn {
+		return ds
+	}
+	if !spec.Gang() {
+		on = on[:min(len(on), tuning.CalendarStops)]
+	}
+	return append(ds, s.withdrawn("window "+h.Window+" ended", on...)...)
+}
+
 // withdrawn is the decision that some tasks of a job make way, all in one where they
 // are a gang: it saves only if all of it is told at once.
 func (s *Service) withdrawn(why string, ts ...*book.Task) []decide.Decision {
 	var ds []decide.Decision
 	var whole decide.Decision
+	gang := len(ts) > 1 && ts[0].Job.Rec.Spec.Gang()
 	for _, t := range ts {
 		next, ok := jobs.Withdraw(t.Task, why)
-		if !ok || t.Slice == nil || s.Busy(t.Slice.Key) {
+		if !ok || s.Busy(t.Slice.Key) {
+			if gang {
+				return nil // at the next look, whole
+			}
 			continue
 		}
 		change := decide.Become(t, next)
 		whole.Changes = append(whole.Changes, change...)
 		ds = append(ds, decide.Decision{Changes: change})
 	}
-	if len(ts) > 1 && ts[0].Job.Rec.Spec.Gang() && len(whole.Keys()) <= s.TxnOps/2 && len(whole.Changes) > 0 {
+	if gang && len(whole.Keys()) <= s.TxnOps/2 && len(whole.Changes) > 0 {
 		return []decide.Decision{whole}
 	}
 	return ds
 }
 
 // wanted tells whether another window of a track is due, or about to be.
-func (s *Service) wanted(track string, n Now) bool {
+func (s *Service) wanted(track string) bool {
 	rec := s.keeper.tracks[track]
 	return rec != nil && slices.ContainsFunc(rec.Occurrences, func(o Occurrence) bool { return o.State == Preparing || o.State == Slipped })
 }
@@ -371,13 +396,26 @@
 	return s.Moving(t.Host, fleet.Condemn, "holds up a window of the calendar with "+t.Piece)
 }
 
+// tellBlocked logs the windows that must wait for their track, each once.
+func (s *Service) tellBlocked() {
+	for _, track := range book.Sorted(s.keeper.blocked) {
+		m := s.keeper.blocked[track]
+		if id := track + " " + key(m.Window, m.Begin); !s.told[id] {
+			s.told[id] = true
+			s.Log.Info("window waits until its track is free", "track", track, "window", m.Window, "begin", time.UnixMilli(m.Begin).UTC().Format(time.RFC3339))
+		}
+	}
+}
+
 // tell logs the jobs that wait for a window and cannot end by their time, each once.
 func (s *Service) tell(n Now) {
 	if s.Now.Sub(s.toldAt) < tuning.CalendarTell {
 		return
 	}
 	s.toldAt = s.Now
-	maps.DeleteFunc(s.told, func(uid string, _ bool) bool { return s.Jobs[uid] == nil })
+	if len(s.told) > tuning.CalendarTold {
+		clear(s.told)
+	}
 	for _, uid := range book.Sorted(s.Queued) {
 		r := s.Queued[uid].Rec
 		if s.told[uid] {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -104,6 +104,7 @@
 		s.w.RunUntil(time.Duration(at * float64(time.Second)))
 		s.do(words[1], words[2:])
 	}
+	s.uponDone()
 	if s.w.Store.Poisoned == 0 {
 		s.w.CheckRefused()
 	}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -644,6 +644,12 @@
 	CalendarLook = 250 * time.Millisecond
 	// CalendarIdle: how often all tracks are looked at when nothing is due.
 	CalendarIdle = 30 * time.Second
+	// CalendarTold: jobs and windows that are remembered as told; beyond that they are
+	// told once more.
+	CalendarTold = 20000
+	// CalendarChanges: tracks whose records change at a look, so that fifty windows at
+	// midnight do not take a second's changes of all.
+	CalendarChanges = 16
 	// CalendarTell: how often jobs are looked for that wait for a window beyond their
 	// time.
 	CalendarTell = 30 * time.Second
