--- a/internal/scenario/calendar_test.go
+++ b/internal/scenario/calendar_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +14,7 @@
 
 	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standin"
 )
 
 // windows is what a scenario has seen of the calendar.
@@ -133,3 +136,53 @@
 		}
 	}
 }
+
+// TestOpeningsAreQuick: of ten openings on two tracks, without failures, the first tasks
+// run within 15 s, on machines that were rented for them.
+func TestOpeningsAreQuick(t *testing.T) {
+	t.Parallel()
+	w := standin.NewWorld(13, slog.New(slog.DiscardHandler))
+	s := &script{t: t, line: "openings", w: w, vars: map[string]string{}, applied: map[string]int{}}
+	s.set = baseSettings(w)
+	s.set.Cluster.Size = 5
+	s.set.Cluster.Teams = []settings.Team{{Name: "shop", GpusMax: 200}}
+	w.Max["shop"] = 200
+	w.Cloud.Limit = 200
+	d := &calendar.Document{Revision: 1, Zone: "UTC"}
+	const each = 4 * time.Minute
+	for n, track := range []string{"one", "two"} {
+		doc := calendar.TrackDoc{Name: track}
+		for i := range 5 {
+			start := w.Start.Add(each * time.Duration(i+1)).Add(time.Duration(n) * time.Minute)
+			doc.Windows = append(doc.Windows, calendar.WindowDoc{Name: fmt.Sprint("w", i), Team: "shop", Classes: []string{fmt.Sprint(track, i)}, Start: start.Format("2006-01-02T15:04"),
+				Rule: "FREQ=DAILY", Length: "4m", Slip: "1m", AtEnd: calendar.AtEndStop})
+		}
+		d.Tracks = append(d.Tracks, doc)
+	}
+	if _, faults := calendar.Build(d, calendar.Known{}, w.Start); len(faults) > 0 {
+		t.Fatal(faults)
+	}
+	s.set.Operator.Calendar = d
+	s.watchCalendar()
+	w.AddNodes(5, s.set)
+	var took []float64
+	for n, track := range []string{"one", "two"} {
+		for i := range 5 {
+			uid := fmt.Sprintf("wk-%06d", 100*n+i)
+			start := each*time.Duration(i+1) + time.Duration(n)*time.Minute
+			w.After(start-2*time.Minute, func() {
+				s.submit([]string{uid, "sweep", "owner=shop", fmt.Sprint("class=", track, i), "pieces=8", "run=300", "snapshot=10"})
+			})
+			w.After(start+each-time.Second, func() { took = append(took, w.Jobs[uid].FirstStart.Sub(w.Start.Add(start)).Seconds()) })
+		}
+	}
+	w.RunUntil(each*6 + 2*time.Minute)
+	slices.Sort(took)
+	t.Logf("first tasks after the planned begin: median %.2f s, most %.2f s; %d machines rented", took[5], took[9], w.Cloud.Rented)
+	if len(took) != 10 || took[0] < 0 || took[9] > 15 {
+		t.Error(took)
+	}
+	for _, b := range w.Broken {
+		t.Error(b)
+	}
+}
