--- a/internal/calendar/document.go
+++ b/internal/calendar/document.go
@@ -367,10 +367,14 @@
 func (b *builder) clocks(from time.Time) {
 	for _, t := range b.plan.Tracks {
 		for _, w := range t.Windows {
-			if !w.until.set {
-				continue
+			all := w.between(from, from.Add(tuning.CalendarAhead))
+			if len(all) >= tuning.MostOccurrences {
+				b.fail(t.Name+"."+w.Name+".rule", "comes %d times or more in 400 days", tuning.MostOccurrences)
 			}
-			for _, o := range w.between(from, from.Add(tuning.CalendarAhead)) {
+			for _, o := range all {
+				if !w.until.set {
+					break
+				}
 				if left := o.End.Sub(o.Begin); left < tuning.LeastWindow+w.Slip {
 					b.fail(t.Name+"."+w.Name, "the change of the clock on %s leaves it %s, less than %s and its slip", o.Begin.Format(timeForm), left, tuning.LeastWindow)
 					break
--- a/internal/calendar/plan.go
+++ b/internal/calendar/plan.go
@@ -55,32 +55,34 @@
 
 // between lists when a window is planned to begin in a stretch of time.
 func (w *Window) between(from, to time.Time) []Span {
-	if c := &w.planned; !c.from.IsZero() && !from.Before(c.from) && !to.After(c.to) {
-		var out []Span
-		for _, s := range c.spans {
-			if !s.Begin.Before(from) && s.Begin.Before(to) {
-				out = append(out, s)
-			}
-		}
-		return out
+	if c := &w.planned; c.from.IsZero() || from.Before(c.from) || to.After(c.to) {
+		*c = w.compute(from, to.Add(24*time.Hour)) // so that the next looks find it here
 	}
-	asked := to
-	to = to.Add(24 * time.Hour) // so that the next looks find it here
-	// The rule counts in local time; a day on either side is more than any offset.
-	local := func(t time.Time) time.Time { return t.UTC().Add(-25 * time.Hour) }
 	var out []Span
-	for _, l := range w.rule.Between(local(from), local(to).Add(50*time.Hour), true) {
-		b := at(l, w.zone)
-		if b.Before(from) || !b.Before(to) || len(out) > 0 && !b.After(out[len(out)-1].Begin) {
+	for _, s := range w.planned.spans {
+		if !s.Begin.Before(from) && s.Begin.Before(to) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// compute lists when a window begins in a stretch of time. The rule counts in local
+// time: a day on either side is more than any offset.
+func (w *Window) compute(from, to time.Time) cache {
+	c := cache{from: from, to: to}
+	next := w.rule.Iterator()
+	for l, ok := next(); ok && l.Before(to.UTC().Add(25*time.Hour)) && len(c.spans) < tuning.MostOccurrences; l, ok = next() {
+		if l.Before(from.UTC().Add(-25 * time.Hour)) {
 			continue
 		}
-		out = append(out, Span{w, b, w.end(l, b)})
-		if len(out) >= tuning.MostOccurrences {
-			break
+		b := at(l, w.zone)
+		if b.Before(from) || !b.Before(to) || len(c.spans) > 0 && !b.After(c.spans[len(c.spans)-1].Begin) {
+			continue
 		}
+		c.spans = append(c.spans, Span{w, b, w.end(l, b)})
 	}
-	w.planned = cache{from, to, out}
-	return w.between(from, asked)
+	return c
 }
 
 // end is when a window ends that begins at a local time.
--- a/internal/calendar/show.go
+++ b/internal/calendar/show.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/store"
 )
 
@@ -149,3 +150,23 @@
 	opens = k.NextOpening(r.Spec.Key())
 	return opens, due, opens == 0 || max(opens, n.Ms)+int64(r.Spec.ExpectS*1000) > due
 }
+
+// Meet lists the tracks on which classes that no one window has together are on machines.
+func (p *Plan) Meet(on map[quota.Key]bool) (out []string) {
+	for _, t := range p.Tracks {
+		var here []quota.Key
+		for k := range on {
+			if p.TrackOf(k) == t {
+				here = append(here, k)
+			}
+		}
+		whole := len(here) == 0
+		for _, w := range t.Windows {
+			whole = whole || !slices.ContainsFunc(here, func(k quota.Key) bool { return !w.Has(k) })
+		}
+		if !whole {
+			out = append(out, t.Name)
+		}
+	}
+	return out
+}
--- a/internal/cli/calendar.go
+++ b/internal/cli/calendar.go
@@ -140,18 +140,21 @@
 }
 
 func (a *app) calendarShow() *cobra.Command {
-	var config string
+	var config, address string
 	late := false
 	c := a.printed(&cobra.Command{Use: "show", Short: "Show the occurrences as they stand in the state service", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			if config == "" {
-				return usage("--config: is missing; expected the platform's settings file")
+			if (config == "") == (address == "") {
+				return usage("give either --config, the platform's settings file, or --state, the state service's HOST:PORT")
 			}
-			set, err := settings.Load(config, "")
-			if err != nil {
-				return usage("%v", err)
+			if config != "" {
+				set, err := settings.Load(config, "")
+				if err != nil {
+					return usage("%v", err)
+				}
+				address = set.Outside.State
 			}
-			src := newStateSource(set.Outside.State, tuning.SnapshotRPS, func(what string) { fmt.Fprintln(a.note, "harrierreel:", what) })
+			src := newStateSource(address, tuning.SnapshotRPS, func(what string) { fmt.Fprintln(a.note, "harrierreel:", what) })
 			rows, err := src.all(calendar.StoreKey)
 			if err != nil {
 				return err
@@ -176,6 +179,7 @@
 			return nil
 		}})
 	c.Flags().StringVar(&config, "config", "", "the platform's settings file (TOML) of any controller")
+	c.Flags().StringVar(&address, "state", "", "the state service's address, HOST:PORT, instead of a settings file")
 	c.Flags().BoolVar(&late, "late", false, "also list the jobs that cannot end by their time because of their windows; reads all jobs")
 	return c
 }
--- a/internal/cli/try.go
+++ b/internal/cli/try.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/pipefile"
 	"github.com/harrierreel/harrierreel/internal/tryout"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -19,13 +20,22 @@
 // demonstration runs.
 func Try(log *slog.Logger, sample []byte) *cobra.Command {
 	a := onTerminal()
-	demo := false
+	demo, file := false, ""
 	opt := tryout.Options{Controllers: 3, Machines: 2, Log: log}
 	c := &cobra.Command{Use: "try", Short: "Serve stand-ins and three controllers on loopback, to try it by hand", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
 			opt.Out = a.note
+			if file != "" {
+				var err error
+				if opt.Calendar, err = a.calendarFile(file); err != nil {
+					return err
+				}
+				if _, faults := calendar.Build(opt.Calendar, calendar.Known{}, opt.Calendar.Latest()); len(faults) > 0 {
+					return a.wrong(file, faults)
+				}
+			}
 			if !demo {
 				if opt.Port == 0 {
 					opt.Port = tuning.TryPort
@@ -52,6 +62,7 @@
 			}
 		}}
 	c.Flags().BoolVar(&demo, "demo", false, "run a sample pipeline to its end, and end")
+	c.Flags().StringVar(&file, "calendar", "", "turn the release calendar of this file on (docs/calendar.md)")
 	c.Flags().IntVar(&opt.Port, "port", 0, "first port; 7000 unless given, any free ones with --demo")
 	c.Flags().IntVar(&opt.Machines, "machines", opt.Machines, "machines that are up at the start")
 	return a.printed(c)
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -63,6 +63,7 @@
 	for _, uid := range book.Sorted(c.Jobs) {
 		c.job(uid, c.Jobs[uid])
 	}
+	c.calendar()
 	for _, what := range c.Audit() {
 		c.find("", what)
 	}
@@ -76,6 +77,32 @@
 
 func (c *checker) find(key, what string) { c.out.Findings = append(c.out.Findings, Finding{key, what}) }
 
+// calendar looks for work of two windows of one track on machines.
+func (c *checker) calendar() {
+	it, ok := c.s.Items[calendar.StoreKey]
+	if !ok {
+		return
+	}
+	d, err := calendar.DecodeDocument(it.Value)
+	if err != nil {
+		return // told with the record
+	}
+	plan, err := calendar.Compile(d)
+	if err != nil {
+		c.find(calendar.StoreKey, err.Error())
+		return
+	}
+	on := map[quota.Key]bool{}
+	for _, j := range c.Jobs {
+		if j.Rec != nil && j.On > 0 {
+			on[j.Rec.Spec.Key()] = true
+		}
+	}
+	for _, t := range plan.Meet(on) {
+		c.find(calendar.TrackKey(t), "work of two of its windows is on machines, unless it was there before the calendar")
+	}
+}
+
 // tree is the tree of quotas that the snapshot has, or that of the teams alone.
 func (c *checker) tree(teams map[string]quota.Team) *quota.Tree {
 	it, ok := c.s.Items[quota.StoreKey]
--- a/internal/tryout/tryout.go
+++ b/internal/tryout/tryout.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/node"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/settings"
@@ -24,8 +25,9 @@
 // Options say what is served.
 type Options struct {
 	Controllers int
-	Port        int // first of the ports, 0 for any that are free
-	Machines    int // up at the start
+	Port        int                // first of the ports, 0 for any that are free
+	Machines    int                // up at the start
+	Calendar    *calendar.Document // nil: turned off
 	Out         io.Writer
 	Log         *slog.Logger
 }
@@ -85,6 +87,7 @@
 	}
 	h.listen(state, h.w.Store.Serve, h.stop)
 	h.listen(cloud, h.w.Cloud.Serve, h.stop)
+	fmt.Fprintf(opt.Out, "state service: %s\n", state)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	failed := make(chan error, len(sets))
@@ -218,6 +221,7 @@
 		}
 		s := &settings.Settings{NodeName: fmt.Sprintf("n%d", i), Zone: []string{"a", "b"}[i%2], Front: front, PeerListen: peer,
 			Outside: settings.Outside{Cloud: cloud, State: state}, Operator: settings.DefaultOperator()}
+		s.Operator.Calendar = h.opt.Calendar
 		s.Operator.Pipelines, s.Operator.Quotas = settings.DefaultPipelines(), tree()
 		s.Cluster = settings.Cluster{
 			Size: h.opt.Controllers, Zones: []string{"a", "b"}, Teams: teams,
