--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -128,6 +128,8 @@
 	Reserved map[string]Reservation
 	Images   fleet.Images
 	Packs    map[string]*Slice
+	Claims   fleet.Claims      // machines claimed for gangs, by job
+	ClaimOf  map[string]string // the same by machine
 
 	// aside is the packs that cannot be read, with the jobs whose tasks they hold,
 	// none if not even that is known.
@@ -267,6 +269,14 @@
 	}
 }
 
+// ClaimsChanged takes in which machines are claimed. Of a value that cannot be read
+// nothing counts: the leader writes it anew.
+func (b *Book) ClaimsChanged(value json.RawMessage) error {
+	claims, err := fleet.DecodeClaims(value)
+	b.Claims, b.ClaimOf = claims, claims.ByHost()
+	return err
+}
+
 // charge books a task that is released or may be on a machine.
 func (b *Book) charge(t *Task, k int) {
 	if t.Job.Rec != nil && (t.Charged() || t.State == Unreadable) {
@@ -387,11 +397,15 @@
 			continue
 		}
 		t := &Task{Task: records[i], Piece: jobs.Piece(uid, from+i), N: from + i, Job: j, Slice: sl, Since: b.Now}
-		if was := j.Tasks[t.N]; was != nil {
+		was := j.Tasks[t.N]
+		if was != nil {
 			b.unindex(was)
 		}
 		j.Tasks[t.N], sl.Tasks[i] = t, t
 		b.index(t)
+		if was != nil && !t.On() && t.State != jobs.Finished {
+			b.leftImage(was)
+		}
 	}
 	for i := len(records); i < len(old); i++ {
 		b.unindex(old[i])
--- a/internal/calendar/cost_test.go
+++ b/internal/calendar/cost_test.go
@@ -39,6 +39,7 @@
 // TestCostOfTwoHundredWindows: a day of 200 windows takes under 0.2 changes a second, and
 // no record more than a value.
 func TestCostOfTwoHundredWindows(t *testing.T) {
+	t.Parallel()
 	k := wide(t)
 	changes, largest, opened := 0, 0, 0
 	at := day
--- a/internal/calendar/model_test.go
+++ b/internal/calendar/model_test.go
@@ -172,6 +172,16 @@
 	m.Flight = append(m.Flight, t)
 }
 
+// enforce has a controller put its own file in force if its revision is higher.
+func (m *model) enforce(i int) bool {
+	k := m.keeper(i)
+	if k.plan != nil && k.plan.Revision >= k.file.Revision {
+		return false
+	}
+	m.send(i, txn{Key: StoreKey, Value: string(EncodeDocument(&k.file.Doc))})
+	return true
+}
+
 // look has a controller that believes to lead decide.
 func (m *model) look(i int) bool {
 	k := m.keeper(i)
@@ -180,9 +190,8 @@
 			return false // its record is under a transaction
 		}
 	}
-	if k.plan == nil || k.plan.Revision < k.file.Revision {
-		m.send(i, txn{Key: StoreKey, Value: string(EncodeDocument(&k.file.Doc))})
-		return true
+	if k.plan == nil {
+		return m.enforce(i)
 	}
 	changes := k.Look(m.time(), eyes{m, i})
 	for _, c := range changes {
@@ -490,31 +499,34 @@
 // any step while the old leader goes on, the leader ending and back at once at any
 // step, transactions that arrive as late as they like. Without any of three guards it finds both windows' work on machines at once.
 func TestExploredWhole(t *testing.T) {
-	p := twoWindows(t, 1)
 	begin := time.Date(2026, 3, 2, 1, 0, 0, 0, time.UTC).UnixMilli()
 	instants := []int64{begin + 1000, begin + 121_000}
 	for _, unguarded := range []string{"", "stamp", "proof", "settled"} {
-		controllers := 3
-		if unguarded != "" {
-			controllers = 2 // enough to find it
-		}
-		m := newModel([]*Plan{p}, []string{"export", "match"}, controllers, begin-10_000, 500)
-		m.unguarded = unguarded
-		// Begun with the calendar in force.
-		m.look(0)
-		m.deliver(0, true)
-		m.catchUp(0)
-		n, broken := explore(m, instants, 200_000)
-		t.Logf("%q: %d states, %q", unguarded, n, broken)
-		if (broken != "") != (unguarded != "") || n >= 200_000 {
-			t.Errorf("guard left out: %q; found: %q", unguarded, broken)
-		}
+		t.Run("without-"+unguarded, func(t *testing.T) {
+			t.Parallel()
+			controllers := 3
+			if unguarded != "" {
+				controllers = 2 // enough to find it
+			}
+			m := newModel([]*Plan{twoWindows(t, 1)}, []string{"export", "match"}, controllers, begin-10_000, 500)
+			m.unguarded = unguarded
+			// Begun with the calendar in force.
+			m.look(0)
+			m.deliver(0, true)
+			m.catchUp(0)
+			n, broken := explore(m, instants, 200_000)
+			t.Logf("%d states, %q", n, broken)
+			if (broken != "") != (unguarded != "") || n >= 200_000 {
+				t.Errorf("guard left out: %q; found: %q", unguarded, broken)
+			}
+		})
 	}
 }
 
 // TestDrawnNights plays nights by chance: up to five controllers with two documents,
 // the lead passing on, crashes, lost answers, lagging mirrors, tasks that run over.
 func TestDrawnNights(t *testing.T) {
+	t.Parallel()
 	docs := []*Plan{nights(t, 1, 10, "finish"), nights(t, 2, 25, "stop"), moved(t)}
 	classes := []string{"export", "match", "weekend"}
 	rapid.Check(t, func(t *rapid.T) { night(t, docs, classes, "") })
@@ -522,6 +534,7 @@
 
 // TestDrawnNightsNeedTheProof: the same nights find what is wrong without it.
 func TestDrawnNightsNeedTheProof(t *testing.T) {
+	t.Parallel()
 	docs := []*Plan{nights(t, 1, 10, "finish"), nights(t, 2, 25, "stop")}
 	found := 0
 	for seed := range uint64(20) {
@@ -594,8 +607,10 @@
 			if c := classes[choose(len(classes))]; m.True.Running[c] > 0 && choose(2) == 0 {
 				m.end(c)
 			}
-		case 8, 9, 10:
+		case 8, 9:
 			m.catchUp(i)
+		case 10:
+			m.enforce(i)
 		case 11:
 			switch choose(12) {
 			case 0:
--- a/internal/calendar/service.go
+++ b/internal/calendar/service.go
@@ -217,7 +217,7 @@
 		s.since = s.Now
 		s.keeper.Touch()
 	}
-	if s.enforce() {
+	if s.keeper.plan == nil || s.strange {
 		return
 	}
 	n := s.now()
@@ -241,17 +241,18 @@
 	}
 }
 
-// enforce puts this controller's own file in force if its revision is the highest. It
-// tells whether there is no calendar in force yet.
-func (s *Service) enforce() bool {
+// Keep puts this controller's own file in force if its revision is the highest. Any
+// controller in the view may: each decision of all hangs on the document's stamp.
+func (s *Service) Keep(inView bool) {
+	if s == nil || !inView || s.strange {
+		return // one that can't be read is neither replaced nor gone by
+	}
 	held, own := 0, s.keeper.file.Revision
 	if s.keeper.plan != nil {
 		held = s.keeper.plan.Revision
 	}
 	none := s.Mirror.Stamp(StoreKey) == 0
 	switch {
-	case s.strange:
-		return true
 	case none || s.keeper.plan != nil && own > held:
 		if !s.Busy(StoreKey) {
 			s.Commit([]decide.Decision{{Urgent: true, Writes: []store.Write{{Put: StoreKey, Value: EncodeDocument(&s.keeper.file.Doc)}}, Done: func(ok bool) {
@@ -267,7 +268,6 @@
 		s.old = true
 		s.Log.Error("another calendar of the same revision is in force; this controller's file is not used", "revision", held)
 	}
-	return s.keeper.plan == nil
 }
 
 // change is the decision that a track's record changes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -250,6 +250,7 @@
 		n.dirty = n.dirty || n.role == members.Leader
 	}
 	n.front.RunsPass()
+	n.cal.Keep(n.role != members.Outside)
 	n.client.Pump(n.Now)
 }
 
@@ -361,6 +362,10 @@
 		n.workChanged(key, value, stamp)
 	case hasPrefix(key, fleet.HostPrefix):
 		n.hostChanged(key[len(fleet.HostPrefix):], value)
+	case key == fleet.ClaimsKey:
+		if err := n.ClaimsChanged(value); err != nil {
+			n.log.Error("unreadable claims set aside", "error", err)
+		}
 	case hasPrefix(key, rental.BuildPrefix):
 		var b jobs.Build
 		if value == nil {
--- a/internal/scenario/calendar_test.go
+++ b/internal/scenario/calendar_test.go
@@ -45,6 +45,7 @@
 	}
 	s.windows = &windows{upon: map[string][]string{}, state: map[string]calendar.State{}, opened: map[string][]time.Time{}}
 	s.set.Cluster.ClockOffMs = 500
+	s.scarce = true // what waits for a window begins when that opens
 	s.w.WatchCalendar(func(window string, to calendar.State) {
 		if to != calendar.Planned {
 			s.windows.state[window] = to
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -55,6 +55,8 @@
 	host []string // machines there from the start
 	vars map[string]string
 
+	scarce  bool           // there is no room for half of each group
+	inTime  bool           // the largest jobs are to begin in time
 	old     []string       // controllers that don't answer calls
 	stops   map[string]int // by cause, while quotas are watched
 	applied map[string]int // answers to applied trees
@@ -105,6 +107,12 @@
 		s.do(words[1], words[2:])
 	}
 	s.uponDone()
+	if committed == nil { // what was recorded ends with the file
+		s.w.Aftermath()
+		if !s.scarce {
+			s.w.CheckServed(s.inTime)
+		}
+	}
 	if s.w.Store.Poisoned == 0 {
 		s.w.CheckRefused()
 	}
@@ -159,6 +167,10 @@
 		}
 	case "old": // old NODE: its program does not answer calls
 		s.old = append(s.old, words[1])
+	case "scarce": // there is no room for half of each class, team and largest tenth
+		s.scarce = true
+	case "in-time": // each class's largest jobs are to begin within four minutes
+		s.inTime = true
 	case "report": // report SECONDS between the workers' reports
 		s.w.ReportS = s.number(words[1])
 		s.set.Cluster.Workers.ReportS = s.w.ReportS
@@ -186,6 +198,8 @@
 		}
 	case "calendar": // calendar FILE: of testdata/calendars, turned on
 		s.set.Operator.Calendar = s.calendar(words[1])
+	case "images": // images: machines keep those that they have fetched to the end
+		s.w.Images = true
 	case "never": // never COUNT: the next machines never come up
 		s.w.Cloud.Never = int(s.number(words[1]))
 	default:
@@ -241,6 +255,25 @@
 		s.windows.upon[args[0]+" "+args[1]] = args[2:]
 	case "clock": // clock NODE SECONDS: its time of day is so far off
 		w.ClockOff[name(0)] = time.Duration(s.number(args[1]) * float64(time.Second))
+	case "flap": // flap NODE COUNT [LONGEST]: killed, back 0.2 s later, killed again 0.1 to LONGEST (0.5) s after that, COUNT times
+		longest := 0.5
+		if len(args) > 2 {
+			longest = s.number(args[2])
+		}
+		w.Flap(name(0), int(s.number(args[1])), time.Duration(longest*float64(time.Second)))
+	case "flap-all": // flap-all COUNT: all within a second, each back 0.2 s later, COUNT times
+		for _, n := range w.Order {
+			w.After(time.Duration(w.RNG.IntN(1000))*time.Millisecond, func() { w.Flap(n, int(s.number(args[0])), 1200*time.Millisecond) })
+		}
+	case "rebirth": // rebirth FIRST COUNT: machines of the start die and are back at once, with a new tenure
+		first := int(s.number(args[0]))
+		for _, h := range s.host[first-1 : first-1+int(s.number(args[1]))] {
+			if wk := w.Workers[h]; wk != nil {
+				wk.Reborn()
+			}
+		}
+	case "hold-back": // hold-back beat|cmd|state|rent SECONDS EVERY: each so-manieth request comes so late, its sender has given it up
+		w.HoldBack(args[0], time.Duration(s.number(args[1])*float64(time.Second)), int(s.number(args[2])))
 	case "boot":
 		w.Nodes[name(0)].Boot()
 	case "crash-all":
@@ -260,9 +293,16 @@
 		w.Store.SetDown(args[0] == "down")
 	case "slow": // slow SECONDS: the state service answers so much later
 		w.Store.Slow = time.Duration(s.number(args[0]) * float64(time.Second))
+	case "fail-pages": // fail-pages COUNT: each so-manieth page of a listing is refused, 0 none
+		w.Store.FailPages = int(s.number(args[0]))
 	case "apply": // apply FILE BASE: another tree
 		s.applied[args[0]] = 0
 		w.ApplyQuota(quota.Apply{Base: int(s.number(args[1])), Quotas: *s.quotas(args[0])}, func(status int, _ quota.Preview) { s.applied[args[0]] = status })
+	case "ask-many": // ask-many FIRST COUNT EVERY: about a job that no one submitted each EVERY seconds
+		first, every := int(s.number(args[0])), s.number(args[2])
+		for i := range int(s.number(args[1])) {
+			w.After(time.Duration(float64(i)*every*float64(time.Second)), func() { w.Ask(fmt.Sprintf("wk-%06d", first+i)) })
+		}
 	case "run": // run RUN FILE: a pipeline file of testdata/pipelines
 		w.SubmitRun(&standin.Run{ID: args[0], Body: s.pipeline(args[0], args[1])})
 	case "run-many": // run-many FIRST COUNT EVERY FILE: one each EVERY seconds
@@ -431,7 +471,8 @@
 // submit UID SHAPE [key=value ...]
 func (s *script) submit(args []string) {
 	j := &standin.Job{UID: args[0], Shape: args[1], Pieces: 1, Accel: 1, RunS: 10, PullS: 1, Owner: "team"}
-	rank, due, cores, class := "standard", "null", 2.0, "c"
+	rank, due, cores, class, gb := "standard", "null", 2.0, "c", 1.0
+	j.Bundle = "img-1"
 	for _, a := range args[2:] {
 		k, v, _ := strings.Cut(a, "=")
 		switch k {
@@ -445,6 +486,8 @@
 			j.RunS = s.number(v)
 		case "pull":
 			j.PullS = s.number(v)
+		case "gb": // its image, by itself, as large as users say
+			j.PullS, gb, j.Bundle = s.number(v), s.number(v), "img-"+v
 		case "owner":
 			j.Owner = v
 		case "rank":
@@ -471,6 +514,7 @@
 			s.fatal("unknown property %q", k)
 		}
 	}
+	j.Class = class
 	builds := "null"
 	if j.Builds != nil {
 		builds = `["` + strings.Join(j.Builds, `","`) + `"]`
@@ -480,8 +524,8 @@
 		site = strconv.Quote(j.Site)
 	}
 	j.Body = fmt.Appendf(nil, `{"uid":%q,"jobclass":%q,"owner":%q,"shape":%q,"rank":%q,"pieces":%d,"cores":%v,"accelerators":%v,"memory_gb":8,
-		"bundle":"img-1","pull_gb":1,"builds":%s,"site":%s,"same_place":%v,"scatter":%v,"loaner":%v,"expect_s":%v,"snapshot_s":%v,"stash_s":1,"due_s":%s}`,
-		j.UID, class, j.Owner, j.Shape, rank, j.Pieces, cores, j.Accel, builds, site, j.SamePlace, j.Scatter, j.Loaner, j.RunS, j.SnapshotS, due)
+		"bundle":%q,"pull_gb":%v,"builds":%s,"site":%s,"same_place":%v,"scatter":%v,"loaner":%v,"expect_s":%v,"snapshot_s":%v,"stash_s":1,"due_s":%s}`,
+		j.UID, class, j.Owner, j.Shape, rank, j.Pieces, cores, j.Accel, j.Bundle, gb, builds, site, j.SamePlace, j.Scatter, j.Loaner, j.RunS, j.SnapshotS, due)
 	s.w.Submit(j)
 }
 
@@ -501,6 +545,10 @@
 		if got := s.w.Cloud.Alive(); got > int(s.number(args[1])) {
 			s.fatal("%d machines are rented, more than %s", got, args[1])
 		}
+	case "has-begun": // expect has-begun JOB: a task of it has run, all at once of a gang
+		if s.job(args[1]).FirstStart.IsZero() {
+			s.fatal("%s has not begun", args[1])
+		}
 	case "starts": // expect starts JOB MAX: of its tasks
 		if got := s.job(args[1]).Starts; got > int(s.number(args[2])) {
 			s.fatal("tasks of %s started %d times, more than %s", args[1], got, args[2])
@@ -517,6 +565,10 @@
 		if alive := s.w.Workers[s.party(args[1])] != nil; alive != (args[0] == "alive") {
 			s.fatal("machine %s alive: %v", args[1], alive)
 		}
+	case "answered": // expect answered SECONDS: each user had an answer in the last so many
+		for _, uid := range s.w.Waiting(time.Duration(s.number(args[1]) * float64(time.Second))) {
+			s.fatal("no question about %s was answered", uid)
+		}
 	case "expired": // expect expired COUNT: leases that ran out under tasks
 		if got := s.w.Expired; got != int(s.number(args[1])) {
 			s.fatal("%d leases ran out, not %s", got, args[1])
@@ -548,6 +600,12 @@
 		if got, _ := s.w.Nodes[s.node(args[1])].Standby(); string(got) != args[2] {
 			s.fatal("%s is %s, not %s", args[1], got, args[2])
 		}
+	case "batons": // expect batons MAX: most times that a machine of the start was shown a higher one
+		for _, h := range s.host {
+			if wk := s.w.Workers[h]; wk != nil && wk.Batons > int(s.number(args[1])) {
+				s.fatal("%s was shown a higher baton %d times, more than %s", h, wk.Batons, args[1])
+			}
+		}
 	case "alarms": // expect alarms MIN MAX: calls that were answered, as all count them
 		got := 0
 		for _, n := range s.w.Order {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -21,10 +21,11 @@
 	RNG   *rand.Rand
 	Log   *slog.Logger
 
-	events eventHeap
-	seq    int
-	cuts   map[string]cutMode
-	held   map[string][]func()
+	events   eventHeap
+	lateness map[string]*lateness
+	seq      int
+	cuts     map[string]cutMode
+	held     map[string][]func()
 	// Old are controllers whose program does not answer calls.
 	Old []string
 	// filtered are controllers whose connections with the others are refused.
@@ -35,6 +36,7 @@
 	Workers map[string]*Worker
 	Jobs    map[string]*Job
 	Runs    map[string]*Run
+	Images  bool // machines keep what they have fetched
 	Nodes   map[string]*Node
 	Order   []string // node names
 
@@ -76,9 +78,11 @@
 // Job is what the users know of a job.
 type Job struct {
 	UID, Shape, Owner   string
+	Class               string
 	Pieces              int
 	Accel               float64
 	RunS, PullS         float64
+	Bundle              string
 	SamePlace, Scatter  bool
 	Loaner              bool
 	Site                string
@@ -95,14 +99,16 @@
 	Starts              int // of its tasks
 	FirstStart,
 	LastDone time.Time
-	LastOK time.Time
+	SubmittedAt time.Time
+	Begun       time.Time // first task runs, of a gang all
+	LastOK      time.Time // a question about it was answered
 }
 
 // NewWorld makes an empty world.
 func NewWorld(seed uint64, log *slog.Logger) *World {
 	w := &World{
 		Start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), RNG: rand.New(rand.NewPCG(seed, 1)), Log: log,
-		cuts: map[string]cutMode{}, held: map[string][]func(){}, filtered: map[string]bool{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
+		cuts: map[string]cutMode{}, lateness: map[string]*lateness{}, held: map[string][]func(){}, filtered: map[string]bool{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
 		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{}, ClockOff: map[string]time.Duration{},
 	}
 	w.Now = w.Start
@@ -139,6 +145,7 @@
 func (h *eventHeap) Pop() any {
 	old := *h
 	e := old[len(old)-1]
+	old[len(old)-1] = event{} // it holds whoever it was for
 	*h = old[:len(old)-1]
 	return e
 }
@@ -170,8 +177,9 @@
 }
 
 // Heal ends a cut and delivers what was held.
-func (w *World) Heal(from, to string) {
-	key := from + ">" + to
+func (w *World) Heal(from, to string) { w.heal(from + ">" + to) }
+
+func (w *World) heal(key string) {
 	delete(w.cuts, key)
 	fs := w.held[key]
 	delete(w.held, key)
@@ -201,6 +209,31 @@
 	w.After(w.latency(), f)
 }
 
+// lateness is how requests of one kind are held back.
+type lateness struct {
+	by      time.Duration
+	every   int
+	counted int
+}
+
+// HoldBack has each so-manieth request of a kind (beat, cmd, state's transactions, rent)
+// arrive so late that its sender has given it up, and sent it again if it does that.
+func (w *World) HoldBack(kind string, by time.Duration, every int) {
+	w.lateness[kind] = &lateness{by: by, every: every}
+}
+
+// maybeLate is how a request is served: at once, or late and for a sender that has gone.
+func (w *World) maybeLate(kind string, serve func(answer func(int, []byte))) func(answer func(int, []byte)) {
+	l := w.lateness[kind]
+	if l == nil {
+		return serve
+	}
+	if l.counted++; l.counted%l.every != 0 {
+		return serve
+	}
+	return func(func(int, []byte)) { w.After(l.by, func() { serve(func(int, []byte) {}) }) }
+}
+
 var errTimeout = errors.New("no answer")
 
 // call sends a request and brings back the answer or, after timeout, none.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -165,6 +165,10 @@
 // Spare tells whether there is budget to spare for writes without hurry.
 func (c *Client) Spare() bool { return c.waiting == 0 && c.writes > c.wps/2 }
 
+// Reads tells whether there is budget for a read that a user waits for, beside the share
+// of a second's requests that is kept for others.
+func (c *Client) Reads(kept float64) bool { return c.tokens >= max(1, c.rps*kept) }
+
 // Spent tells how many writes of each kind of key were handed in since it was
 // last asked; removals count apart.
 func (c *Client) Spent() map[string]int {
@@ -187,19 +191,22 @@
 	c.writes = min(c.writes+dt*c.wps, c.wps)
 	short := false // of writes: what reads only may still pass
 	for p := range c.queues {
-		for len(c.queues[p]) > 0 {
-			q := c.queues[p][0]
+		for i := 0; i < len(c.queues[p]); {
+			q := c.queues[p][i]
 			// Membership may overdraw: a lost lease costs more than a 429.
 			if Priority(p) != Membership {
 				if c.tokens < 1 {
 					return
 				}
 				if q.puts > 0 && (short || c.writes < min(float64(q.puts), c.wps)) {
+					// What only reads passes it: the epoch that users' questions wait
+					// for stood behind writes for as long as those were short.
 					short, c.pressed = true, true
-					break
+					i++
+					continue
 				}
 			}
-			c.queues[p] = c.queues[p][1:]
+			c.queues[p] = slices.Delete(c.queues[p], i, i+1)
 			c.waiting--
 			c.tokens--
 			c.writes -= float64(q.puts)
@@ -233,7 +240,9 @@
 		limit = tuning.UserQueue
 	}
 	if p != Membership && len(c.queues[p]) >= limit {
-		q.done(503, nil, nil)
+		// Not an answer of the service: a node that is asked too much must not take
+		// it for down, and send everybody away while it calls itself healthy.
+		q.done(429, nil, nil)
 		return
 	}
 	c.queues[p] = append(c.queues[p], q)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -72,8 +72,26 @@
 	// PollWait: polls that could not be answered by then are refused; users
 	// wait 2 s.
 	PollWait = 1500 * time.Millisecond
+	// PollLate: polls whose epoch the mirror has not reached by then are answered by
+	// reads of their own, which take some tens of milliseconds, while there is budget.
+	PollLate = 900 * time.Millisecond
+	// PollAgain: the same while the budget holds calls back, and from when on an epoch
+	// that was not answered is read once more.
+	PollAgain = 400 * time.Millisecond
 	// MostPolls: polls waiting before more are refused.
 	MostPolls = 2000
+	// MostAsks: polls waiting for a read of their own; at 20 reads a second and node
+	// more would grow older than PollWait.
+	MostAsks = 60
+	// MostSheds: jobs kept whose users were sent away last, to go first the next time.
+	MostSheds = 4000
+	// AskHurry: from then on such a read is made with whatever budget there is.
+	AskHurry = 300 * time.Millisecond
+	// ReadFresh: such a read's answer that took longer is too old to tell that a job is
+	// live; most take 10 ms.
+	ReadFresh = 100 * time.Millisecond
+	// ReadsKept: share of a second's requests that reads for polls leave to others.
+	ReadsKept = 0.25
 	// FollowGap: least pause between two watches, so that a busy store does not
 	// cost a request per change. A peer's hint cuts it short.
 	FollowGap = 40 * time.Millisecond
@@ -174,6 +192,12 @@
 	CallPauseMost = 60 * time.Second
 	// CallForget: after so long without a call what ended its connections is over.
 	CallForget = 5 * time.Minute
+	// ComeStood: an incarnation that has stood for so long was no short one. ComePause,
+	// ComePauseMost: a member that has ended at least twice in a row without having
+	// stood for so long is let in after such a pause, doubled each time.
+	ComeStood     = 10 * time.Second
+	ComePause     = time.Second
+	ComePauseMost = 8 * time.Second
 	// WarmStandbys: members that are ready to lead at once.
 	WarmStandbys = 2
 	// UnfitLag, UnfitFor: a leader that is so far behind for so long hands over. A
@@ -346,6 +370,18 @@
 	// QueueHorizon: a job that has missed its aims waits behind those that can
 	// still meet theirs, but not longer than this.
 	QueueHorizon = 10 * time.Minute
+	// Overdue: a job that has not begun after this goes to the head of its rank, turn and
+	// share. Users give the largest jobs 240 s; a boot and the fetch of a large image take
+	// up to 100 s of them.
+	Overdue = 110 * time.Second
+	// OverdueLead: the same so long before the last of its class's aims for starting, where
+	// that is at least OverdueAim: about a boot and a fetch.
+	OverdueLead = 45 * time.Second
+	OverdueAim  = 75 * time.Second
+	// BeginShare: one task and one for each so many go to the head with it. They show
+	// that it runs and what its tasks take; more would hold up the smaller jobs that it
+	// waits behind.
+	BeginShare = 16
 	// HoldShare: share of the machines that may be kept for tasks that need
 	// more room than is free anywhere.
 	HoldShare = 0.25
@@ -359,6 +395,12 @@
 	WaitingEach = 12
 	// HoldMost: machines kept in one pass; each costs a look at all of them.
 	HoldMost = 16
+	// GatherElsewhere: a large gang that has gathered nothing more for this long in one
+	// zone tries another: longer than machines take to boot.
+	GatherElsewhere = 60 * time.Second
+	// GatherAgain: pause before the busy machines kept for it are chosen anew; each
+	// choice looks at all tasks of a zone.
+	GatherAgain = 5 * time.Second
 	// HoldAgain: pause before the machines kept for a job are chosen anew.
 	HoldAgain = 500 * time.Millisecond
 	// HoldEach: machines kept for one job.
