--- a/internal/calendar/service.go
+++ b/internal/calendar/service.go
@@ -191,7 +191,7 @@
 	}
 	given := func(t *jobs.Task) bool { return t.State == jobs.Released || t.State == jobs.Placed }
 	for _, c := range d.Changes {
-		if given(&c.Next) && c.Next.State != c.Task.State {
+		if given(&c.Next) && (c.Next.State != c.Task.State || c.Next.Try != c.Task.Try) {
 			begins("", c.Task.Job)
 		}
 	}
--- a/internal/calendar/service_test.go
+++ b/internal/calendar/service_test.go
@@ -39,9 +39,12 @@
 	released := s.Released["wk-1/0"]
 	placed, _ := jobs.NextTask(released.Task, jobs.TaskEvent{Kind: jobs.Place, Host: "i-1", Try: 1})
 	back, _ := jobs.NextTask(released.Task, jobs.TaskEvent{Kind: jobs.TakeBack})
+	on := &book.Task{Task: placed, Piece: "wk-1/0", Job: released.Job, Slice: released.Slice}
+	again, _ := jobs.NextTask(placed, jobs.TaskEvent{Kind: jobs.Anew, Try: 2})
 	dropped := 0
 	begins := []decide.Decision{
 		{Changes: decide.Become(released, placed)},
+		{Changes: decide.Become(on, again)},
 		{Fresh: []decide.Fresh{{Part: "n1", Entry: records.Entry{UID: "wk-1", N: 3, Task: jobs.Task{State: jobs.Released}}}}},
 		{Writes: []store.Write{{Put: jobs.SliceKey("wk-1", 4), Value: jobs.EncodeSlice([]jobs.Task{placed}, 8<<10)}}},
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -163,7 +163,7 @@
 	})
 	n.rental = rental.New(n.Book, rental.Env{
 		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
-		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) },
+		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) && n.part.Squaring.MayRent(n.Now) }, Hurried: func() bool { return !n.part.Squaring.Steady() },
 		Wake: func() { n.dirty = true },
 		Busy: n.isBusy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
 		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commit,
@@ -179,8 +179,8 @@
 	n.part = part.New(n.Book, part.Env{
 		Me: set.NodeName, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Queue: n.queue, Rental: n.rental, Call: out.Worker,
 		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.caughtUp() && !n.member.Unsure() },
-		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, OwnerOf: n.owner, Complain: n.sight.Complain,
-		Busy: n.isBusy, Spare: n.client.Spare, Commit: n.commit,
+		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, Known: func() uint64 { return n.mirror.Epoch }, Members: func() []string { return n.view.Names() }, OwnerOf: n.owner, Complain: n.sight.Complain,
+		Busy: n.isBusy, Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit,
 	})
 	n.front = front.New(n.Book, front.Env{
 		Set: set, Client: n.client, Mirror: n.mirror, Log: log, Chance: rng, Able: n.able, Up: n.up, Live: func() bool { return n.sync.live },
@@ -277,6 +277,7 @@
 	for _, p := range n.set.Peers {
 		if p.NodeName == h.From {
 			n.sight.Hint(h.From, h.StateOK, h.Blind)
+			n.part.Squaring.OtherHeard(h.From, h.Heard, h.Epoch)
 			n.member.PeerHeard(h.From)
 		}
 	}
@@ -304,12 +305,21 @@
 		return
 	}
 	n.lastHint, n.hintedEpoch = n.Now, n.mirror.Epoch
-	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.sight.Blind(), Unreached: n.sight.Here()})
+	line := peer.Encode(peer.Hint{From: n.set.NodeName, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.sight.Blind(), Heard: n.heardUnder(), Unreached: n.sight.Here()})
 	for _, p := range n.set.Peers {
 		n.out.Hint(p.NodeName, line)
 	}
 }
 
+// heardUnder is the view under which this node has heard its machines, as its own watch
+// shows: whoever is told waits for that epoch.
+func (n *Node) heardUnder() uint64 {
+	if n.mirror.Epoch < n.mirror.Stamp(fleet.QuietPrefix+n.set.NodeName) {
+		return 0
+	}
+	return n.part.HeardUnder()
+}
+
 // sayChanges logs what the changes of the state service were spent on.
 func (n *Node) sayChanges() {
 	if n.Now.Sub(n.lastChanges) >= tuning.Step {
--- a/internal/queue/calendar.go
+++ b/internal/queue/calendar.go
@@ -14,6 +14,12 @@
 	return q.Gate(spec)
 }
 
+// MayBegin tells whether a job's work may begin now by the calendar.
+func (q *Queue) MayBegin(spec *jobs.Spec) bool {
+	v := q.gate(spec)
+	return v == calendar.Free || v == calendar.Allowed
+}
+
 // letGo gives back the room kept for windows that are about to open: each look at the
 // queue keeps it anew.
 func (q *Queue) letGo() {
--- a/internal/standin/calendar.go
+++ b/internal/standin/calendar.go
@@ -80,7 +80,7 @@
 		for _, e := range tasksOf(key, v) {
 			piece := jobs.Piece(e.UID, e.N)
 			was := c.given[piece]
-			if e.Task.State != was.State && (e.Task.State == jobs.Released || e.Task.State == jobs.Placed) {
+			if (e.Task.State != was.State || e.Task.Try != was.Try) && (e.Task.State == jobs.Released || e.Task.State == jobs.Placed) {
 				c.begun = append(c.begun, piece)
 			}
 			c.given[piece] = e.Task
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/workers"
 )
 
 // Worker stands in for a worker on its machine.
@@ -97,6 +98,12 @@
 	wk.baton, wk.answered, wk.changed = 0, wk.w.Now, true
 }
 
+// Empty tells whether it holds no task in any state.
+func (wk *Worker) Empty() bool { return len(wk.pieces) == 0 }
+
+// Saw has the machine know a view's token already.
+func (wk *Worker) Saw(epoch uint64) { wk.baton = max(wk.baton, epoch*workers.BatonSpan) }
+
 // Resume ends a hang; what came meanwhile is handled.
 func (wk *Worker) Resume() {
 	wk.Hung = false
@@ -275,6 +282,7 @@
 }
 
 func (wk *Worker) execute(orders []order) {
+	wk.w.orders += len(orders)
 	for _, o := range orders {
 		p := wk.pieces[attempt(o.Piece, o.Try)]
 		switch o.Verb {
