--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -40,6 +40,7 @@
 		return
 	}
 	n.front.QuotaPass()
+	n.cal.Pass()
 	n.dropClaims()
 	n.queue.KeepClaims()
 	// Where the budget does not allow all, each gets its turn.
--- a/internal/part/square.go
+++ b/internal/part/square.go
@@ -194,7 +194,7 @@
 		return false
 	}
 	verdict, _ := s.Judge(t.Piece, t.Try)
-	return verdict == workers.Missing && s.Warning == nil && pt.Queue.ClaimedFor(m) == "" && pt.sound(m)
+	return verdict == workers.Missing && s.Warning == nil && pt.Queue.ClaimedFor(m) == "" && pt.sound(m) && pt.Queue.MayBegin(&t.Job.Rec.Spec)
 }
 
 // awaits tells whether a machine with a task of a record has yet to be heard.
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -98,7 +98,7 @@
 		hosts[o.host] = true
 	}
 	// View, fence, quotas and claims, the job, and a slice that the first task does not begin.
-	const others = 6
+	others := 6 + q.MoreConds
 	slices := spec.Pieces/q.SliceMost + 1
 	return len(hosts)+slices+others <= q.TxnOps*tuning.CondsPerOp && spec.Pieces*tuning.SliceTaskBytes <= tuning.TxnBytes
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/settings"
 )
@@ -40,6 +42,10 @@
 	Commit func([]decide.Decision)
 	// Lending is how GPUs are lent to serving, nil for not at all.
 	Lending *settings.Lending
+	// Gate tells whether work may begin by the calendar, nil if there is none; MoreConds
+	// is how many conditions more a decision may have because of it.
+	Gate      func(*jobs.Spec) calendar.Verdict
+	MoreConds int
 }
 
 // Queue is what waits, and what is done about it.
@@ -56,6 +62,7 @@
 	claims     map[string]*claim    // of gangs that are being placed
 	gatherings map[string]*gathering
 	loans      *lending.Keeper // nil if nothing is lent
+	kept       []string        // bookings for windows that are about to open
 }
 
 // New makes an empty queue over a book.
@@ -68,6 +75,7 @@
 
 // Reset forgets what only a leader keeps: a new one starts from the records.
 func (q *Queue) Reset() {
+	q.letGo()
 	q.Waiting = nil
 	q.avoid, q.preempted, q.holds, q.claims = map[string]time.Time{}, map[string]making{}, map[string]hold{}, map[string]*claim{}
 	q.gatherings = map[string]*gathering{}
@@ -90,6 +98,7 @@
 	Gathers bool
 
 	zones map[string]int // of its job's tasks in the look under way, nil if they are to be counted
+	Soon  bool           // its window is yet to open
 }
 
 func (w *Waiting) within() bool { return w.Entitled >= 0 }
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/lending"
@@ -63,6 +64,7 @@
 	for _, uid := range book.Sorted(c.Jobs) {
 		c.job(uid, c.Jobs[uid])
 	}
+	c.calendar()
 	for _, what := range c.Audit() {
 		c.find("", what)
 	}
@@ -76,6 +78,32 @@
 
 func (c *checker) find(key, what string) { c.out.Findings = append(c.out.Findings, Finding{key, what}) }
 
+// calendar looks for work of two windows of one track on machines.
+func (c *checker) calendar() {
+	it, ok := c.s.Items[calendar.StoreKey]
+	if !ok {
+		return
+	}
+	d, err := calendar.DecodeDocument(it.Value)
+	if err != nil {
+		return // told with the record
+	}
+	plan, err := calendar.Compile(d)
+	if err != nil {
+		c.find(calendar.StoreKey, err.Error())
+		return
+	}
+	on := map[quota.Key]bool{}
+	for _, j := range c.Jobs {
+		if j.Rec != nil && j.On > 0 {
+			on[j.Rec.Spec.Key()] = true
+		}
+	}
+	for _, t := range plan.Meet(on) {
+		c.find(calendar.TrackKey(t), "work of two of its windows is on machines, unless it was there before the calendar")
+	}
+}
+
 // tree is the tree of quotas that the snapshot has, or that of the teams alone.
 func (c *checker) tree(teams map[string]quota.Team) *quota.Tree {
 	it, ok := c.s.Items[quota.StoreKey]
@@ -110,6 +138,8 @@
 		err = c.ClaimsChanged(v)
 	case key == quota.StoreKey:
 		_, err = quota.Decode(v)
+	case key == calendar.StoreKey:
+		_, err = calendar.DecodeDocument(v)
 	default:
 		switch first + "/" {
 		case jobs.JobPrefix:
@@ -134,6 +164,8 @@
 			}
 		case lending.Prefix:
 			_, err = lending.Decode(v)
+		case calendar.TrackPrefix:
+			_, err = calendar.DecodeRecord(v)
 		case pipelines.RunPrefix:
 			_, err = pipelines.Decode(v)
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -363,6 +363,9 @@
 		wk.end(p, "no_room", false)
 		return
 	}
+	if w.Launched != nil {
+		w.Launched(o.Piece)
+	}
 	fetch := j.PullS
 	if wk.w.Images && wk.images[j.Bundle] {
 		fetch = 0
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -51,6 +51,9 @@
 	Door                                           string    // the node that users reach, any if empty
 	Expired                                        int       // leases that ran out with tasks on the machine
 	orders                                         int       // told to workers
+
+	ClockOff map[string]time.Duration // of controllers' time of day
+	Launched func(piece string)       // told of each launch, if set
 }
 
 // Real carries what the world otherwise does by itself over sockets.
@@ -109,7 +112,7 @@
 	w := &World{
 		Start: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), RNG: rand.New(rand.NewPCG(seed, 1)), Log: log,
 		cuts: map[string]cutMode{}, lateness: map[string]*lateness{}, held: map[string][]func(){}, filtered: map[string]bool{}, Workers: map[string]*Worker{}, Jobs: map[string]*Job{}, Runs: map[string]*Run{},
-		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{},
+		Nodes: map[string]*Node{}, LeaseS: 30, ReportS: 3, CancelS: 60, GangWaitS: 30, GangPeerS: 5, Max: map[string]float64{}, ClockOff: map[string]time.Duration{},
 	}
 	w.Now = w.Start
 	w.Store = newStore(w)
