--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -328,6 +328,7 @@
 		name = w.Door
 	}
 	var sent time.Time
+	asked := w.Now
 	w.Nodes[name].asks++
 	w.call("user", name, 5*time.Second, func(answer func(int, []byte)) {
 		w.Nodes[name].request(method, target, body, func(status int, b []byte) {
@@ -335,7 +336,7 @@
 			answer(status, b)
 		})
 	}, func(status int, b []byte, err error) {
-		w.sent = sent
+		w.sent, w.asked = sent, asked
 		if err == nil {
 			w.checkLines(name, b)
 			if status != 503 && status != 429 {
@@ -433,7 +434,7 @@
 		if !w.sent.After(j.ToldAt) {
 			return // it was on its way when the user was told: of two requests at once either answer may come last
 		}
-		w.Break("went_back: %s was %s, is %s, answered %v later", j.UID, j.Told, s.Status, w.sent.Sub(j.ToldAt))
+		w.Break("went_back: %s was %s, is %s, asked %v and answered %v later", j.UID, j.Told, s.Status, w.asked.Sub(j.ToldAt), w.sent.Sub(j.ToldAt))
 	}
 	if s.Status == "cancelled" && !j.AbortAsked {
 		w.Break("went_back: %s is cancelled by nobody", j.UID)
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -43,6 +43,7 @@
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
 	sent                                           time.Time // when the answer that is being taken left its controller
+	asked                                          time.Time // when its question was asked
 	Sent503                                        int       // answers to submissions and cancellations
 	Breaches                                       int       // of the protocol's limits, in Broken as well
 	Real                                           *Real     // set when the parties speak over sockets
