--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -29,7 +29,7 @@
 
 // prefixes are the live prefixes of this node's duties.
 func (n *Node) prefixes() []string {
-	return append(append(slices.Clone(livePrefixes), n.front.Prefixes()...), n.cal.Keys()...)
+	return slices.Concat(livePrefixes, n.front.Prefixes(), n.queue.Prefixes(), n.cal.Keys())
 }
 
 // syncState is how far the mirror has got.
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -30,6 +30,7 @@
 	stopping map[*book.Task]bool  // to be stopped by this pass
 	chosen   int                  // machines newly chosen to be kept
 	gathered float64              // machines' room kept for large gangs
+	lent     lent                 // rooms kept for loans
 	ds       []decide.Decision
 	machines []*book.Machine   // those that the leader may have room on in mind
 	cands    []parts.Candidate // room for the board of one job after another
@@ -88,6 +89,11 @@
 }
 
 func (p *pass) end(q *Queue) {
+	for _, rooms := range p.lent.rooms {
+		for _, r := range rooms {
+			q.open(r)
+		}
+	}
 	for i, h := range p.hosts {
 		q.Vacate(h, p.holds[i])
 	}
@@ -107,6 +113,9 @@
 
 // hopeless tells whether the same or less found no room in this pass already.
 func (p *pass) hopeless(s *jobs.Spec, pieces int) bool {
+	if p.lent.rooms[s.UID] != nil {
+		return false // room is kept for it
+	}
 	for _, r := range p.nowhere[places(s, pieces)] {
 		if r.pieces <= pieces && s.Need().Fits(r.need) {
 			return true
@@ -129,6 +138,7 @@
 func (q *Queue) Release() {
 	q.letGo()
 	p := q.newPass()
+	q.keepLoans(p)
 	before := q.StillWaiting()
 	q.Waiting = nil
 	q.dropGathered()
@@ -155,12 +165,14 @@
 			continue
 		case calendar.Free, calendar.Allowed:
 		}
+		q.openRooms(j.UID, p)
 		if spec.Gang() {
 			q.releaseGang(j, p)
 			looked++
-			continue
+		} else {
+			looked += q.releaseTasks(j, p, most-looked)
 		}
-		looked += q.releaseTasks(j, p, most-looked)
+		q.shutRooms(j.UID, p)
 	}
 	q.preempt(p)
 	// What was not looked at waits as it did.
@@ -201,14 +213,14 @@
 	if q.Overdue(j) {
 		most = min(most, 1+spec.Pieces/tuning.BeginShare) // others behind it are overdue, too
 	}
-	tasks := q.pending(j, min(most, room+tuning.WaitingEach, q.unstarted(j)))
+	tasks := q.unlent(q.pending(j, min(most, room+tuning.WaitingEach, q.unstarted(j))), p)
 	if probing {
 		tasks = q.probe(j)
 	}
 	if len(tasks) == 0 {
 		return 1
 	}
-	zones := q.Zones(j)
+	zones := q.zonesLent(j, p)
 	cands = q.gatherParts(spec, cands, len(tasks))
 	var offers []offer
 	looked := 0
@@ -234,7 +246,7 @@
 			break
 		}
 		c := &cands[k]
-		if !probing && q.clearCached(&Waiting{Task: t, Rank: spec.RankOrder(), Entitled: within}, c.Host, p) {
+		if !probing && q.clearCached(&Waiting{Task: t, Rank: spec.RankOrder(), Entitled: within, zones: zones}, c.Host, p) {
 			c.Free = c.Free.Sub(spec.Need())
 			p.account.Charge(spec.Key(), spec.Amount(), 1)
 			continue
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -12,6 +12,7 @@
 	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/settings"
 )
 
@@ -39,6 +40,8 @@
 	Packing func() bool
 	// Commit takes decisions.
 	Commit func([]decide.Decision)
+	// Lending is how GPUs are lent to serving, nil for not at all.
+	Lending *settings.Lending
 	// Gate tells whether work may begin by the calendar, nil if there is none; MoreConds
 	// is how many conditions more a decision may have because of it.
 	Gate      func(*jobs.Spec) calendar.Verdict
@@ -58,12 +61,14 @@
 	holds      map[string]hold      // machines kept, by job
 	claims     map[string]*claim    // of gangs that are being placed
 	gatherings map[string]*gathering
-	kept       []string // bookings for windows that are about to open
+	loans      *lending.Keeper // nil if nothing is lent
+	kept       []string        // bookings for windows that are about to open
 }
 
 // New makes an empty queue over a book.
 func New(b *book.Book, env Env) *Queue {
 	q := &Queue{Book: b, Env: env}
+	q.loans = q.newLending(env.Lending)
 	q.Reset()
 	return q
 }
@@ -91,7 +96,9 @@
 	Site string
 	// Gathers: it is a large gang, for which room is kept as it comes.
 	Gathers bool
-	Soon    bool // its window is yet to open
+
+	zones map[string]int // of its job's tasks in the look under way, nil if they are to be counted
+	Soon  bool           // its window is yet to open
 }
 
 func (w *Waiting) within() bool { return w.Entitled >= 0 }
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -10,6 +10,7 @@
 	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/pipelines"
 	"github.com/harrierreel/harrierreel/internal/quota"
@@ -161,6 +162,8 @@
 			if err = json.Unmarshal(v, &f); err == nil {
 				c.finals[name] = f
 			}
+		case lending.Prefix:
+			_, err = lending.Decode(v)
 		case calendar.TrackPrefix:
 			_, err = calendar.DecodeRecord(v)
 		case pipelines.RunPrefix:
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -36,7 +36,8 @@
 	Workers map[string]*Worker
 	Jobs    map[string]*Job
 	Runs    map[string]*Run
-	Images  bool // machines keep what they have fetched
+	Images  bool   // machines keep what they have fetched
+	Loans   *Loans // where GPUs are lent
 	Nodes   map[string]*Node
 	Order   []string // node names
 
@@ -44,6 +45,7 @@
 	Max                                            map[string]float64 // accelerators by team
 	Broken                                         []string
 	sent                                           time.Time // when the answer that is being taken left its controller
+	asked                                          time.Time // when its question was asked
 	Sent503                                        int       // answers to submissions and cancellations
 	Breaches                                       int       // of the protocol's limits, in Broken as well
 	Real                                           *Real     // set when the parties speak over sockets
