The sending and settling of transactions in a slice of its own

Change: internal/commit packs decisions, sends and settles their transactions and keeps the fence; taking back what a part did not place and dropping old claims go to internal/queue, the choice of packs of no more use to internal/ending.

--- /dev/null
+++ b/internal/commit/settle.go
@@ -0,0 +1,122 @@
+package commit
+
+import (
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"github.com/harrierreel/harrierreel/internal/book"
+	"github.com/harrierreel/harrierreel/internal/decide"
+	"github.com/harrierreel/harrierreel/internal/records"
+	"github.com/harrierreel/harrierreel/internal/store"
+)
+
+// refused goes on after a transaction that the state service calls malformed. It was
+// counted before it was sent, so this is a fault of the program or of the service.
+// Made again alike it would be refused again: its halves are tried, down to the one
+// decision that is to blame, which is set aside.
+func (c *Committer) refused(b *decide.Batch) {
+	c.finish(b.Txn.Writes, nil, false)
+	if len(b.Decisions) == 1 {
+		c.setAside(&b.Decisions[0], "refused by the state service")
+		c.finish(nil, b.Decisions, false)
+		return
+	}
+	c.Log.Info("transaction refused, tried in halves", "decisions", len(b.Decisions), "writes", len(b.Txn.Writes), "conditions", len(b.Txn.If))
+	p := c.packer()
+	halves := p.Halve(b)
+	c.ending = p.Ending
+	for _, half := range halves {
+		c.send(half)
+	}
+}
+
+// late is a transaction that conflicted over a pack, which is settled once the watch
+// has come to an epoch.
+type late struct {
+	until  uint64
+	writes []store.Write
+	batch  []decide.Decision
+}
+
+// settleBy settles a transaction when the watch has come to the epoch at which it
+// conflicted. A pack is never read by itself: of two packs between which a task has
+// moved, the one alone shows the task nowhere, and it would be given away once more
+// while it runs (docs/incidents/packs-ran-twice.md).
+func (c *Committer) settleBy(epoch uint64, writes []store.Write, batch []decide.Decision) {
+	c.late = append(c.late, late{epoch, writes, batch})
+	c.SettleLate()
+	c.Follow()
+}
+
+// SettleLate settles what the watch has come to by now.
+func (c *Committer) SettleLate() {
+	var left []late
+	for _, l := range c.late {
+		if c.Mirror.Epoch >= l.until {
+			c.finish(l.writes, l.batch, false)
+		} else {
+			left = append(left, l)
+		}
+	}
+	c.late = left
+}
+
+// packed tells whether any of some keys is a pack's.
+func packed(keys []string) bool {
+	return slices.ContainsFunc(keys, func(k string) bool { return strings.HasPrefix(k, records.Prefix) })
+}
+
+func writeKeys(writes []store.Write) []string {
+	var out []string
+	for _, w := range writes {
+		out = append(out, decide.Key(w))
+	}
+	return out
+}
+
+// settleKeys reads records again before they may be decided on once more.
+func (c *Committer) settleKeys(extra []string, writes []store.Write, batch []decide.Decision) {
+	keys := map[string]bool{}
+	if len(extra) == 0 {
+		extra = writeKeys(writes)
+	}
+	for _, k := range extra {
+		if !strings.HasPrefix(k, records.Prefix) { // see settleBy; without an answer the fence has all wait
+			keys[k] = true
+		}
+	}
+	left := len(keys)
+	if left == 0 {
+		c.finish(writes, batch, false)
+		return
+	}
+	for _, k := range book.Sorted(keys) {
+		c.Client.Get(store.Urgent, k, nil, func(it *store.Item, err error) {
+			if err == nil && it != nil {
+				c.Mirror.Put(it.Key, json.RawMessage(it.Value), it.Stamp)
+			}
+			if left--; left == 0 {
+				c.finish(writes, batch, false)
+			}
+		})
+	}
+}
+
+func (c *Committer) finish(writes []store.Write, batch []decide.Decision, ok bool) {
+	for _, w := range writes {
+		delete(c.busy, decide.Key(w))
+	}
+	for _, d := range batch {
+		if d.Ends {
+			c.ending -= len(d.Writes)
+		}
+		if d.Done != nil {
+			d.Done(ok)
+		}
+		for _, ch := range d.Changes {
+			c.Touch(ch.Task)
+		}
+	}
+	c.Wake()
+}
--- a/internal/ending/ending.go
+++ b/internal/ending/ending.go
@@ -106,3 +106,17 @@
 	}
 	return d, true
 }
+
+// Packs removes packs that hold only what is left of jobs that are over, as known
+// up to an epoch.
+func Packs(b *book.Book, known uint64, txnOps int, busy func(string) bool) []decide.Decision {
+	var ds []decide.Decision
+	for _, key := range book.Sorted(b.Packs) {
+		sl := b.Packs[key]
+		inUse := func(t *book.Task) bool { return sl.Holds(t) && !t.Over(known) }
+		if len(ds) < txnOps && !busy(key) && len(sl.Tasks) > 0 && !slices.ContainsFunc(sl.Tasks, inUse) && sl.Stamp <= known {
+			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Remove(key)}})
+		}
+	}
+	return ds
+}
--- a/internal/node/leader.go
+++ b/internal/node/leader.go
@@ -1,13 +1,11 @@
 package node
 
 import (
-	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/ending"
-	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/standby"
@@ -41,16 +39,19 @@
 	}
 	n.front.QuotaPass()
 	n.cal.Pass()
-	n.dropClaims()
+	n.queue.DropClaims()
 	n.queue.KeepClaims()
 	// Where the budget does not allow all, each gets its turn.
-	duties := []func(){n.closeJobs, n.rental.Condemn, n.takeBack, n.releasePass}
+	duties := []func(){n.closeJobs, n.rental.Condemn, n.queue.TakeBack, n.releasePass}
 	for i := range duties {
 		duties[(n.lead.turn+i)%len(duties)]()
 	}
 	n.lead.turn++
 	n.moveReplicas()
-	n.clearPacks()
+	if len(n.Packs) > 0 && n.Now.Sub(n.lead.clearedAt) >= tuning.Step && n.client.Spare() {
+		n.lead.clearedAt = n.Now
+		n.commits.Commit(ending.Packs(n.Book, n.mirror.Epoch, n.set.Cluster.State.TxnOps, n.commits.Busy))
+	}
 }
 
 // releasePass looks at the queue. While no change can be made, room that comes
@@ -84,15 +85,15 @@
 func (n *Node) closeJobs() {
 	for _, uid := range book.Sorted(n.Complete) {
 		j := n.Complete[uid]
-		if n.lead.closing[uid] || n.busy[jobs.JobPrefix+uid] {
+		if n.lead.closing[uid] || n.commits.Busy(jobs.JobPrefix+uid) {
 			continue
 		}
 		next, ok := jobs.NextJob(j.Rec.State, jobs.TasksAllDone)
 		if !ok {
 			continue
 		}
-		if d, whole := ending.Whole(j, next, n.set.Cluster.State.TxnOps, n.isBusy); whole {
-			n.commit([]decide.Decision{d})
+		if d, whole := ending.Whole(j, next, n.set.Cluster.State.TxnOps, n.commits.Busy); whole {
+			n.commits.Commit([]decide.Decision{d})
 			continue
 		}
 		n.lead.closing[uid] = true
@@ -104,59 +105,9 @@
 		if len(ds) >= n.set.Cluster.State.TxnOps || !n.client.Spare() {
 			break
 		}
-		ds = append(ds, ending.Clear(n.Closed[uid], n.set.Cluster.State.TxnOps, n.isBusy)...)
-	}
-	n.commit(ds)
-}
-
-// clearPacks removes packs that hold only what is left of jobs that are over.
-func (n *Node) clearPacks() {
-	if len(n.Packs) == 0 || n.Now.Sub(n.lead.clearedAt) < tuning.Step || !n.client.Spare() {
-		return
-	}
-	n.lead.clearedAt = n.Now
-	var ds []decide.Decision
-	for _, key := range book.Sorted(n.Packs) {
-		sl := n.Packs[key]
-		inUse := func(t *book.Task) bool { return sl.Holds(t) && !t.Over(n.mirror.Epoch) }
-		if len(ds) < n.set.Cluster.State.TxnOps && !n.busy[key] && len(sl.Tasks) > 0 && !slices.ContainsFunc(sl.Tasks, inUse) && sl.Stamp <= n.mirror.Epoch {
-			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Remove(key)}})
-		}
-	}
-	n.commit(ds)
-}
-
-// takeBack withdraws tasks that their part did not place.
-func (n *Node) takeBack() {
-	var ds []decide.Decision
-	for _, piece := range book.Sorted(n.Released) {
-		t := n.Released[piece]
-		gone := n.view.Inc(t.Part) == 0
-		if !gone && n.Now.Sub(t.Since) < tuning.ReleaseStale {
-			continue
-		}
-		if !gone && t.Want != "" {
-			n.queue.Avoid(t.Want, n.Now.Add(tuning.AvoidAfter))
-		}
-		next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.TakeBack})
-		if ok && !n.busy[t.Slice.Key] {
-			ds = append(ds, decide.Decision{Changes: decide.Become(t, next)})
-		}
-	}
-	n.commit(ds)
-}
-
-// dropClaims clears claims that a leader of an earlier version left in machines' records.
-func (n *Node) dropClaims() {
-	var ds []decide.Decision
-	for _, m := range n.ByName() {
-		if m.Claim != "" {
-			rec := m.Host
-			rec.Claim = ""
-			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(fleet.HostPrefix+m.Name, rec)}})
-		}
+		ds = append(ds, ending.Clear(n.Closed[uid], n.set.Cluster.State.TxnOps, n.commits.Busy)...)
 	}
-	n.commit(ds)
+	n.commits.Commit(ds)
 }
 
 // moveReplicas empties draining machines of replicas, which would otherwise
@@ -190,5 +141,5 @@
 			}
 		}
 	}
-	n.commit(ds)
+	n.commits.Commit(ds)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/calendar"
+	"github.com/harrierreel/harrierreel/internal/commit"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/front"
@@ -85,7 +86,6 @@
 	client *store.Client
 	mirror *store.Mirror
 	sync   syncState
-	fence  fence
 
 	*book.Book // what is known from the records
 	view       *members.View
@@ -95,21 +95,16 @@
 	lastHint    time.Time
 	hintedEpoch uint64
 
-	busy   map[string]bool // keys under an unfinished transaction
-	packs  uint64          // begun by this process
-	late   []late          // conflicted, to be settled when the watch has come so far
-	ending int             // writes of jobs' ends under way
-	aside  decide.Aside    // decisions that can't be committed
-	said   refusals.Counter
-
-	front  *front.Front
-	lead   leader
-	queue  *queue.Queue
-	rental *rental.Rental
-	part   *part.Part
-	sight  *sight.Sight
-	member *membership.Membership
-	cal    *calendar.Service // nil: turned off
+	said    refusals.Counter
+	commits *commit.Committer
+	front   *front.Front
+	lead    leader
+	queue   *queue.Queue
+	rental  *rental.Rental
+	part    *part.Part
+	sight   *sight.Sight
+	member  *membership.Membership
+	cal     *calendar.Service // nil: turned off
 
 	dirty       bool
 	lastPass    time.Time
@@ -128,7 +123,6 @@
 	n := &Node{
 		set: set, log: log, rng: rng,
 		role: members.Outside,
-		busy: map[string]bool{},
 	}
 	n.out = out.counted(&n.said)
 	out = n.out
@@ -141,7 +135,12 @@
 	n.mirror.Passing = func(key string) bool {
 		return hasPrefix(key, jobs.FinalPrefix) || hasPrefix(key, pipelines.RanPrefix)
 	}
-	n.fence.key = fencePrefix + set.NodeName
+	n.commits = commit.New(n.Book, commit.Env{
+		Me: set.NodeName, State: set.Cluster.State, SliceLimit: n.sliceLimit(), Log: log, Client: n.client, Mirror: n.mirror,
+		Viewed: func() bool { return n.view != nil }, Epoch: func() uint64 { return n.roleEpoch }, Mine: n.mine,
+		Conds: func() []string { return append(n.front.Conds(), n.cal.Keys()...) }, Guard: func(ds []decide.Decision) []decide.Decision { return n.cal.Guard(ds) },
+		Touch: n.touch, Wake: func() { n.dirty = true }, Follow: n.followNow,
+	})
 	n.sight = sight.New(n.Book, sight.Env{Log: log, Chance: rng, Call: out.Worker, OwnerOf: n.owner, Incarnation: func(name string) uint64 { return n.member.Incarnation(name) },
 		Outside: func() bool { return n.role == members.Outside }, Live: func() bool { return n.sync.live }})
 	n.member = membership.New(n.Book, membership.Env{Me: set.NodeName, TTL: jobs.Seconds(set.Operator.MemberTTLS), Client: n.client, Mirror: n.mirror, Log: log,
@@ -150,14 +149,15 @@
 		ZoneOf: set.Zones(), Lag: n.lag, Unchecked: n.unchecked})
 	n.cal = calendar.New(n.Book, set.Operator.Calendar, calendar.Env{
 		OffMs: set.Cluster.ClockOffMs, Limit: n.sliceLimit(), TxnOps: set.Cluster.State.TxnOps, StepS: set.Operator.StepS, Fresh: set.Operator.FreshSteps,
-		Log: log, Mirror: n.mirror, WallMs: out.WallMs, Busy: n.isBusy, Commit: n.commit,
+		Log: log, Mirror: n.mirror, WallMs: out.WallMs, Busy: n.commits.Busy, Commit: n.commits.Commit,
 		QuietSince: func(m *book.Machine) (time.Time, bool) { return n.part.QuietSince(m) },
 		Moving:     func(host string, e fleet.Event, why string) []decide.Decision { return n.part.Moving(host, e, why) },
 	})
 	n.queue = queue.New(n.Book, queue.Env{
 		Me: set.NodeName, Objectives: set.Cluster.Objectives, TxnOps: set.Cluster.State.TxnOps, SliceLimit: n.sliceLimit(), SliceMost: n.sliceMost(),
-		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.isBusy,
-		Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit, Packing: n.packing, Lending: set.Operator.Lending,
+		WriteRPS: set.Cluster.State.WriteRPS, Log: log, Busy: n.commits.Busy,
+		Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commits.Commit, Packing: n.packing, Lending: set.Operator.Lending,
+		Left:     func(part string) bool { return n.view.Inc(part) == 0 },
 		Ready:    func(m *book.Machine) bool { return n.part.Ready(m) },
 		CanPlace: func(t *book.Task, m *book.Machine) bool { return n.part.CanPlace(t, m) },
 		Gate:     func(s *jobs.Spec) calendar.Verdict { return n.cal.Gate(s) }, MoreConds: n.cal.Conds(),
@@ -166,8 +166,8 @@
 		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
 		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) && n.part.Squaring.MayRent(n.Now) }, Hurried: func() bool { return !n.part.Squaring.Steady() },
 		Wake: func() { n.dirty = true },
-		Busy: n.isBusy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
-		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commit,
+		Busy: n.commits.Busy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
+		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commits.Commit,
 		Gone: func(t *book.Task, k jobs.TaskEventKind, pause time.Duration) decide.Decision {
 			return n.part.Gone(t, k, pause)
 		},
@@ -181,12 +181,12 @@
 		Me: set.NodeName, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Queue: n.queue, Rental: n.rental, Call: out.Worker,
 		Wake: func() { n.dirty = true }, Speaks: func() bool { return n.role != members.Outside && n.caughtUp() && !n.member.Unsure() },
 		Outside: func() bool { return n.role == members.Outside }, Epoch: func() uint64 { return n.roleEpoch }, Known: func() uint64 { return n.mirror.Epoch }, Members: func() []string { return n.view.Names() }, OwnerOf: n.owner, Complain: n.sight.Complain,
-		Busy: n.isBusy, Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commit,
+		Busy: n.commits.Busy, Allows: n.client.Allows, Spare: n.client.Spare, Commit: n.commits.Commit,
 	})
 	n.front = front.New(n.Book, front.Env{
 		Set: set, Client: n.client, Mirror: n.mirror, Log: log, Chance: rng, Able: n.able, Up: n.up, Live: func() bool { return n.sync.live },
-		Outside: func() bool { return n.role == members.Outside }, Fencing: n.fencing, Members: func() []string { return n.view.Names() },
-		Busy: n.isBusy, Commit: n.commit, Wake: func() { n.dirty = true }, Follow: n.followNow, Beat: n.part.Beat,
+		Outside: func() bool { return n.role == members.Outside }, Fencing: n.commits.Fencing, Members: func() []string { return n.view.Names() },
+		Busy: n.commits.Busy, Commit: n.commits.Commit, Wake: func() { n.dirty = true }, Follow: n.followNow, Beat: n.part.Beat,
 	})
 	n.lead.reset()
 	n.budget()
@@ -341,7 +341,7 @@
 }
 
 // Wrong counts the calls and decisions so far that a correct program never makes.
-func (n *Node) Wrong() int { return n.said.Wrong + n.aside.Count }
+func (n *Node) Wrong() int { return n.said.Wrong + n.commits.Wrong() }
 
 // changed takes a change of the mirror into the typed state. An unreadable
 // record is reported and set aside: it stays in the store, and nothing is
@@ -462,9 +462,6 @@
 	})
 }
 
-// isBusy tells whether a record is under a transaction.
-func (n *Node) isBusy(key string) bool { return n.busy[key] }
-
 // touch has a task's machine reviewed.
 func (n *Node) touch(t *book.Task) {
 	if t.Host != "" {
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -99,9 +99,17 @@
 		ds = append(ds, d)
 	}
 	n.mirror.Epoch = 5000
-	n.commit(ds)
-	if n.ending < 16 || n.ending > 18 {
-		t.Errorf("%d writes of ends under way with 16 a transaction", n.ending)
+	n.commits.Commit(ds)
+	under := 0
+	for _, d := range ds {
+		for _, w := range d.Writes {
+			if n.commits.Busy(decide.Key(w)) {
+				under++
+			}
+		}
+	}
+	if under < 16 || under > 18 {
+		t.Errorf("%d writes of ends under way with 16 a transaction", under)
 	}
 }
 
--- a/internal/node/standby.go
+++ b/internal/node/standby.go
@@ -58,7 +58,7 @@
 	}{
 		{standby.Placed, n.member.Sure()},
 		{standby.Reached, n.mirror.Epoch >= n.mirror.Stamp(members.ViewKey)},
-		{standby.Fenced, !n.fencing()},
+		{standby.Fenced, !n.commits.Fencing()},
 		{standby.Quotas, n.front.QuotaSettled()},
 		{standby.Types, n.rental.Priced()},
 		{standby.Listed, n.rental.Listed()},
--- a/internal/queue/claims.go
+++ b/internal/queue/claims.go
@@ -92,3 +92,16 @@
 	}
 	return q.ClaimOf[m.Name]
 }
+
+// DropClaims clears claims that a leader of an earlier version left in machines' records.
+func (q *Queue) DropClaims() {
+	var ds []decide.Decision
+	for _, m := range q.ByName() {
+		if m.Claim != "" {
+			rec := m.Host
+			rec.Claim = ""
+			ds = append(ds, decide.Decision{Writes: []store.Write{decide.Put(fleet.HostPrefix+m.Name, rec)}})
+		}
+	}
+	q.Commit(ds)
+}
--- a/internal/queue/place.go
+++ b/internal/queue/place.go
@@ -134,3 +134,23 @@
 	}
 	return out
 }
+
+// TakeBack withdraws tasks that their part did not place.
+func (q *Queue) TakeBack() {
+	var ds []decide.Decision
+	for _, piece := range book.Sorted(q.Released) {
+		t := q.Released[piece]
+		gone := q.Left(t.Part)
+		if !gone && q.Now.Sub(t.Since) < tuning.ReleaseStale {
+			continue
+		}
+		if !gone && t.Want != "" {
+			q.Avoid(t.Want, q.Now.Add(tuning.AvoidAfter))
+		}
+		next, ok := jobs.NextTask(t.Task, jobs.TaskEvent{Kind: jobs.TakeBack})
+		if ok && !q.Busy(t.Slice.Key) {
+			ds = append(ds, decide.Decision{Changes: decide.Become(t, next)})
+		}
+	}
+	q.Commit(ds)
+}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -38,6 +38,8 @@
 	CanPlace func(t *book.Task, m *book.Machine) bool
 	// Packing tells whether tasks are given away in packs of many jobs.
 	Packing func() bool
+	// Left tells whether a controller is not in the view.
+	Left func(part string) bool
 	// Commit takes decisions.
 	Commit func([]decide.Decision)
 	// Lending is how GPUs are lent to serving, nil for not at all.
