--- a/internal/cli/calendar.go
+++ b/internal/cli/calendar.go
@@ -6,9 +6,6 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/spf13/cobra"
 
 	"github.com/harrierreel/harrierreel/internal/calendar"
@@ -25,27 +22,13 @@
 	return c
 }
 
-// calendarFile reads the calendar block of an operators' file. Every fault of form is
-// told by its place.
+// calendarFile reads the calendar block of an operators' file.
 func (a *app) calendarFile(name string) (*calendar.Document, error) {
-	f, diags := hclparse.NewParser().ParseHCLFile(name)
-	var v struct {
-		Calendar *calendar.Document `hcl:"calendar,block"`
-		Rest     hcl.Body           `hcl:",remain"`
+	v, err := a.blocks(name)
+	if err == nil && v.Calendar == nil {
+		err = usage("%s: has no calendar block", name)
 	}
-	if f != nil {
-		diags = append(diags, gohcl.DecodeBody(f.Body, nil, &v)...)
-	}
-	for _, d := range diags {
-		fmt.Fprintln(a.note, d.Error())
-	}
-	switch {
-	case diags.HasErrors():
-		return nil, &Exit{Code: ExitUsage}
-	case v.Calendar == nil:
-		return nil, usage("%s: has no calendar block", name)
-	}
-	return v.Calendar, nil
+	return v.Calendar, err
 }
 
 // wrong prints the faults of a calendar and ends with the code for it.
--- a/internal/cli/quota.go
+++ b/internal/cli/quota.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/spf13/cobra"
 
+	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/client"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/quota"
@@ -109,26 +110,35 @@
 	return c
 }
 
-// quotaFile reads the quotas block of an operators' file. Every fault is told.
+// quotaFile reads the quotas block of an operators' file.
 func (a *app) quotaFile(name string) (*quota.Document, error) {
-	f, diags := hclparse.NewParser().ParseHCLFile(name)
-	var v struct {
-		Quotas *quota.Document `hcl:"quotas,block"`
-		Rest   hcl.Body        `hcl:",remain"`
+	v, err := a.blocks(name)
+	if err == nil && v.Quotas == nil {
+		err = usage("%s: has no quotas block", name)
 	}
+	return v.Quotas, err
+}
+
+// blocks is what verbs read of an operators' file.
+type blocks struct {
+	Quotas   *quota.Document    `hcl:"quotas,block"`
+	Calendar *calendar.Document `hcl:"calendar,block"`
+	Rest     hcl.Body           `hcl:",remain"`
+}
+
+// blocks reads an operators' file. Every fault of form is told by its place.
+func (a *app) blocks(name string) (v blocks, err error) {
+	f, diags := hclparse.NewParser().ParseHCLFile(name)
 	if f != nil {
 		diags = append(diags, gohcl.DecodeBody(f.Body, nil, &v)...)
 	}
 	for _, d := range diags {
 		fmt.Fprintln(a.note, d.Error())
 	}
-	switch {
-	case diags.HasErrors():
-		return nil, &Exit{Code: ExitUsage}
-	case v.Quotas == nil:
-		return nil, usage("%s: has no quotas block", name)
+	if diags.HasErrors() {
+		err = &Exit{Code: ExitUsage}
 	}
-	return v.Quotas, nil
+	return v, err
 }
 
 func (a *app) applyTree(c *client.Client, apply quota.Apply) error {
