Lending: no room and no call back for work whose window is shut

A loan's room went back to a lender whose window had ended: it stood empty for 15 s, since the lender could not begin. And a lender whose window was about to open counted as waiting, so replicas were stopped before anything could come in their place. The keeper asks the calendar now.

--- a/internal/lending/callback.go
+++ b/internal/lending/callback.go
@@ -123,7 +123,7 @@
 	spec := &borrower.Rec.Spec
 	for _, s := range l.From {
 		j := k.Jobs[s.Job]
-		if j == nil || !live(j) || k.Queued[s.Job] != j || !waits(s.Job) {
+		if j == nil || !k.begins(j) || k.Queued[s.Job] != j || !waits(s.Job) {
 			continue
 		}
 		lender := &j.Rec.Spec
--- a/internal/lending/keeper.go
+++ b/internal/lending/keeper.go
@@ -31,6 +31,8 @@
 	Busy func(key string) bool
 	// Ready tells whether a machine is heard and takes new tasks.
 	Ready func(m *book.Machine) bool
+	// Begins tells whether a job's work may begin now by the calendar; nil: all may.
+	Begins func(s *jobs.Spec) bool
 	// Elsewhere tells whether a replica finds room with its image on another machine.
 	Elsewhere func(t *book.Task) bool
 }
@@ -130,14 +132,14 @@
 		_, booked := k.Reserved[jobs.Piece(l.Job, l.N)]
 		f.On = t != nil && t.On() && t.Host == l.Host
 		f.Coming = t != nil && t.State == jobs.Released && t.Want == l.Host || booked && k.Reserved[jobs.Piece(l.Job, l.N)].Host == l.Host
-		f.Waits = t == nil && !booked && live(j) && l.N < j.Rec.Spec.Pieces
+		f.Waits = t == nil && !booked && k.begins(j) && l.N < j.Rec.Spec.Pieces
 	}
 	for _, s := range l.From {
 		j := k.Jobs[s.Job]
 		if j == nil {
 			continue
 		}
-		f.LenderWaits = f.LenderWaits || live(j) && k.Queued[s.Job] == j
+		f.LenderWaits = f.LenderWaits || k.begins(j) && k.Queued[s.Job] == j
 		for _, t := range k.OnHost[l.Host] {
 			if t.Job == j {
 				f.Leaving = f.Leaving || t.State == jobs.Stopping
@@ -150,6 +152,13 @@
 
 func live(j *book.Job) bool { return j.Rec != nil && j.Rec.State == jobs.Live }
 
+// begins tells whether a job's work may begin now. While its window is shut, or is only
+// about to open, no room is kept for it and no replica called back: it could not come,
+// and what it needs at its opening is prepared by the queue.
+func (k *Keeper) begins(j *book.Job) bool {
+	return live(j) && (k.Begins == nil || k.Begins(&j.Rec.Spec))
+}
+
 // Look brings every loan as far as the records say, and returns what is to be written
 // and whom to call back. waits tells whether a job found no room in the last look at
 // the queue.
@@ -416,7 +425,7 @@
 func (k *Keeper) Rooms() []Kept {
 	var out []Kept
 	for _, l := range k.Loans() {
-		if j := k.Jobs[l.Job]; l.ForBorrower() && j != nil && live(j) && j.Active[l.N] == nil && k.Machines[l.Host] != nil {
+		if j := k.Jobs[l.Job]; l.ForBorrower() && j != nil && k.begins(j) && j.Active[l.N] == nil && k.Machines[l.Host] != nil {
 			out = append(out, Kept{l.Job, l.Host, j.Rec.Spec.Need(), jobs.Piece(l.Job, l.N)})
 		}
 		if !l.ForLender() || k.Machines[l.Host] == nil {
@@ -424,7 +433,7 @@
 		}
 		for _, s := range l.From {
 			j := k.Jobs[s.Job]
-			if j == nil || !live(j) || k.Queued[s.Job] != j {
+			if j == nil || !k.begins(j) || k.Queued[s.Job] != j {
 				continue
 			}
 			need := j.Rec.Spec.Need()
--- a/internal/queue/lend.go
+++ b/internal/queue/lend.go
@@ -16,7 +16,7 @@
 	if set == nil {
 		return nil
 	}
-	return lending.NewKeeper(q.Book, lending.Env{Limit: q.SliceLimit, Again: jobs.Seconds(set.AgainS), ByRank: set.ByRank, Log: q.Log, Busy: q.Busy, Ready: q.Ready,
+	return lending.NewKeeper(q.Book, lending.Env{Limit: q.SliceLimit, Again: jobs.Seconds(set.AgainS), ByRank: set.ByRank, Log: q.Log, Busy: q.Busy, Ready: q.Ready, Begins: q.MayBegin,
 		Elsewhere: func(t *book.Task) bool {
 			zones := q.Zones(t.Job)
 			zones[t.Site]--
