Lending: what is only booked is not used, and lends nothing

A team that had 34 accelerators on machines and 8 releases under way was counted with 42 of its guaranteed 40, and lent two before the releases were committed: below its guarantee by a loan. Room kept for a window that is about to open was counted likewise.

--- a/internal/lending/choose.go
+++ b/internal/lending/choose.go
@@ -312,6 +312,14 @@
 // one loan is not there for the next.
 func Leaving(b *book.Book, account *quota.Account, stopping map[*book.Task]bool) *quota.Account {
 	out := account.Clone()
+	// Nor what is only booked: releases under way, which may come to nothing, and room
+	// kept for a window that is about to open. A team that seemed beyond its guarantee
+	// by those would lend of what it is guaranteed.
+	for _, r := range b.Reserved {
+		if r.Key != (quota.Key{}) {
+			out.Charge(r.Key, r.Amount, -1)
+		}
+	}
 	for _, on := range b.OnHost {
 		for _, t := range on {
 			if t.Job.Rec != nil && (t.State == jobs.Stopping || stopping[t]) {
