--- a/internal/lending/keeper_test.go
+++ b/internal/lending/keeper_test.go
@@ -183,6 +183,35 @@
 	return true
 }
 
+// TestShutBorrower: room made for a replica whose window is shut is given up at once, and
+// kept for a lender only if its own is not.
+func TestShutBorrower(t *testing.T) {
+	y := newYard(1)
+	y.job("wk-1", "batch", jobs.Sweep, "standard", "b", 1, 4, host(0), host(0), host(0), host(0))
+	serve := y.job("wk-2", "serve", jobs.Standing, "prod", "s", 1, 1)
+	if !y.ask(t, serve, 0, true) {
+		t.Fatal("nobody lends")
+	}
+	lender := y.k.Loans()[0].From[0].Job
+	y.set(y.Jobs[lender], slices.IndexFunc([]int{0, 1, 2, 3}, func(n int) bool { return y.Jobs[lender].Tasks[n].State == jobs.Stopping }), jobs.Task{State: jobs.Pending})
+	shut := map[string]bool{jobs.Standing: true}
+	y.k.Begins = func(s *jobs.Spec) bool { return !shut[s.Class] }
+	if rooms := y.k.Rooms(); len(rooms) != 0 {
+		t.Error("room is kept for a replica that may not begin", rooms)
+	}
+	never := func(string) bool { return false }
+	y.Now = y.Now.Add(time.Second)
+	y.look(never, true)
+	if l := y.k.Loans()[0]; l.State != CalledBack || len(y.k.Rooms()) != 1 || y.k.Rooms()[0].Job != lender {
+		t.Errorf("%+v, kept %v", l, y.k.Rooms())
+	}
+	shut[jobs.Sweep] = true
+	y.look(never, true)
+	if l := y.k.Loans()[0]; l.State != Returned || len(y.k.Rooms()) != 0 {
+		t.Errorf("%+v, kept %v", l, y.k.Rooms())
+	}
+}
+
 // TestAnyPlan lends in a fleet where anything fails at any time, and then lets it rest:
 // no team goes below its guarantee by a loan, no machine holds more than it has, gangs
 // stop whole, and in the end every loan is over and what was taken is given back or gone
