--- a/internal/lending/keeper_test.go
+++ b/internal/lending/keeper_test.go
@@ -200,6 +200,7 @@
 		t.Error("room is kept for a replica that may not begin", rooms)
 	}
 	never := func(string) bool { return false }
+	y.Now = y.Now.Add(time.Second)
 	y.look(never, true)
 	if l := y.k.Loans()[0]; l.State != CalledBack || len(y.k.Rooms()) != 1 || y.k.Rooms()[0].Job != lender {
 		t.Errorf("%+v, kept %v", l, y.k.Rooms())
