--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -74,13 +74,14 @@
 // makes anyone wait again. A gang has begun when all of its tasks run; any other job with its
 // first task, and what is left of it then waits in its ordinary turn.
 func (q *Queue) Overdue(j *book.Job) bool {
-	if q.Ms()-j.Rec.AtMs < q.overdueAfter(j.Rec.Spec.Class).Milliseconds() {
-		return false
+	after := tuning.GangOverdue
+	if !j.Rec.Spec.Gang() {
+		after = q.overdueAfter(j.Rec.Spec.Class)
 	}
-	return j.Rec.Spec.Gang() || len(j.Active)+len(j.Again)+j.Done == 0
+	return q.Ms()-j.Rec.AtMs >= after.Milliseconds() && (j.Rec.Spec.Gang() || len(j.Active)+len(j.Again)+j.Done == 0)
 }
 
-// overdueAfter is the wait after which a class's jobs are overdue: while the last of its
+// overdueAfter is the wait after which a class's arrays and services are overdue: while the last of its
 // aims for starting can still be met, or where all of those are shorter than making room
 // takes, in time for the users' bound.
 func (q *Queue) overdueAfter(class string) time.Duration {
