--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -67,12 +67,12 @@
 	return out
 }
 
-// Overdue tells whether a job has waited so long to begin that it goes before all
-// others of its rank, turn and team's share. Within a class the smaller go first, so without it the
+// Overdue tells whether a job has waited so long to begin that it goes before all others
+// of its rank, turn and team's share. Within a class the smaller go first, so without it the
 // largest begin last, and while smaller ones keep coming never
-// (docs/incidents/largest-last.md). It hangs on the accepted time alone, so no restart
-// makes anyone wait again. A gang has begun when all of its tasks run; any other job with its
-// first task, and what is left of it then waits in its ordinary turn.
+// (docs/incidents/largest-last.md). It hangs on the accepted time alone, so no restart makes
+// anyone wait again. Of gangs only large ones are; they begin whole. Any other job begins
+// with its first task, and what is left of it then waits in its ordinary turn.
 func (q *Queue) Overdue(j *book.Job) bool {
 	waited := time.Duration(q.Ms()-j.Rec.AtMs) * time.Millisecond
 	if j.Rec.Spec.Gang() {
@@ -81,9 +81,9 @@
 	return waited >= q.overdueAfter(j.Rec.Spec.Class) && len(j.Active)+len(j.Again)+j.Done == 0
 }
 
-// overdueAfter is the wait after which a class's arrays and services are overdue: while the last of its
-// aims for starting can still be met, or where all of those are shorter than making room
-// takes, in time for the users' bound.
+// overdueAfter is the wait after which a class's arrays and services are overdue: while the
+// last of its aims for starting can still be met, or where all of those are shorter than
+// making room takes, in time for the users' bound.
 func (q *Queue) overdueAfter(class string) time.Duration {
 	last := time.Duration(0)
 	for _, o := range q.Objectives {
