--- a/internal/decide/pack.go
+++ b/internal/decide/pack.go
@@ -74,7 +74,9 @@
 }
 
 // sliceWrite is the record of a slice with some of its tasks changed. A slice of a
-// job that is over, none of whose tasks may be on a machine, is removed.
+// job that is over, none of whose tasks may be on a machine, is removed. One of a job
+// whose record cannot be read is kept: it may be live, and its tries must not be used
+// again.
 func sliceWrite(sl *book.Slice, edits map[*book.Task]Change, limit int) store.Write {
 	records := make([]jobs.Task, len(sl.Tasks))
 	rest := true
@@ -85,7 +87,7 @@
 		}
 		rest = rest && !records[i].On()
 	}
-	if rest && (sl.Job.Rec == nil || sl.Job.Rec.State != jobs.Live) {
+	if rest && !sl.Job.Doubted && (sl.Job.Rec == nil || sl.Job.Rec.State != jobs.Live) {
 		return Remove(sl.Key)
 	}
 	return store.Write{Put: sl.Key, Value: jobs.EncodeSlice(records, limit)}
--- /dev/null
+++ b/internal/front/asks_test.go
@@ -0,0 +1,98 @@
+package front
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/harrierreel/harrierreel/internal/store"
+	"github.com/harrierreel/harrierreel/internal/tuning"
+	"github.com/harrierreel/harrierreel/internal/wire"
+)
+
+// While half of the questions can be answered no job's user is sent away twice in a row,
+// in whatever order they come; while a third can, not three times.
+func TestShedsTakeTurns(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 3*tuning.MostAsks).Draw(t, "users")
+		most := (n - 1) / tuning.MostAsks
+		chance := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "order"), 1))
+		a := asks{}
+		for round := range 6 {
+			for _, i := range chance.Perm(n) {
+				if away, full := a.add(ask{uid: fmt.Sprint(i)}); full {
+					a.sheds.shed(away.uid)
+					if got := a.sheds.times(away.uid); got > most {
+						t.Fatalf("round %d: %s is sent away %d times in a row, of %d users", round, away.uid, got, n)
+					}
+				}
+			}
+			for len(a.waiting) > 0 {
+				a.sheds.answered(a.take(a.first()).uid)
+			}
+		}
+	})
+}
+
+// A job whose record can't be read is known all the same, until its final state is there.
+func TestUnreadableJobIsAnswered(t *testing.T) {
+	for _, c := range []struct{ final, want string }{
+		{`{"epoch":7}`, `{"uid":"wk-000001","status":"pending","done":0,"running":0}`},
+		{`{"key":"final/wk-000001","v":{"s":"done","n":3},"stamp":6}`, `{"uid":"wk-000001","status":"done","done":3,"running":0}`},
+	} {
+		d := newDoor(t, false)
+		d.state = func(_, target, _ string) (int, string) {
+			switch target {
+			case "/store/job/wk-000001":
+				return 200, `{"key":"job/wk-000001","v":{"s":"what"},"stamp":5}`
+			case "/store/final/wk-000001":
+				if c.final[2] == 'k' {
+					return 200, c.final
+				}
+			}
+			return 404, `{"epoch":7}`
+		}
+		if r := d.ask("GET", "/work/wk-000001", ""); r.Status != 200 || string(r.Body) != c.want {
+			t.Errorf("%d %s, not %s", r.Status, r.Body, c.want)
+		}
+	}
+}
+
+// Without room for a question nobody is kept waiting for longer than users wait, and who
+// was sent away goes first once there is room.
+func TestNoRoomForQuestions(t *testing.T) {
+	d := newDoor(t, false)
+	d.Client.SetBudget(0, 0, 0)
+	d.Client.Pump(d.Now)
+	for d.Client.Reads(0) {
+		d.Client.Get(0, "x", nil, func(*store.Item, error) {})
+	}
+	var sent, told []string
+	ask := func(uid string) {
+		d.askFor(ask{uid, func(r wire.Reply) {
+			if r.Status == 503 {
+				sent = append(sent, uid)
+			} else {
+				told = append(told, uid)
+			}
+		}, d.Now})
+	}
+	ask("wk-000001")
+	d.Now = d.Now.Add(tuning.PollWait + time.Millisecond)
+	ask("wk-000002")
+	ask("wk-000001")
+	if !slices.Equal(sent, []string{"wk-000001"}) || len(told) > 0 {
+		t.Errorf("sent away %v, told %v", sent, told)
+	}
+	d.Client.SetBudget(10, 10, 10)
+	d.Now = d.Now.Add(time.Second)
+	d.Client.Pump(d.Now)
+	d.keepAsks()
+	if !slices.Equal(told, []string{"wk-000001", "wk-000002"}) {
+		t.Errorf("told %v", told)
+	}
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -49,6 +49,7 @@
 	finals  *jobs.Finals
 	readers map[string]*reader
 	polls   polls
+	asks    asks
 	runs    *pipelines.Keeper // nil unless pipelines are turned on
 	quotas  quotas
 }
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -149,23 +149,28 @@
 		}
 		if it != nil {
 			fr.Mirror.Put(it.Key, it.Value, it.Stamp)
-			rec, derr := jobs.DecodeRecord(uid, it.Value)
-			if derr != nil {
-				finish(jobs.Final{}, derr)
+			if rec, derr := jobs.DecodeRecord(uid, it.Value); derr == nil {
+				f := jobs.Final{State: rec.State, Done: rec.Done}
+				fr.finals.Put(uid, f)
+				finish(f, nil)
 				return
 			}
-			f := jobs.Final{State: rec.State, Done: rec.Done}
-			fr.finals.Put(uid, f)
-			finish(f, nil)
-			return
+			// Accepted, but its record cannot be read. Its final state is written in
+			// the transaction that ends it, so without one it has not ended; sending
+			// its user away for ever would be to forget it.
 		}
 		// A live record leaves only after the final one has come, so reading
 		// in this order misses neither.
+		accepted := it != nil
 		fr.Client.Get(store.User, jobs.FinalPrefix+uid, nil, func(it *store.Item, err error) {
 			if err != nil {
 				finish(jobs.Final{}, err)
 				return
 			}
+			if it == nil && accepted {
+				finish(jobs.Final{State: jobs.Live}, nil)
+				return
+			}
 			if it == nil {
 				finish(jobs.Final{}, errNoJob)
 				return
@@ -184,18 +189,24 @@
 // polls are users' questions about jobs. Reading each job from the state
 // service would take most of its requests; instead all questions that came
 // before a moment are answered from the mirror, once it has followed the watch
-// to an epoch read after that moment.
+// to an epoch read after that moment. A mirror that does not get there in time, since
+// its watch or the service is slow, must not have every user of this node sent away for
+// as long as that lasts: what is known of one job is then read by itself (asks).
 type polls struct {
 	waiting []poll      // no epoch was asked for since they came
-	rounds  []pollRound // an epoch was asked for
-	asking  bool
+	asked   []poll      // an epoch is being read
+	rounds  []pollRound // the mirror is to get to an epoch
+	asking  int         // the reading of the epoch that counts; older ones answer nothing
+	out     bool        // it is under way
 	askedAt time.Time
+	lagging bool // the last round was not reached in time
 }
 
 type poll struct {
 	answer  func()
 	respond func(wire.Reply) // refuses it instead
 	at      time.Time
+	uid     string // of the job that it is about, none if it is about anything else
 }
 
 // pollRound is the polls that one reading of the epoch serves.
@@ -209,39 +220,68 @@
 		respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, f, true)})
 		return
 	}
-	fr.afterEpoch(respond, func() { fr.answerPoll(uid, respond) })
+	p := &fr.polls
+	if p.lagging && len(p.waiting)+len(p.asked)+len(p.rounds) > 0 && !fr.Client.Down() {
+		fr.askFor(ask{uid, respond, fr.Now}) // those before it see whether the mirror still lags
+		return
+	}
+	fr.addPoll(poll{func() { fr.answerPoll(uid, respond) }, respond, fr.Now, uid})
 }
 
 // afterEpoch has a question answered once the mirror has got to an epoch that
 // was read after it came; otherwise it is refused.
 func (fr *Front) afterEpoch(respond func(wire.Reply), answer func()) {
-	if fr.Client.Down() || !fr.Live() || len(fr.polls.waiting) >= tuning.MostPolls {
-		respond(wire.Refuse("state unavailable"))
+	fr.addPoll(poll{answer: answer, respond: respond, at: fr.Now})
+}
+
+func (fr *Front) addPoll(q poll) {
+	p := &fr.polls
+	if fr.Client.Down() || !fr.Live() {
+		q.respond(wire.Refuse("state unavailable"))
+		return
+	}
+	// Whoever was sent away the last time finds room that others do not.
+	if most := tuning.MostPolls + min(fr.asks.sheds.times(q.uid), 1)*tuning.MostSheds; len(p.waiting) >= most {
+		fr.shed(q.uid, q.respond)
 		return
 	}
-	fr.polls.waiting = append(fr.polls.waiting, poll{answer, respond, fr.Now})
+	p.waiting = append(p.waiting, q)
 	fr.KeepPolls()
 }
 
-// KeepPolls reads the epoch for the polls that wait, and gives up those that
+// KeepPolls reads the epoch for the polls that wait, and deals with those that
 // have waited for too long.
 func (fr *Front) KeepPolls() {
 	p := &fr.polls
-	for len(p.rounds) > 0 && fr.Now.Sub(p.rounds[0].polls[0].at) > tuning.PollWait {
-		fr.refusePolls(p.rounds[0].polls)
-		p.rounds = p.rounds[1:]
+	rounds := p.rounds[:0]
+	for _, r := range p.rounds {
+		if r.polls = fr.overdue(r.polls); len(r.polls) > 0 {
+			rounds = append(rounds, r)
+		}
 	}
-	if len(p.waiting) > 0 && fr.Now.Sub(p.waiting[0].at) > tuning.PollWait {
-		fr.refusePolls(p.waiting)
-		p.waiting = nil
+	p.rounds = rounds
+	p.waiting, p.asked = fr.overdue(p.waiting), fr.overdue(p.asked)
+	fr.keepAsks()
+	// One reading serves all who wait, so it must not stand behind calls that serve one
+	// user each: while the budget holds those back it is made less often, before them.
+	gap, level := tuning.PollGap, store.Poll
+	if fr.Client.Waiting() > 0 {
+		gap, level = tuning.PollAgain, store.Urgent
 	}
-	if len(p.waiting) == 0 || p.asking || fr.Now.Sub(p.askedAt) < tuning.PollGap {
+	since := fr.Now.Sub(p.askedAt)
+	if len(p.waiting) == 0 || since < gap || p.out && since < tuning.PollAgain {
 		return
 	}
-	asked := p.waiting
-	p.waiting, p.asking, p.askedAt = nil, true, fr.Now
-	fr.Client.Epoch(store.Poll, func(epoch uint64, err error) {
-		p.asking = false
+	p.asking++
+	p.out, p.askedAt = true, fr.Now
+	p.asked, p.waiting = append(p.asked, p.waiting...), nil
+	asking := p.asking
+	fr.Client.Epoch(level, func(epoch uint64, err error) {
+		if asking != p.asking {
+			return
+		}
+		asked := p.asked
+		p.asked, p.out = nil, false
 		if err != nil {
 			fr.refusePolls(asked)
 			return
@@ -254,6 +294,27 @@
 	})
 }
 
+// overdue has the jobs read by themselves for whom the mirror is too late, refuses
+// what else has waited for too long, and gives back the rest.
+func (fr *Front) overdue(ps []poll) []poll {
+	if len(ps) == 0 || fr.Now.Sub(ps[0].at) <= tuning.PollLate {
+		return ps
+	}
+	var left []poll
+	for _, q := range ps {
+		switch waited := fr.Now.Sub(q.at); {
+		case q.uid != "" && waited > tuning.PollLate:
+			fr.polls.lagging = true
+			fr.askFor(ask{q.uid, q.respond, q.at})
+		case waited > tuning.PollWait:
+			q.respond(wire.Refuse("state unavailable"))
+		default:
+			left = append(left, q)
+		}
+	}
+	return left
+}
+
 func (fr *Front) refusePolls(ps []poll) {
 	for _, p := range ps {
 		p.respond(wire.Refuse("state unavailable"))
@@ -266,6 +327,7 @@
 	for len(p.rounds) > 0 && p.rounds[0].epoch <= fr.Mirror.Epoch {
 		done := p.rounds[0].polls
 		p.rounds = p.rounds[1:]
+		p.lagging = false
 		for _, q := range done {
 			q.answer()
 		}
@@ -274,20 +336,12 @@
 
 func (fr *Front) answerPoll(uid string, respond func(wire.Reply)) {
 	if j := fr.Jobs[uid]; j != nil && j.Rec != nil {
+		fr.asks.sheds.answered(uid)
 		respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, jobs.Final{State: j.Rec.State, Done: j.Rec.Done}, true)})
 		return
 	}
 	// Unknown here, so it has ended or was never accepted.
-	fr.read(uid, func(s jobs.Final, err error) {
-		switch {
-		case errors.Is(err, errNoJob):
-			respond(wire.Reply{Status: 404, Body: wire.ErrorBody("no such job")})
-		case err != nil:
-			respond(wire.Refuse("state unavailable"))
-		default:
-			respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, s, true)})
-		}
-	})
+	fr.askFor(ask{uid, respond, fr.Now})
 }
 
 func (fr *Front) submit(body []byte, respond func(wire.Reply)) {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -39,6 +39,7 @@
 	following bool
 	next      time.Time // when to list or follow again
 	prefix    int
+	page      string // the page to be read is after this key
 	rows      []store.Item
 	since     uint64 // where the watch starts
 	until     uint64 // what was listed is as late as this, in part
@@ -52,8 +53,8 @@
 	}
 	switch {
 	case !n.sync.live && !n.sync.listing && !n.sync.following:
-		n.sync = syncState{listing: true}
-		n.listPage("")
+		n.sync.listing = true
+		n.listPage(n.sync.page)
 	case n.sync.live && !n.sync.following:
 		n.followNow()
 	}
@@ -68,7 +69,9 @@
 	prefix := n.prefixes()[n.sync.prefix]
 	n.client.List(store.Urgent, prefix, since, func(p store.Page, err error) {
 		if err != nil {
-			n.sync = syncState{next: n.Now.Add(tuning.SyncAgain)}
+			// What was read stays: where pages often fail, a listing that began
+			// anew each time would never end.
+			n.sync.listing, n.sync.page, n.sync.next = false, since, n.Now.Add(tuning.SyncAgain)
 			return
 		}
 		if n.sync.since == 0 {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -261,9 +261,16 @@
 		w.Store.SetDown(args[0] == "down")
 	case "slow": // slow SECONDS: the state service answers so much later
 		w.Store.Slow = time.Duration(s.number(args[0]) * float64(time.Second))
+	case "fail-pages": // fail-pages COUNT: each so-manieth page of a listing is refused, 0 none
+		w.Store.FailPages = int(s.number(args[0]))
 	case "apply": // apply FILE BASE: another tree
 		s.applied[args[0]] = 0
 		w.ApplyQuota(quota.Apply{Base: int(s.number(args[1])), Quotas: *s.quotas(args[0])}, func(status int, _ quota.Preview) { s.applied[args[0]] = status })
+	case "ask-many": // ask-many FIRST COUNT EVERY: about a job that no one submitted each EVERY seconds
+		first, every := int(s.number(args[0])), s.number(args[2])
+		for i := range int(s.number(args[1])) {
+			w.After(time.Duration(float64(i)*every*float64(time.Second)), func() { w.Ask(fmt.Sprintf("wk-%06d", first+i)) })
+		}
 	case "run": // run RUN FILE: a pipeline file of testdata/pipelines
 		w.SubmitRun(&standin.Run{ID: args[0], Body: s.pipeline(args[0], args[1])})
 	case "run-many": // run-many FIRST COUNT EVERY FILE: one each EVERY seconds
@@ -517,6 +524,10 @@
 		if alive := s.w.Workers[s.party(args[1])] != nil; alive != (args[0] == "alive") {
 			s.fatal("machine %s alive: %v", args[1], alive)
 		}
+	case "answered": // expect answered SECONDS: each user had an answer in the last so many
+		for _, uid := range s.w.Waiting(time.Duration(s.number(args[1]) * float64(time.Second))) {
+			s.fatal("no question about %s was answered", uid)
+		}
 	case "expired": // expect expired COUNT: leases that ran out under tasks
 		if got := s.w.Expired; got != int(s.number(args[1])) {
 			s.fatal("%d leases ran out, not %s", got, args[1])
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -343,7 +343,7 @@
 			switch {
 			case err == nil && (status == 201 || status == 200):
 				if !j.Accepted {
-					j.Accepted = true
+					j.Accepted, j.LastOK = true, w.Now
 					w.poll(j)
 				}
 			case err == nil && (status == 400 || status == 422):
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -36,7 +36,10 @@
 	TxnOps  int
 	// Poison has transactions refused for no reason that the protocol knows: those that
 	// write anything of this job but its own record. Poisoned counts them.
-	Poison         string
+	Poison string
+	// FailPages has each so-manieth page of a listing refused, 0 none.
+	FailPages      int
+	pages          int
 	Poisoned       int
 	rTokens, wUsed float64
 	filled         time.Time
@@ -224,6 +227,10 @@
 	case path == "/follow":
 		s.follow(from, q, answer)
 	case method == "GET" && path == "/store":
+		if s.pages++; s.FailPages > 0 && s.pages%s.FailPages == 0 {
+			answer(503, []byte("{}"))
+			return
+		}
 		s.list(q, answer)
 	case method == "GET" && strings.HasPrefix(path, "/store/"):
 		it, ok := s.items[path[len("/store/"):]]
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -165,6 +165,10 @@
 // Spare tells whether there is budget to spare for writes without hurry.
 func (c *Client) Spare() bool { return c.waiting == 0 && c.writes > c.wps/2 }
 
+// Reads tells whether there is budget for a read that a user waits for, beside the share
+// of a second's requests that is kept for others.
+func (c *Client) Reads(kept float64) bool { return c.tokens >= max(1, c.rps*kept) }
+
 // Spent tells how many writes of each kind of key were handed in since it was
 // last asked; removals count apart.
 func (c *Client) Spent() map[string]int {
@@ -233,7 +237,9 @@
 		limit = tuning.UserQueue
 	}
 	if p != Membership && len(c.queues[p]) >= limit {
-		q.done(503, nil, nil)
+		// Not an answer of the service: a node that is asked too much must not take
+		// it for down, and send everybody away while it calls itself healthy.
+		q.done(429, nil, nil)
 		return
 	}
 	c.queues[p] = append(c.queues[p], q)
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -72,8 +72,23 @@
 	// PollWait: polls that could not be answered by then are refused; users
 	// wait 2 s.
 	PollWait = 1500 * time.Millisecond
+	// PollLate: polls whose epoch the mirror has not reached by then are answered by
+	// reads of their own, which take some tens of milliseconds, while there is budget.
+	PollLate = 900 * time.Millisecond
+	// PollAgain: the same while the budget holds calls back, and from when on an epoch
+	// that was not answered is read once more.
+	PollAgain = 400 * time.Millisecond
 	// MostPolls: polls waiting before more are refused.
 	MostPolls = 2000
+	// MostAsks: polls waiting for a read of their own; at 20 reads a second and node
+	// more would grow older than PollWait.
+	MostAsks = 60
+	// MostSheds: jobs kept whose users were sent away last, to go first the next time.
+	MostSheds = 4000
+	// AskHurry: from then on such a read is made with whatever budget there is.
+	AskHurry = 300 * time.Millisecond
+	// ReadsKept: share of a second's requests that reads for polls leave to others.
+	ReadsKept = 0.25
 	// FollowGap: least pause between two watches, so that a busy store does not
 	// cost a request per change. A peer's hint cuts it short.
 	FollowGap = 40 * time.Millisecond
