--- a/internal/front/asks.go
+++ b/internal/front/asks.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/wire"
 )
@@ -101,7 +102,9 @@
 	respond(wire.Refuse("too many questions"))
 }
 
-// keepAsks reads what there is room for. A question whose user has gone is not read: a
+// keepAsks reads what there is room for. That a job is live is only told if the answer
+// came at once: what came late is from before, and another controller may have told the
+// user since that it has ended. A question whose user has gone is not read: a
 // queue of those would have every answer come too late.
 func (fr *Front) keepAsks() {
 	a := &fr.asks
@@ -122,7 +125,13 @@
 			return
 		default:
 			a.take(i)
-			fr.read(q.uid, func(s jobs.Final, err error) { fr.answerAsk(q, s, err) })
+			left := fr.Now
+			fr.read(q.uid, func(s jobs.Final, err error) {
+				if err == nil && s.State == jobs.Live && fr.Now.Sub(left) > tuning.ReadFresh {
+					err = store.ErrUnknown
+				}
+				fr.answerAsk(q, s, err)
+			})
 		}
 	}
 }
--- a/internal/front/asks_test.go
+++ b/internal/front/asks_test.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -62,6 +63,25 @@
 	}
 }
 
+// That a job is live is told only by a read that came at once: what came late may be older
+// than what another controller has told the user since.
+func TestOldReadIsNoAnswer(t *testing.T) {
+	for took, want := range map[time.Duration]int{tuning.ReadFresh: 200, tuning.ReadFresh + time.Millisecond: 503} {
+		d := newDoor(t, false)
+		d.state = func(_, target, _ string) (int, string) {
+			if target == "/store/job/wk-000001" {
+				d.Now = d.Now.Add(took)
+				return 200, `{"key":"job/wk-000001","v":{"s":"live","spec":{"uid":"wk-000001","pieces":1,"rank":"prod"}},"stamp":5}`
+			}
+			return 404, `{"epoch":7}`
+		}
+		d.Mirror.Changed = func(string, json.RawMessage, uint64) {}
+		if r := d.ask("GET", "/work/wk-000001", ""); r.Status != want {
+			t.Errorf("after %v: %d %s", took, r.Status, r.Body)
+		}
+	}
+}
+
 // Without room for a question nobody is kept waiting for longer than users wait, and who
 // was sent away goes first once there is room.
 func TestNoRoomForQuestions(t *testing.T) {
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -207,6 +207,7 @@
 	respond func(wire.Reply) // refuses it instead
 	at      time.Time
 	uid     string // of the job that it is about, none if it is about anything else
+	read    bool   // that job is read by itself as well
 }
 
 // pollRound is the polls that one reading of the epoch serves.
@@ -220,12 +221,29 @@
 		respond(wire.Reply{Status: 200, Body: fr.statusOf(uid, f, true)})
 		return
 	}
-	p := &fr.polls
-	if p.lagging && len(p.waiting)+len(p.asked)+len(p.rounds) > 0 && !fr.Client.Down() {
-		fr.askFor(ask{uid, respond, fr.Now}) // those before it see whether the mirror still lags
-		return
+	q := poll{func() { fr.answerPoll(uid, respond) }, respond, fr.Now, uid, false}
+	if fr.polls.lagging {
+		fr.readToo(&q)
 	}
-	fr.addPoll(poll{func() { fr.answerPoll(uid, respond) }, respond, fr.Now, uid})
+	fr.addPoll(q)
+}
+
+// readToo has the job of a poll read by itself as well: whichever comes first is the
+// answer.
+func (fr *Front) readToo(q *poll) {
+	over, respond := false, q.respond
+	once := func(r wire.Reply) {
+		if !over {
+			over = true
+			respond(r)
+		}
+	}
+	q.read, q.respond, q.answer = true, once, func() { fr.answerPoll(q.uid, once) }
+	fr.askFor(ask{q.uid, func(r wire.Reply) {
+		if r.Status != 503 { // then the poll still waits for the mirror
+			once(r)
+		}
+	}, q.at})
 }
 
 // afterEpoch has a question answered once the mirror has got to an epoch that
@@ -294,23 +312,24 @@
 	})
 }
 
-// overdue has the jobs read by themselves for whom the mirror is too late, refuses
-// what else has waited for too long, and gives back the rest.
+// overdue has the jobs read by themselves for whom the mirror is late, refuses what has
+// waited for too long, and gives back the rest.
 func (fr *Front) overdue(ps []poll) []poll {
 	if len(ps) == 0 || fr.Now.Sub(ps[0].at) <= tuning.PollLate {
 		return ps
 	}
 	var left []poll
 	for _, q := range ps {
-		switch waited := fr.Now.Sub(q.at); {
-		case q.uid != "" && waited > tuning.PollLate:
-			fr.polls.lagging = true
-			fr.askFor(ask{q.uid, q.respond, q.at})
-		case waited > tuning.PollWait:
+		waited := fr.Now.Sub(q.at)
+		if waited > tuning.PollWait {
 			q.respond(wire.Refuse("state unavailable"))
-		default:
-			left = append(left, q)
+			continue
+		}
+		if q.uid != "" && !q.read && waited > tuning.PollLate {
+			fr.polls.lagging = true
+			fr.readToo(&q)
 		}
+		left = append(left, q)
 	}
 	return left
 }
--- /dev/null
+++ b/internal/scenario/troubles_test.go
@@ -0,0 +1,130 @@
+package scenario
+
+import (
+	"flag"
+	"fmt"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/settings"
+	"github.com/harrierreel/harrierreel/internal/standin"
+)
+
+// Worlds of drawn troubles, more of them by a flag:
+//
+//	go test ./internal/scenario -run TestDrawnTroubles -troubles 100 -troubles-from 0
+var (
+	troubleWorlds = flag.Int("troubles", 3, "worlds of drawn troubles")
+	troubleFrom   = flag.Int("troubles-from", 0, "seed of the first")
+)
+
+// TestDrawnTroubles draws troubles of every kind that the stand-ins know, several at a
+// time, for two and a half minutes, then judges as the users do: no rule broken, nobody
+// forgotten, half of each class and team begun.
+func TestDrawnTroubles(t *testing.T) {
+	for seed := *troubleFrom; seed < *troubleFrom+*troubleWorlds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			w := standin.NewWorld(uint64(seed), slog.New(slog.DiscardHandler))
+			w.WatchTasks()
+			s := &script{t: t, w: w, set: baseSettings(w)}
+			s.set.Cluster.Size = 5
+			s.set.Cluster.Teams = []settings.Team{{Name: "team", GpusMax: 120}, {Name: "other", GpusMax: 60}}
+			w.Max["team"], w.Max["other"] = 120, 60
+			s.set.Operator.Packs = []settings.Packs{settings.PacksAlways, settings.PacksScarce}[seed%2]
+			s.set.Cluster.State.WriteRPS = 80
+			w.Store.RPS, w.Store.WPS = 250, 80
+			for i := range 40 {
+				s.host = append(s.host, w.Cloud.AddRunning("g4", []string{"a", "b"}[i%2], false))
+			}
+			w.AddNodes(5, s.set)
+			s.drawJobs()
+			for w.RunUntil(10 * time.Second); w.At() < 150*time.Second; {
+				s.drawTrouble()
+				w.RunUntil(w.At() + time.Duration(w.RNG.IntN(7000))*time.Millisecond)
+			}
+			w.RunUntil(w.At() + 25*time.Second)
+			w.Aftermath()
+			w.CheckServed(false)
+			w.CheckRefused()
+			for _, b := range w.Broken {
+				t.Error(b)
+			}
+		})
+	}
+}
+
+// drawJobs has jobs of all shapes handed in for two minutes, some of them cancelled.
+func (s *script) drawJobs() {
+	w, r := s.w, s.w.RNG
+	for i, at := 0, 5.0; at < 120; i, at = i+1, at+0.3+r.Float64() {
+		uid := fmt.Sprintf("wk-%06d", i)
+		shape := []string{"sweep", "sweep", "ensemble", "standing"}[r.IntN(4)]
+		args := []string{uid, shape, fmt.Sprintf("pieces=%d", 1+r.IntN(6)), fmt.Sprintf("run=%d", 2+r.IntN(30)), "owner=" + []string{"team", "other"}[r.IntN(2)], "class=" + shape}
+		w.After(time.Duration(at*float64(time.Second)), func() { s.submit(args) })
+		if shape == "standing" || r.IntN(4) == 0 {
+			w.After(time.Duration((at+5+40*r.Float64())*float64(time.Second)), func() {
+				if w.Jobs[uid].Accepted {
+					w.Abort(w.Jobs[uid])
+				}
+			})
+		}
+	}
+}
+
+// drawTrouble begins one trouble, which ends by itself.
+func (s *script) drawTrouble() {
+	w, r := s.w, s.w.RNG
+	n := w.Nodes[w.Order[r.IntN(len(w.Order))]]
+	host := s.host[r.IntN(len(s.host))]
+	d := time.Duration(500+r.IntN(9000)) * time.Millisecond
+	toggle := func(d time.Duration, set func(on bool)) {
+		set(true)
+		w.After(d, func() { set(false) })
+	}
+	switch r.IntN(15) {
+	case 0:
+		w.Flap(n.Name, 1+r.IntN(6), 900*time.Millisecond)
+	case 1:
+		for _, name := range w.Order {
+			w.Flap(name, 1+r.IntN(2), 1500*time.Millisecond)
+		}
+	case 2:
+		toggle(d, w.Store.SetDown)
+	case 3:
+		w.Store.Slow = time.Duration(r.IntN(1500)) * time.Millisecond
+		w.After(d, func() { w.Store.Slow = 0 })
+	case 4:
+		w.Store.Lag[n.Name] = d
+		w.After(2*d, func() { w.Store.Lag[n.Name] = 0 })
+	case 5:
+		toggle(2*d, func(on bool) { w.Store.Refuse[n.Name] = on })
+	case 6:
+		w.Store.FailPages = 2 + r.IntN(5)
+		w.After(2*d, func() { w.Store.FailPages = 0 })
+	case 7:
+		n.Freeze(d)
+	case 8:
+		w.Store.Lose[n.Name] = 1 + r.IntN(5)
+	case 9:
+		w.HoldBack([]string{"beat", "cmd", "state", "rent"}[r.IntN(4)], d, 3+r.IntN(20))
+	case 10:
+		if wk := w.Workers[host]; wk != nil {
+			wk.Reborn()
+		}
+	case 11:
+		if wk := w.Workers[host]; wk != nil {
+			wk.Hung = true
+			w.After(d, wk.Resume)
+		}
+	case 12:
+		toggle(2*d, func(on bool) { w.RefusePeers(n.Name, on) })
+	case 13:
+		n.Leave()
+		w.After(10*time.Second, n.Boot)
+	case 14:
+		w.Cut(n.Name, host, true)
+		w.After(d, func() { w.Heal(n.Name, host) })
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -87,6 +87,9 @@
 	MostSheds = 4000
 	// AskHurry: from then on such a read is made with whatever budget there is.
 	AskHurry = 300 * time.Millisecond
+	// ReadFresh: such a read's answer that took longer is too old to tell that a job is
+	// live; most take 10 ms.
+	ReadFresh = 100 * time.Millisecond
 	// ReadsKept: share of a second's requests that reads for polls leave to others.
 	ReadsKept = 0.25
 	// FollowGap: least pause between two watches, so that a busy store does not
