--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -44,6 +44,7 @@
 		owner = pt.OwnerOf(r.Host)
 	}
 	if owner != pt.Me {
+		pt.Squaring.SentOn(owner)
 		if pt.Machines[r.Host] != nil {
 			pt.Complain(owner, r.Host, true)
 		}
--- a/internal/squaring/tracker.go
+++ b/internal/squaring/tracker.go
@@ -26,6 +26,7 @@
 	heard, squared *hdrhistogram.Histogram // ms from the first view, by machine
 	differences    map[Difference]int
 	answers        map[Answer]int
+	sentOn         map[string]int // reports that were sent on, by the controller that they were sent to
 	log            *slog.Logger
 }
 
@@ -37,7 +38,7 @@
 	return &Tracker{
 		phase:  Reading,
 		within: time.Duration(tuning.SquareReports*reportS*float64(time.Second)) + tuning.SquareSlack, most: tuning.SquareMost,
-		machines: map[string]Machine{}, heard: h(), squared: h(), differences: map[Difference]int{}, answers: map[Answer]int{}, log: log,
+		machines: map[string]Machine{}, heard: h(), squared: h(), differences: map[Difference]int{}, answers: map[Answer]int{}, sentOn: map[string]int{}, log: log,
 	}
 }
 
@@ -135,6 +136,13 @@
 	}
 }
 
+// SentOn counts a report of another's machine.
+func (t *Tracker) SentOn(owner string) {
+	if !t.Steady() {
+		t.sentOn[owner]++
+	}
+}
+
 // Settle moves the phase on, and tells the log when squaring is over.
 func (t *Tracker) Settle(now time.Time) {
 	next := t.phase.Advance(Facts{Begun: !t.since.IsZero(), Counts: t.counts, Others: t.others, For: now.Sub(t.since), Viewed: now.Sub(t.viewed)}, t.within, t.most)
@@ -152,7 +160,7 @@
 	if t.heard.TotalCount() > 0 {
 		t.log.Info("squared", "machines", fmt.Sprintf("%+v", t.counts), "after_ms", now.Sub(t.since).Milliseconds(),
 			"heard_half_ms", t.heard.ValueAtQuantile(50), "heard_last_ms", t.heard.Max(), "squared_half_ms", t.squared.ValueAtQuantile(50), "squared_last_ms", t.squared.Max(),
-			"differences", fmt.Sprint(t.differences), "answers", fmt.Sprint(t.answers))
+			"differences", fmt.Sprint(t.differences), "answers", fmt.Sprint(t.answers), "sent_on", fmt.Sprint(t.sentOn))
 	}
-	t.machines, t.heard, t.squared, t.differences, t.answers = nil, nil, nil, nil, nil
+	t.machines, t.heard, t.squared, t.differences, t.answers, t.sentOn = nil, nil, nil, nil, nil, nil
 }
--- /dev/null
+++ b/internal/standin/counts.go
@@ -0,0 +1,71 @@
+package standin
+
+import (
+	"sort"
+	"time"
+)
+
+// What measurements ask of the world.
+
+// OnMachines counts the tasks on machines.
+func (w *World) OnMachines() int {
+	n := 0
+	for _, wk := range w.Workers {
+		n += wk.Holds()
+	}
+	return n
+}
+
+// Holds counts the tasks on the machine.
+func (wk *Worker) Holds() int {
+	n := 0
+	for _, p := range wk.pieces {
+		if p.on() {
+			n++
+		}
+	}
+	return n
+}
+
+// Begun counts the starts of tasks so far, of all jobs.
+func (w *World) Begun() int {
+	n := 0
+	for _, j := range w.Jobs {
+		n += j.Starts
+	}
+	return n
+}
+
+// Orders counts the orders that workers were told so far.
+func (w *World) Orders() int { return w.orders }
+
+// HeardUnder counts the machines that were shown a baton of this epoch.
+func (w *World) HeardUnder(epoch uint64) int {
+	n := 0
+	for _, wk := range w.Workers {
+		if wk.baton>>20 >= epoch {
+			n++
+		}
+	}
+	return n
+}
+
+// Hosts lists the machines that run, by name.
+func (w *World) Hosts() []string {
+	var out []string
+	for h := range w.Workers {
+		out = append(out, h)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// ProbeUser asks about a job every so often until an answer is not a refusal.
+func (w *World) ProbeUser(every time.Duration, answered func()) {
+	w.ask("GET", "/work/wk-000001", nil, func(status int, _ []byte, err error) {
+		if err == nil && status == 200 {
+			answered()
+		}
+	})
+	w.After(every, func() { w.ProbeUser(every, answered) })
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -269,6 +269,7 @@
 }
 
 func (wk *Worker) execute(orders []order) {
+	wk.w.orders += len(orders)
 	for _, o := range orders {
 		p := wk.pieces[attempt(o.Piece, o.Try)]
 		switch o.Verb {
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -47,6 +47,7 @@
 	Real                                           *Real     // set when the parties speak over sockets
 	Door                                           string    // the node that users reach, any if empty
 	Expired                                        int       // leases that ran out with tasks on the machine
+	orders                                         int       // told to workers
 }
 
 // Real carries what the world otherwise does by itself over sockets.
