Stand-ins: transactions and reports that come late, deaf machines, peers cut off; a cancellation counts from whichever answer tells it

A job's cancel_s was counted from the answer to the cancellation alone: one that a poll told first, or alone, was checked late or never. It counts from the first answer that tells it now. The other checks (twice, quota, done too soon, gone back) get tests of their own.

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -218,6 +218,9 @@
 	case "lease": // lease SECONDS of the workers
 		s.w.LeaseS = s.number(words[1])
 		s.set.Cluster.Workers.LeaseS = s.w.LeaseS
+	case "cancel": // cancel SECONDS: a cancelled job's tasks are to be gone so soon after its user was told
+		s.w.CancelS = s.number(words[1])
+		s.set.Cluster.Workers.CancelS = s.w.CancelS
 	case "quotas": // quotas FILE: the tree of testdata/quotas that is in force at first
 		s.set.Operator.Quotas = s.quotas(words[1])
 	case "pipelines": // pipelines [MOST_RUNS]: turned on
@@ -320,10 +323,38 @@
 		if left > 0 {
 			s.fatal("%d too few are %s", left, args[0])
 		}
-	case "cut-many", "heal-many": // cut-many FIRST COUNT: nothing reaches these machines of the start
+	// late-writes SHARE SECONDS: for so long that share of transactions gets no answer and
+	// is carried out 2 to 12 s later, after newer ones of the same controller
+	case "late-writes":
+		w.LateWrites(s.number(args[0]), time.Duration(s.number(args[1])*float64(time.Second)))
+	// late-reports SHARE SECONDS: for so long a copy of that share of the workers' reports
+	// arrives again at the same node, 2 s to 1.5 leases later
+	case "late-reports":
+		w.LateReports(s.number(args[0]), time.Duration(s.number(args[1])*float64(time.Second)))
+	// cut-peers NODE on|off: lines between this controller and the others are lost, both
+	// ways and in silence (refuse-peers has them refused, which the others hear). A
+	// controller cut from the state service and its peers, but neither from workers nor
+	// from users: "cut-peers NODE on" with "refuse NODE on", which answers it 503, or with
+	// "cut NODE state", after which its calls find no answer.
+	case "cut-peers":
+		for _, other := range w.Order {
+			switch {
+			case other == name(0):
+			case args[1] == "on":
+				w.Cut(name(0), other, false)
+				w.Cut(other, name(0), false)
+			default:
+				w.Heal(name(0), other)
+				w.Heal(other, name(0))
+			}
+		}
+	// cut-many|deaf FIRST COUNT: nothing reaches these machines of the start: their reports
+	// arrive, answers to them, commands and /show are lost. heal-many|hear ends it. One
+	// machine by name: "cut * MACHINE", "heal * MACHINE".
+	case "cut-many", "heal-many", "deaf", "hear":
 		first := int(s.number(args[0]))
 		for _, h := range s.host[first-1 : first-1+int(s.number(args[1]))] {
-			if w.Heal("*", h); verb == "cut-many" {
+			if w.Heal("*", h); verb == "cut-many" || verb == "deaf" {
 				w.Cut("*", h, false)
 			}
 		}
@@ -655,6 +686,14 @@
 		for _, uid := range s.w.Waiting(time.Duration(s.number(args[1]) * float64(time.Second))) {
 			s.fatal("no question about %s was answered", uid)
 		}
+	case "late-done": // expect late-done MIN: transactions carried out late
+		if got := w.LateDone; got < int(s.number(args[1])) {
+			s.fatal("%d transactions were carried out late, fewer than %s", got, args[1])
+		}
+	case "late-copies": // expect late-copies MIN: copies of reports that arrived later
+		if got := w.LateCopies; got < int(s.number(args[1])) {
+			s.fatal("%d copies of reports arrived, fewer than %s", got, args[1])
+		}
 	case "expired": // expect expired COUNT: leases that ran out under tasks
 		if got := s.w.Expired; got != int(s.number(args[1])) {
 			s.fatal("%d leases ran out, not %s", got, args[1])
--- /dev/null
+++ b/internal/standin/late_test.go
@@ -0,0 +1,133 @@
+package standin
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// place has a machine hold a job's task in some state.
+func place(w *World, host string, j *Job, n int, status string) *Worker {
+	p := &wpiece{piece: fmt.Sprintf("%s/%d", j.UID, n), try: 1, status: status, job: j, n: n}
+	wk := &Worker{w: w, h: &cloudHost{ID: host, Build: "g4", Site: "a"}, pieces: map[string]*wpiece{attempt(p.piece, 1): p}}
+	w.Workers[host] = wk
+	return wk
+}
+
+// TestRanCancelled: cancel_s after a user was told, by whichever answer, each task that is
+// still on a machine breaks the rule, also one that waits, saves, hangs or is cut off, and
+// so does one that begins later; none does before.
+func TestRanCancelled(t *testing.T) {
+	for _, again := range []bool{false, true} {
+		for _, status := range []string{"waiting", "running", "saving", "hung", "cut", "begins"} {
+			w := NewWorld(1, slog.New(slog.DiscardHandler))
+			w.CancelS = 41
+			j := &Job{UID: "wk-000001", Shape: "sweep", Pieces: 1, Accel: 1, RunS: 100, Body: []byte("{}"), Accepted: true, AbortAsked: true, Done: map[int]bool{}}
+			w.Jobs[j.UID] = j
+			wk := place(w, "i-1", j, 0, map[string]string{"waiting": "waiting", "saving": "saving", "begins": "pulling"}[status])
+			p := wk.pieces["wk-000001/0#1"]
+			switch status {
+			case "running", "cut":
+				p.status = "running"
+				w.Cut("*", "i-1", false)
+			case "hung":
+				p.status, wk.Hung = "running", true
+			case "begins":
+				w.After(42*time.Second, func() { wk.begin(p) })
+			}
+			w.told(j, []byte(`{"uid":"wk-000001","status":"cancelled"}`))
+			if again { // told once more, which changes nothing
+				w.After(30*time.Second, func() { w.told(j, []byte(`{"status":"cancelled"}`)) })
+			}
+			if w.RunUntil(41 * time.Second); len(w.Broken) != 0 {
+				t.Errorf("%s, told again %v, in time: %q", status, again, w.Broken)
+			}
+			if w.RunUntil(43 * time.Second); len(w.Broken) != 1 || !strings.Contains(w.Broken[0], "ran_cancelled: wk-000001/0 on i-1") {
+				t.Errorf("%s, told again %v, too late: %q", status, again, w.Broken)
+			}
+		}
+	}
+}
+
+// TestAnswersChecked: an answer that was on its way when the user was told another may
+// come last; one that left its controller later may not take back what was told.
+func TestAnswersChecked(t *testing.T) {
+	w := NewWorld(1, slog.New(slog.DiscardHandler))
+	j := &Job{UID: "wk-000001", Pieces: 2, Accepted: true, Done: map[int]bool{0: true}}
+	w.RunUntil(time.Second)
+	w.sent = w.Now
+	if w.told(j, []byte(`{"status":"done"}`)); len(w.Broken) != 1 || !strings.Contains(w.Broken[0], "not_done: wk-000001 has 1 of 2") {
+		t.Errorf("done before the last task: %q", w.Broken)
+	}
+	j.Done[1] = true
+	w.Broken = nil
+	if w.told(j, []byte(`{"status":"running"}`)); len(w.Broken) != 0 {
+		t.Errorf("an answer that crossed: %q", w.Broken)
+	}
+	w.sent = w.Now.Add(time.Millisecond)
+	if w.told(j, []byte(`{"status":"running"}`)); len(w.Broken) != 1 || !strings.Contains(w.Broken[0], "went_back: wk-000001 was done, is running") {
+		t.Errorf("a later answer: %q", w.Broken)
+	}
+}
+
+// TestStartsChecked: a task that starts while it is on another machine, hung or cut off
+// though that be, breaks a rule, and so does one beyond its team's limit.
+func TestStartsChecked(t *testing.T) {
+	w := NewWorld(1, slog.New(slog.DiscardHandler))
+	w.Max["t"] = 2
+	j := &Job{UID: "wk-000001", Shape: "sweep", Owner: "t", Pieces: 3, Accel: 1, RunS: 10, Body: []byte("{}"), Done: map[int]bool{}}
+	w.Jobs[j.UID] = j
+	place(w, "i-1", j, 0, "running").Hung = true
+	w.Cut("*", "i-1", false)
+	again := place(w, "i-2", j, 0, "pulling")
+	if again.begin(again.pieces["wk-000001/0#1"]); len(w.Broken) != 1 || !strings.Contains(w.Broken[0], "ran_twice: wk-000001/0 starts on i-2 while on i-1") {
+		t.Errorf("twice: %q", w.Broken)
+	}
+	w.Broken = nil
+	more := place(w, "i-3", j, 1, "pulling")
+	if more.begin(more.pieces["wk-000001/1#1"]); len(w.Broken) != 1 || !strings.Contains(w.Broken[0], "quota: t uses 3 of 2") {
+		t.Errorf("quota: %q", w.Broken)
+	}
+}
+
+// TestLateWrites: a transaction that meets the trouble gets no answer and is carried out
+// after newer ones, on its own conditions, 2 to 12 s later, though its sender is refused
+// by then; once the trouble is over none does.
+func TestLateWrites(t *testing.T) {
+	for seed := range uint64(20) {
+		w := NewWorld(seed, slog.New(slog.DiscardHandler))
+		call := w.Store.Call("n0")
+		answers := map[string]int{}
+		put := func(key string, stamp int) {
+			body := fmt.Sprintf(`{"if":[{"key":%q,"stamp":%d}],"writes":[{"write":%q,"v":1}]}`, key, stamp, key)
+			call("POST", "/multi", []byte(body), 4*time.Second, func(status int, _ []byte, err error) {
+				if err != nil {
+					status = -1
+				}
+				answers[key] = status
+			})
+		}
+		w.RunUntil(time.Second)
+		w.LateWrites(1, time.Second)
+		put("late", 0)
+		put("met", 0)
+		w.RunUntil(2*time.Second + time.Millisecond)
+		put("new", 0)
+		put("met", 0)
+		w.RunUntil(2900 * time.Millisecond)
+		w.Store.Refuse["n0"] = true
+		if w.Store.Value("late") != nil || w.Store.Value("new") == nil || w.Store.Value("met") == nil || answers["new"] != 200 {
+			t.Errorf("seed %d: late %s, new %s, answers %v", seed, w.Store.Value("late"), w.Store.Value("new"), answers)
+		}
+		stamp := w.Store.items["met"].Stamp
+		w.RunUntil(14 * time.Second)
+		if w.Store.Value("late") == nil || answers["late"] != -1 || w.LateDone != 2 {
+			t.Errorf("seed %d: late %s, answers %v, %d carried out late", seed, w.Store.Value("late"), answers, w.LateDone)
+		}
+		if w.Store.items["met"].Stamp != stamp {
+			t.Errorf("seed %d: a late transaction went against its condition", seed)
+		}
+	}
+}
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -453,6 +453,9 @@
 	if j.Told != s.Status {
 		j.Told, j.ToldAt = s.Status, w.Now
 	}
+	if s.Status == "cancelled" && !j.Cancelled {
+		w.cancelled(j) // whichever answer tells it first: cancel_s counts from there
+	}
 }
 
 // Abort cancels a job, repeating until it is answered.
@@ -464,9 +467,6 @@
 			return
 		}
 		w.told(j, b)
-		if j.Told == "cancelled" && !j.Cancelled {
-			w.cancelled(j)
-		}
 	})
 }
 
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -190,6 +190,13 @@
 					quick := answer
 					answer = func(status int, b []byte) { s.w.After(slow, func() { quick(status, b) }) }
 				}
+				if target == "/multi" && !s.Down && !s.Refuse[from] && s.w.meets(s.w.lateWrites) {
+					s.w.After(s.w.between(lateWriteFrom, lateWriteTo), func() {
+						s.w.LateDone++
+						s.serve("", method, target, body, func(int, []byte) {}) // it has passed what refuses its sender
+					})
+					return
+				}
 				if target == "/multi" && s.Late[from] > 0 {
 					s.w.After(s.Late[from], func() { s.serve(from, method, target, body, answer) })
 					return
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -171,6 +171,7 @@
 		w.call(wk.h.ID, name, 4*time.Second, w.maybeLate("beat", func(answer func(int, []byte)) {
 			w.Nodes[name].request("POST", "/agent/beat", body, answer)
 		}), done)
+		w.copyLate(name, body)
 	}
 	if w.Real != nil {
 		send = func(done func(int, []byte, error)) { w.Real.Beat(name, body, done) }
