Mirror: a late answer brings nothing back that the watch has shown to go

An answer to a read or to an own transaction that came after the watch had shown the key's removal put the value back for good: with answers 1.5 s late and watches prompt ten cancelled jobs stayed live for one controller. What is no newer than the watch has come is left alone.

--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -387,6 +387,8 @@
 		w.Store.SetDown(args[0] == "down")
 	case "slow": // slow SECONDS: the state service answers so much later
 		w.Store.Slow = time.Duration(s.number(args[0]) * float64(time.Second))
+	case "slow-watch": // slow-watch SECONDS: its answers to watches come so late instead
+		w.Store.SlowWatch = time.Duration(s.number(args[0]) * float64(time.Second))
 	case "fail-pages": // fail-pages COUNT: each so-manieth page of a listing is refused, 0 none
 		w.Store.FailPages = int(s.number(args[0]))
 	case "apply": // apply FILE BASE: another tree
@@ -467,7 +469,7 @@
 		}
 	case "end-on", "freeze-on", "cut-on", "hang-on", "die-on", "notice-on", "abort-on", "outage-on", "isolated-ends":
 		s.loanVerb(verb, args)
-	case "let": // let VAR host-of JOB | leader | follower
+	case "let": // let VAR host-of JOB | leader | follower | second
 		s.vars[args[0]] = s.value(args[1:])
 	case "plant": // plant KEY VALUE: an odd record in the store
 		w.Store.Put(args[0], strings.Join(args[1:], " "))
@@ -489,9 +491,14 @@
 		return s.w.OwnerOf(args[1])
 	case "leader":
 		return s.leader()
-	case "follower":
+	case "follower", "second": // the first and the second that doesn't lead
+		skip := args[0] == "second"
 		for _, n := range s.w.Order {
-			if n != s.leader() {
+			switch {
+			case n == s.leader():
+			case skip:
+				skip = false
+			default:
 				return n
 			}
 		}
@@ -686,6 +693,10 @@
 		for _, uid := range s.w.Waiting(time.Duration(s.number(args[1]) * float64(time.Second))) {
 			s.fatal("no question about %s was answered", uid)
 		}
+	case "known": // expect known NODE COUNT: live jobs by its mirror
+		if got := w.Nodes[s.node(args[1])].LiveJobs(); got != int(s.number(args[2])) {
+			s.fatal("%s knows %d live jobs, not %s", args[1], got, args[2])
+		}
 	case "late-done": // expect late-done MIN: transactions carried out late
 		if got := w.LateDone; got < int(s.number(args[1])) {
 			s.fatal("%d transactions were carried out late, fewer than %s", got, args[1])
--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/calendar"
+	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/node"
 	"github.com/harrierreel/harrierreel/internal/settings"
@@ -300,6 +301,17 @@
 // Turn is a controller's place among those that are to follow the leader.
 func (c *Node) Turn() int { return c.n.Turn() }
 
+// LiveJobs is how many live jobs a controller knows.
+func (c *Node) LiveJobs() int {
+	live := 0
+	for _, j := range c.n.Jobs {
+		if j.Rec != nil && j.Rec.State == jobs.Live {
+			live++
+		}
+	}
+	return live
+}
+
 // Alive tells whether the process runs.
 func (c *Node) Alive() bool { return c.alive }
 
--- a/internal/store/mirror.go
+++ b/internal/store/mirror.go
@@ -48,9 +48,12 @@
 	return out
 }
 
-// Put enters a committed value, unless something as new is there.
+// Put enters a committed value, unless something as new is there. What is no newer than
+// the watch has come is there already or is gone: the answer to a read or to an own
+// transaction may come after the watch has shown the key's removal, and must not bring it
+// back (docs/incidents/late-answers.md).
 func (m *Mirror) Put(key string, value json.RawMessage, stamp uint64) {
-	if m.items[key].Stamp >= stamp || m.graves[key] >= stamp {
+	if stamp <= m.Epoch || m.items[key].Stamp >= stamp || m.graves[key] >= stamp {
 		return
 	}
 	if m.Passing == nil || !m.Passing(key) {
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -222,3 +222,18 @@
 		t.Errorf("sent %v, %d wait", sent, c.Waiting())
 	}
 }
+
+// What the watch has passed is here or gone: an answer that comes later, to a read or to
+// an own transaction, brings nothing back.
+func TestLateAnswersBringNothingBack(t *testing.T) {
+	m, seen := mirror()
+	m.Follow(7, []Event{{Put: "job/a", Value: json.RawMessage("1"), Stamp: 5}, {Remove: "job/a", Stamp: 7}})
+	m.Put("job/a", json.RawMessage("1"), 5)
+	m.Commit([]Write{{Put: "job/a", Value: json.RawMessage("1")}}, 5)
+	if len(seen) != 0 || m.Stamp("job/a") != 0 {
+		t.Errorf("%v came back", seen)
+	}
+	if m.Put("job/b", json.RawMessage("1"), 8); m.Stamp("job/b") != 8 {
+		t.Error("what the watch has yet to show is taken in")
+	}
+}
