--- a/internal/standin/nodes.go
+++ b/internal/standin/nodes.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/calendar"
+	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/node"
 	"github.com/harrierreel/harrierreel/internal/settings"
@@ -300,6 +301,17 @@
 // Turn is a controller's place among those that are to follow the leader.
 func (c *Node) Turn() int { return c.n.Turn() }
 
+// LiveJobs is how many live jobs a controller knows.
+func (c *Node) LiveJobs() int {
+	live := 0
+	for _, j := range c.n.Jobs {
+		if j.Rec != nil && j.Rec.State == jobs.Live {
+			live++
+		}
+	}
+	return live
+}
+
 // Alive tells whether the process runs.
 func (c *Node) Alive() bool { return c.alive }
 
@@ -453,6 +465,9 @@
 	if j.Told != s.Status {
 		j.Told, j.ToldAt = s.Status, w.Now
 	}
+	if s.Status == "cancelled" && !j.Cancelled {
+		w.cancelled(j) // whichever answer tells it first: cancel_s counts from there
+	}
 }
 
 // Abort cancels a job, repeating until it is answered.
@@ -464,9 +479,6 @@
 			return
 		}
 		w.told(j, b)
-		if j.Told == "cancelled" && !j.Cancelled {
-			w.cancelled(j)
-		}
 	})
 }
 
