--- a/internal/cancellation/courier.go
+++ b/internal/cancellation/courier.go
@@ -120,7 +120,7 @@
 			rest(tuning.CourierAgain)
 			return
 		}
-		orders := StopsFor(r.Pieces, s.Cancelled)
+		orders := StopsFor(r.Pieces, func(uid string) bool { return s.log.known[uid] || s.Cancelled(uid) })
 		if len(orders) == 0 {
 			rest(tuning.CourierClean) // a launch may be on its way still
 			return
