--- a/internal/cancellation/cancellation_test.go
+++ b/internal/cancellation/cancellation_test.go
@@ -24,7 +24,7 @@
 // ask has a round of questions asked.
 func (p *Proof) ask(t *testing.T, s float64) uint64 {
 	t.Helper()
-	nonce, due := p.Question(at(s))
+	nonce, due := p.Question(at(s), true)
 	if !due {
 		t.Fatalf("no question at %v s", s)
 	}
--- a/internal/cancellation/model_test.go
+++ b/internal/cancellation/model_test.go
@@ -106,7 +106,7 @@
 			m.send(line{who: t, inc: t.inc, told: &Told{Inc: mark.Inc, Upto: mark.Seq}})
 		}
 	}
-	if nonce, due := m.owner.Question(m.now); due {
+	if nonce, due := m.owner.Question(m.now, m.down || m.refused["owner"]); due {
 		for _, t := range m.tellers {
 			if !t.away {
 				m.send(line{who: t, inc: t.inc, ask: &Ask{nonce, m.owner.Taken()[t.name]}})
--- a/internal/cancellation/proof.go
+++ b/internal/cancellation/proof.go
@@ -12,7 +12,6 @@
 // Standings of an owner.
 const (
 	Proven  Standing = "proven"  // leases are renewed
-	Asking  Standing = "asking"  // the state service has not answered of late: the others are asked as well
 	Lapsing Standing = "lapsing" // no lease is renewed: what was missed must end with it
 )
 
@@ -58,14 +57,9 @@
 
 // Next is the one place where the standing changes.
 func (p *Proof) Next(now time.Time) (standing Standing, changed bool) {
-	age := now.Sub(p.at)
 	next := Proven
-	switch {
-	case p.window == 0:
-	case p.at.IsZero() || age >= p.window:
+	if !p.Renews(now) {
 		next = Lapsing
-	case age >= tuning.ProofAsk:
-		next = Asking
 	}
 	changed = next != p.state
 	p.state = next
@@ -104,9 +98,14 @@
 	p.shown(b.asked, b.marks)
 }
 
-// Question is the next round's nonce, if one is due.
-func (p *Proof) Question(now time.Time) (nonce uint64, due bool) {
-	if p.window == 0 || p.at.IsZero() || len(p.peers) == 0 || now.Sub(p.at) < tuning.ProofAsk || now.Sub(p.asked) < tuning.ProofAskEvery {
+// Question is the next round's nonce, if one is due: where the state service does not
+// answer, or has proven nothing for half of the time that there is.
+func (p *Proof) Question(now time.Time, down bool) (nonce uint64, due bool) {
+	least := p.window / 2
+	if down {
+		least = min(least, tuning.ProofAsk)
+	}
+	if p.window == 0 || p.at.IsZero() || len(p.peers) == 0 || now.Sub(p.at) < least || now.Sub(p.asked) < tuning.ProofAskEvery {
 		return 0, false
 	}
 	p.asked = now
--- a/internal/cancellation/service.go
+++ b/internal/cancellation/service.go
@@ -47,6 +47,8 @@
 	Call func(endpoint, method, target string, body []byte, timeout time.Duration, done func(status int, body []byte, err error))
 	// OwnerOf is the controller that a machine belongs to.
 	OwnerOf func(host string) string
+	// Down tells that the state service does not answer.
+	Down func() bool
 	// Touch has a machine looked at.
 	Touch func(host string)
 }
@@ -150,7 +152,7 @@
 			}
 		}
 	}
-	if nonce, due := s.Question(s.Now); due {
+	if nonce, due := s.Question(s.Now, s.Down()); due {
 		taken := s.Taken()
 		for _, p := range s.Peers {
 			s.Send(p, Message{Ask: &Ask{Nonce: nonce, Taken: taken[p]}})
--- a/internal/cancellation/service_test.go
+++ b/internal/cancellation/service_test.go
@@ -32,7 +32,7 @@
 		b.Now = start
 		next := uint64(i+1) * 1000
 		p.services[name] = New(b, Env{Me: name, Peers: peers, Window: 20 * time.Second, CancelFor: 60 * time.Second, Log: slog.New(slog.DiscardHandler),
-			OwnerOf: func(string) string { return name }, Touch: func(string) {},
+			OwnerOf: func(string) string { return name }, Touch: func(string) {}, Down: func() bool { return false },
 			Send: func(to string, m Message) {
 				p.lines++
 				if m.Told != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -140,11 +140,11 @@
 	}
 	n.told = cancellation.New(n.Book, cancellation.Env{
 		Me: set.NodeName, Peers: set.PeerNames(), Window: window, CancelFor: jobs.Seconds(set.Cluster.Workers.CancelS), Log: log,
-		Send: n.send, Call: out.Worker, OwnerOf: n.owner, Touch: func(host string) {
+		Send: n.send, Call: out.Worker, OwnerOf: n.owner, Down: n.client.Down, Touch: func(host string) {
 			n.part.Touch(host)
 			n.dirty = true
 		},
-	}, rng.Uint64)
+	}, rand.Uint64) // not the seeded chance: what the process's number is decides nothing
 	n.mirror = store.NewMirror(n.changed)
 	n.mirror.Passing = func(key string) bool {
 		return hasPrefix(key, jobs.FinalPrefix) || hasPrefix(key, pipelines.RanPrefix)
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/cancellation"
 	"github.com/harrierreel/harrierreel/internal/commit"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -37,6 +38,7 @@
 	since     uint64 // where the watch starts
 	until     uint64 // what was listed is as late as this, in part
 	pageEpoch uint64
+	basis     cancellation.Basis // all pages were asked for after it
 }
 
 // keepSync lists what must be listed and keeps one watch open.
@@ -47,6 +49,9 @@
 	switch {
 	case !n.sync.live && !n.sync.listing && !n.sync.following:
 		n.sync.listing = true
+		if n.sync.prefix == 0 && n.sync.page == "" {
+			n.sync.basis = n.told.Begin(n.Now)
+		}
 		n.listPage(n.sync.page)
 	case n.sync.live && !n.sync.following:
 		n.followNow()
@@ -90,6 +95,9 @@
 		if n.sync.since > n.mirror.Epoch {
 			n.mirror.Epoch = n.sync.since
 		}
+		if n.caughtUp() {
+			n.told.Shown(n.sync.basis)
+		}
 		n.log.Info("state read", "jobs", len(n.Jobs), "machines", len(n.Machines), "epoch", n.mirror.Epoch)
 		n.followNow()
 	})
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -746,10 +746,9 @@
 	ProofMargin = 1500 * time.Millisecond
 	// ProofDrift: share of cancel_s by which clocks may drift apart (0.05% each way).
 	ProofDrift = 0.001
-	// ProofAsk: the other controllers are asked once the state service has proven
-	// nothing for so long. A watch answers within some 60 ms where anything changes, and
-	// within FollowHold where nothing does.
-	ProofAsk = 3 * time.Second
+	// ProofAsk: while the state service does not answer, the other controllers are asked
+	// once it has proven nothing for so long.
+	ProofAsk = time.Second
 	// ProofAskEvery: pause between two rounds of questions: one short line to each other
 	// controller, and one back.
 	ProofAskEvery = time.Second
