--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -387,6 +387,8 @@
 		w.Store.SetDown(args[0] == "down")
 	case "slow": // slow SECONDS: the state service answers so much later
 		w.Store.Slow = time.Duration(s.number(args[0]) * float64(time.Second))
+	case "slow-some": // slow-some SHARE MOST SECONDS: for so long that share of its answers comes up to MOST seconds later
+		w.Store.SlowSome(s.number(args[0]), time.Duration(s.number(args[1])*float64(time.Second)), time.Duration(s.number(args[2])*float64(time.Second)))
 	case "slow-watch": // slow-watch SECONDS: its answers to watches come so late instead
 		w.Store.SlowWatch = time.Duration(s.number(args[0]) * float64(time.Second))
 	case "fail-pages": // fail-pages COUNT: each so-manieth page of a listing is refused, 0 none
@@ -524,8 +526,12 @@
 	return text
 }
 
-// party resolves a variable or gives the text back.
+// party resolves a variable, perhaps with a channel after a colon (leader:cmd), or gives
+// the text back.
 func (s *script) party(text string) string {
+	if base, channel, found := strings.Cut(text, ":"); found {
+		return s.party(base) + ":" + channel
+	}
 	if v, ok := s.vars[text]; ok {
 		return v
 	}
@@ -587,6 +593,8 @@
 			cores = s.number(v)
 		case "run":
 			j.RunS = s.number(v)
+		case "apart": // its tasks end so many seconds after one another
+			j.ApartS = s.number(v)
 		case "pull":
 			j.PullS = s.number(v)
 		case "gb": // its image, by itself, as large as users say
--- a/internal/standin/served.go
+++ b/internal/standin/served.go
@@ -30,6 +30,7 @@
 	s := w.Store
 	s.SetDown(false)
 	s.Slow, s.SlowWatch, s.Poison, s.FailPages = 0, 0, "", 0
+	s.slowSome = drawn{}
 	clear(s.Refuse)
 	clear(s.Lose)
 	clear(s.Lag)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -47,6 +47,8 @@
 	Refused        int
 	// Slow is added to every answer, SlowWatch to those of watches instead.
 	Slow, SlowWatch time.Duration
+	slowSome        drawn // share of its answers that come up to slowMost later
+	slowMost        time.Duration
 	// Committed, if set, is called for every write of a transaction, with a nil
 	// value for a removal, and Settled after each transaction. Requests counts all
 	// that were served.
@@ -114,6 +116,12 @@
 	return s
 }
 
+// SlowSome has, for so long, that share of its answers come up to most later, each by a
+// time of its own: of two answers to one controller the later may come first.
+func (s *Store) SlowSome(share float64, most, long time.Duration) {
+	s.slowSome, s.slowMost = drawn{share, s.w.Now.Add(long)}, most
+}
+
 // SetDown starts or ends an outage; every lease then has its full time again.
 func (s *Store) SetDown(down bool) {
 	s.Down = down
@@ -186,6 +194,9 @@
 				if strings.HasPrefix(target, "/follow") {
 					slow += s.Lag[from]
 				}
+				if s.w.meets(s.slowSome) {
+					slow += s.w.between(0, s.slowMost)
+				}
 				if slow > 0 {
 					quick := answer
 					answer = func(status int, b []byte) { s.w.After(slow, func() { quick(status, b) }) }
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -445,7 +445,7 @@
 	if p.job.Shape == jobs.Standing {
 		return
 	}
-	wk.after(p, p.job.RunS, func() {
+	wk.after(p, p.job.RunS+float64(p.n)*p.job.ApartS, func() {
 		p.job.Done[p.n], p.job.LastDone = true, wk.w.Now
 		wk.end(p, "done", false)
 	})
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -90,6 +90,7 @@
 	Pieces              int
 	Accel               float64
 	RunS, PullS         float64
+	ApartS              float64 // each task of a sweep runs so much longer than the one before it
 	Bundle              string
 	SamePlace, Scatter  bool
 	Loaner              bool
