Workers' old reports don't tell that a controller is out of reach

A copy of a report that came late to a controller that had owned the machine before was a complaint about its owner. Only a report newer than all that came here of that machine counts.

--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -65,6 +65,7 @@
 
 	sessions map[string]*workers.Session
 	health   map[string]*fleet.Health
+	came     map[string][2]uint64   // machine to session and number of its newest report here
 	quiet    map[string]fleet.Quiet // owner to machines that it does not hear
 
 	// What changed since a pass last looked at it.
@@ -86,7 +87,7 @@
 
 // New makes the part of an owner over a book.
 func New(b *book.Book, env Env) *Part {
-	return &Part{Book: b, Env: env, Squaring: squaring.New(env.Cluster.Workers.ReportS, env.Log), sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{}, quiet: map[string]fleet.Quiet{},
+	return &Part{Book: b, Env: env, Squaring: squaring.New(env.Cluster.Workers.ReportS, env.Log), sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{}, quiet: map[string]fleet.Quiet{}, came: map[string][2]uint64{},
 		touched: map[string]bool{}, revisit: map[string]bool{}, held: map[string]bool{}, vanished: map[string]bool{}}
 }
 
@@ -148,6 +149,7 @@
 // the worker report after all, it is met as a new one.
 func (pt *Part) HostGone(host string) {
 	delete(pt.health, host)
+	delete(pt.came, host)
 	delete(pt.sessions, host)
 	pt.Squaring.Lost(host)
 }
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sort"
 	"time"
 
@@ -38,6 +39,7 @@
 		respond(wire.Refuse("not in the view"))
 		return
 	}
+	news := pt.news(&r)
 	owner := ""
 	if m := pt.Machines[r.Host]; m != nil {
 		owner = m.Owner
@@ -46,7 +48,7 @@
 	}
 	if owner != pt.Me {
 		pt.Squaring.SentOn(owner)
-		if pt.Machines[r.Host] != nil {
+		if news {
 			pt.Complain(owner, r.Host, true)
 		}
 		respond(misdirected(owner))
@@ -86,6 +88,17 @@
 	}{s.Baton(), limitOrders(orders)})})
 }
 
+// news tells whether a report is newer than all that came here of a known machine. An old one
+// that comes late, once the machine has another owner, doesn't tell that it can't reach it.
+func (pt *Part) news(r *workers.Report) bool {
+	mark, last := [2]uint64{r.Tenure, r.Tick}, pt.came[r.Host]
+	if pt.Machines[r.Host] == nil || slices.Compare(mark[:], last[:]) <= 0 {
+		return false
+	}
+	pt.came[r.Host] = mark
+	return true
+}
+
 func limitOrders(o []workers.Order) []workers.Order {
 	if len(o) > tuning.MaxOrders {
 		return o[:tuning.MaxOrders]
