A machine without a record is met by a command that it answers

A copy of a report from a machine that had been deleted, under the token still in force, had the machine recorded as up once more: it counted as supply, was given tasks, and was found silent and deleted again some 10 s later, each time.

--- a/internal/part/command.go
+++ b/internal/part/command.go
@@ -21,7 +21,7 @@
 		return
 	}
 	since := pt.Now.Sub(s.LastCall)
-	if s.State != workers.Known {
+	if s.State != workers.Known || pt.unmet(s) {
 		if since < tuning.AdoptAgain<<min(s.CallFails, 3) {
 			return
 		}
@@ -85,6 +85,9 @@
 	})
 }
 
+// unmet tells whether a machine without a record has yet to answer a command.
+func (pt *Part) unmet(s *workers.Session) bool { return !s.Met && pt.Machines[s.Host] == nil }
+
 // CanPlace tells whether a task may go on a machine of this part now.
 func (pt *Part) CanPlace(t *book.Task, m *book.Machine) bool {
 	s := pt.sessions[m.Name]
--- a/internal/part/health.go
+++ b/internal/part/health.go
@@ -17,7 +17,7 @@
 func (pt *Part) watchHealth(s *workers.Session, unheard map[string]bool) []decide.Decision {
 	m := pt.Machines[s.Host]
 	if m == nil {
-		if s.State == workers.Known {
+		if s.State == workers.Known && s.Met { // an old report of a machine that is gone may carry our baton
 			rec := fleet.Host{State: fleet.Up, Endpoint: s.Endpoint, Build: s.Build, Site: s.Site, Loaner: s.Loaner, SinceMs: pt.Ms()}
 			return []decide.Decision{{Writes: []store.Write{decide.Put(fleet.HostPrefix+s.Host, rec)}}}
 		}
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -362,7 +362,7 @@
 		for _, host := range book.Sorted(pt.sessions) {
 			s := pt.sessions[host]
 			ds = append(ds, pt.watchHealth(s, unheard)...)
-			if s.State != workers.Known || s.Warning != nil || pt.overdue(s) {
+			if s.State != workers.Known || pt.unmet(s) || s.Warning != nil || pt.overdue(s) {
 				pt.touched[host] = true
 			}
 		}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -705,6 +705,12 @@
 		if got := w.Nodes[s.node(args[1])].LiveJobs(); got != int(s.number(args[2])) {
 			s.fatal("%s knows %d live jobs, not %s", args[1], got, args[2])
 		}
+	case "records": // expect records: none of a machine that is gone for 10 s
+		for _, host := range w.GoneFor(10 * time.Second) {
+			if w.Store.Value("host/"+host) != nil {
+				s.fatal("%s is gone and has a record: %s", host, w.Store.Value("host/"+host))
+			}
+		}
 	case "late-done": // expect late-done MIN: transactions carried out late
 		if got := w.LateDone; got < int(s.number(args[1])) {
 			s.fatal("%d transactions were carried out late, fewer than %s", got, args[1])
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/url"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -190,6 +192,16 @@
 	}
 }
 
+// GoneFor lists the machines that were deleted or taken so long ago.
+func (w *World) GoneFor(long time.Duration) (out []string) {
+	for _, id := range slices.Sorted(maps.Keys(w.Cloud.hosts)) {
+		if h := w.Cloud.hosts[id]; !h.gone.IsZero() && w.Now.Sub(h.gone) > long {
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
 // Alive counts machines that are charged.
 func (c *Cloud) Alive() int { return c.alive() }
 
--- a/internal/workers/session.go
+++ b/internal/workers/session.go
@@ -92,6 +92,7 @@
 	Ahead      time.Time // since when it shows a later baton than ours, zero if it doesn't
 	Busy       bool      // a direct command is under way
 	CallFails  int
+	Met        bool // it has answered a direct command, so it was there under this owner
 
 	// launched holds the tries whose launch was sent under this baton; one
 	// that a later report lacks has been on the machine and is gone.
@@ -205,7 +206,7 @@
 
 // Answered notes that the direct command was executed.
 func (s *Session) Answered() {
-	s.Busy, s.CallFails = false, 0
+	s.Busy, s.CallFails, s.Met = false, 0, true
 	for p, l := range s.launched {
 		l.busy = false
 		s.launched[p] = l
@@ -215,7 +216,7 @@
 // Refused notes a 409: nothing was executed. The session starts again under the
 // same baton and believes the next report that carries it.
 func (s *Session) Refused() {
-	s.Busy, s.CallFails = false, 0
+	s.Busy, s.CallFails, s.Met = false, 0, true
 	s.restart(s.Epoch, s.Counter)
 }
 
