--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -40,6 +40,7 @@
 		respond(wire.Refuse("not in the view"))
 		return
 	}
+	news := pt.news(&r)
 	owner := ""
 	if m := pt.Machines[r.Host]; m != nil {
 		owner = m.Owner
@@ -48,7 +49,7 @@
 	}
 	if owner != pt.Me {
 		pt.Squaring.SentOn(owner)
-		if pt.Machines[r.Host] != nil {
+		if news {
 			pt.Complain(owner, r.Host, true)
 		}
 		respond(misdirected(owner))
@@ -117,6 +118,17 @@
 	return j != nil && j.Rec != nil && j.Rec.State == jobs.Cancelled || pt.Cancelled(uid)
 }
 
+// news tells whether a report is newer than all that came here of a known machine. An old one
+// that comes late, once the machine has another owner, doesn't tell that it can't reach it.
+func (pt *Part) news(r *workers.Report) bool {
+	mark, last := [2]uint64{r.Tenure, r.Tick}, pt.came[r.Host]
+	if pt.Machines[r.Host] == nil || slices.Compare(mark[:], last[:]) <= 0 {
+		return false
+	}
+	pt.came[r.Host] = mark
+	return true
+}
+
 func limitOrders(o []workers.Order) []workers.Order {
 	if len(o) > tuning.MaxOrders {
 		return o[:tuning.MaxOrders]
@@ -394,7 +406,7 @@
 		for _, host := range book.Sorted(pt.sessions) {
 			s := pt.sessions[host]
 			ds = append(ds, pt.watchHealth(s, unheard)...)
-			if s.State != workers.Known || s.Warning != nil || pt.overdue(s) {
+			if s.State != workers.Known || pt.unmet(s) || s.Warning != nil || pt.overdue(s) {
 				pt.touched[host] = true
 			}
 		}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -337,17 +337,7 @@
 	// from users: "cut-peers NODE on" with "refuse NODE on", which answers it 503, or with
 	// "cut NODE state", after which its calls find no answer.
 	case "cut-peers":
-		for _, other := range w.Order {
-			switch {
-			case other == name(0):
-			case args[1] == "on":
-				w.Cut(name(0), other, false)
-				w.Cut(other, name(0), false)
-			default:
-				w.Heal(name(0), other)
-				w.Heal(other, name(0))
-			}
-		}
+		s.cutPeers(name(0), args[1] == "on")
 	// cut-many|deaf FIRST COUNT: nothing reaches these machines of the start: their reports
 	// arrive, answers to them, commands and /show are lost. heal-many|hear ends it. One
 	// machine by name: "cut * MACHINE", "heal * MACHINE".
@@ -387,6 +377,8 @@
 		w.Store.SetDown(args[0] == "down")
 	case "slow": // slow SECONDS: the state service answers so much later
 		w.Store.Slow = time.Duration(s.number(args[0]) * float64(time.Second))
+	case "slow-some": // slow-some SHARE MOST SECONDS: for so long that share of its answers comes up to MOST seconds later
+		w.Store.SlowSome(s.number(args[0]), time.Duration(s.number(args[1])*float64(time.Second)), time.Duration(s.number(args[2])*float64(time.Second)))
 	case "slow-watch": // slow-watch SECONDS: its answers to watches come so late instead
 		w.Store.SlowWatch = time.Duration(s.number(args[0]) * float64(time.Second))
 	case "fail-pages": // fail-pages COUNT: each so-manieth page of a listing is refused, 0 none
@@ -524,13 +516,13 @@
 	return text
 }
 
-// party resolves a variable or gives the text back.
+// party resolves a variable, perhaps with a channel after a colon (leader:cmd), or gives
+// the text back.
 func (s *script) party(text string) string {
-	name, channel, part := strings.Cut(text, ":") // of a controller's commands by themselves: NODE:cmd
-	if v, ok := s.vars[name]; ok {
-		if part {
-			v += ":" + channel
-		}
+	if base, channel, found := strings.Cut(text, ":"); found {
+		return s.party(base) + ":" + channel
+	}
+	if v, ok := s.vars[text]; ok {
 		return v
 	}
 	if text == "leader" {
@@ -591,6 +583,8 @@
 			cores = s.number(v)
 		case "run":
 			j.RunS = s.number(v)
+		case "apart": // its tasks end so many seconds after one another
+			j.ApartS = s.number(v)
 		case "pull":
 			j.PullS = s.number(v)
 		case "gb": // its image, by itself, as large as users say
@@ -701,6 +695,12 @@
 		if got := w.Nodes[s.node(args[1])].LiveJobs(); got != int(s.number(args[2])) {
 			s.fatal("%s knows %d live jobs, not %s", args[1], got, args[2])
 		}
+	case "records": // expect records: none of a machine that is gone for 10 s
+		for _, host := range w.GoneFor(10 * time.Second) {
+			if w.Store.Value("host/"+host) != nil {
+				s.fatal("%s is gone and has a record: %s", host, w.Store.Value("host/"+host))
+			}
+		}
 	case "late-done": // expect late-done MIN: transactions carried out late
 		if got := w.LateDone; got < int(s.number(args[1])) {
 			s.fatal("%d transactions were carried out late, fewer than %s", got, args[1])
