Times and budgets follow from the deployment's settings

Cause: with reports every 2 s, leases of 16 s and cancellations of 41 s what competes with them was sized for 3 and 8 s, 38 to 42 s and 62 s. A machine was called quiet before the direct call to it could be answered (4.0 s, the call begins at 2.8 s and has 1.5 s). A controller that its workers cannot reach was left out after their second or third visit to another; each visit takes 5.5 s, so that their leases ran out. Deletes of machines with cancelled tasks began at a share of cancel_s that leaves less than a repeated delete takes.

Change: settings.Workers and settings.Cluster derive these times; the earlier deployments' values stay. An owner's own list of machines that it does not hear counts, together with one visit, for a complaint. lease_s, cancel_s and members.ttl_s without a safe value are refused by field. Calls for users wait no longer than their share of the requests serves in 2 s; a gang placed anew writes no more records than a transaction holds. The line 'fits' of the log tells times and budgets at the start.

Scenarios short-unreachable and short-cancel fail without. Tests hold the relations for all deployments' values and for drawn ones.

--- a/cmd/harrierreel/main.go
+++ b/cmd/harrierreel/main.go
@@ -65,6 +65,7 @@
 			// Asked once, it gives its place away first; asked again, it ends at once.
 			context.AfterFunc(ctx, stop)
 			log.Info("starting", "node", node.Describe(set), "version", version)
+			log.Info("fits", set.Cluster.Fits()...)
 			if err := node.Serve(ctx, set, log); !errors.Is(err, context.Canceled) {
 				return &cli.Exit{Code: cli.ExitFailed, Text: err.Error()}
 			}
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -130,6 +130,8 @@
 	Packs    map[string]*Slice
 	Claims   fleet.Claims      // machines claimed for gangs, by job
 	ClaimOf  map[string]string // the same by machine
+	// Quiet is by owner the machines that it does not hear.
+	Quiet map[string]fleet.Quiet
 
 	// aside is the packs that cannot be read, with the jobs whose tasks they hold,
 	// none if not even that is known.
@@ -152,7 +154,7 @@
 		Jobs: map[string]*Job{}, Machines: map[string]*Machine{}, OnHost: map[string]map[string]*Task{}, Released: map[string]*Task{},
 		Usages: map[string]*Usage{}, Account: quota.NewAccount(tree), Builds: map[string]*jobs.Build{},
 		Queued: map[string]*Job{}, Complete: map[string]*Job{}, Closed: map[string]*Job{}, Reserved: map[string]Reservation{},
-		Images: fleet.Images{}, Packs: map[string]*Slice{}, aside: map[string][]string{}, left: map[string]*Task{}, happened: happened,
+		Images: fleet.Images{}, Packs: map[string]*Slice{}, Quiet: map[string]fleet.Quiet{}, aside: map[string][]string{}, left: map[string]*Task{}, happened: happened,
 	}
 }
 
--- a/internal/members/complaints.go
+++ b/internal/members/complaints.go
@@ -45,16 +45,19 @@
 	return out
 }
 
-// Lasting counts by owner the machines that have complained for long. Those that
-// stopped, or have another owner by now, are dropped.
-func (c Complaints) Lasting(now time.Time, ownerOf func(host string) string) map[string]int {
+// Lasting counts by owner the machines that are out of its reach: they have complained for
+// long, or the owner itself tells that it does not hear them (quiet) though they were sent
+// there again. A worker waits 4 s for an owner that does not answer before it complains,
+// and once more after each complaint: where leases are short, a second complaint comes too
+// late to save it. Those that stopped, or have another owner by now, are dropped.
+func (c Complaints) Lasting(now time.Time, ownerOf func(host string) string, quiet func(owner, host string) bool) map[string]int {
 	out := map[string]int{}
 	for owner, hosts := range c {
 		for h, v := range hosts {
 			switch {
 			case now.Sub(v.last) > tuning.ComplaintGap || ownerOf(h) != owner:
 				delete(hosts, h)
-			case v.last.Sub(v.first) >= tuning.SilentOwner:
+			case v.last.Sub(v.first) >= tuning.SilentOwner, now.Sub(v.last) >= tuning.QuietVisit && quiet(owner, h):
 				out[owner]++
 			}
 		}
--- a/internal/part/health.go
+++ b/internal/part/health.go
@@ -6,7 +6,6 @@
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
-	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/workers"
@@ -27,13 +26,13 @@
 		return nil
 	}
 	quiet := pt.Now.Sub(s.LastReport)
-	report := pt.Cluster.Workers.ReportS
+	times := pt.Cluster.Workers
 	switch {
-	case !s.Ahead.IsZero() && pt.Now.Sub(s.Ahead) > jobs.Seconds(pt.Cluster.Workers.LeaseS*(1+tuning.SilentDelete)):
+	case !s.Ahead.IsZero() && pt.Now.Sub(s.Ahead) > times.GoneBy():
 		// Nobody of this view can speak to it: its lease is over, and what it holds with it.
 		return pt.Moving(s.Host, fleet.Sick, "has seen a later baton than this view's")
 	case !pt.Squaring.Steady() && s.Tick == 0 && s.CallFails > 0, // never heard
-		quiet > jobs.Seconds(report*tuning.SilentReports) || s.CallFails >= tuning.SilentCalls && quiet > jobs.Seconds(report*tuning.ReportLate):
+		quiet > times.Quiet() || s.CallFails >= tuning.SilentCalls && quiet > times.Late():
 		unheard[s.Host] = true
 	case s.State != workers.Known:
 	case s.Warning != nil && m.State != fleet.Warned:
@@ -48,7 +47,7 @@
 // heard, when that has changed.
 func (pt *Part) tellQuiet(unheard map[string]bool) []decide.Decision {
 	key := fleet.QuietPrefix + pt.Me
-	told := pt.quiet[pt.Me]
+	told := pt.Quiet[pt.Me]
 	same := len(told) == len(unheard)
 	for h := range unheard {
 		_, was := told[h]
@@ -75,7 +74,7 @@
 	if m.State == fleet.Silent {
 		return m.Since, true
 	}
-	since, quiet := pt.quiet[m.Owner][m.Name]
+	since, quiet := pt.Quiet[m.Owner][m.Name]
 	return since, quiet
 }
 
@@ -84,7 +83,7 @@
 	if m.State != fleet.Up {
 		return false
 	}
-	_, quiet := pt.quiet[m.Owner][m.Name]
+	_, quiet := pt.Quiet[m.Owner][m.Name]
 	return !quiet && !pt.Rental.GivenUp(m.Name)
 }
 
@@ -92,5 +91,5 @@
 // asked directly: where reports are seldom, waiting for the next would leave
 // its tasks dead for long.
 func (pt *Part) overdue(s *workers.Session) bool {
-	return pt.Now.Sub(s.LastReport) > jobs.Seconds(pt.Cluster.Workers.ReportS*tuning.ReportLate)
+	return pt.Now.Sub(s.LastReport) > pt.Cluster.Workers.Late()
 }
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -65,7 +65,6 @@
 
 	sessions map[string]*workers.Session
 	health   map[string]*fleet.Health
-	quiet    map[string]fleet.Quiet // owner to machines that it does not hear
 
 	// What changed since a pass last looked at it.
 	touched map[string]bool // machines to review
@@ -86,7 +85,7 @@
 
 // New makes the part of an owner over a book.
 func New(b *book.Book, env Env) *Part {
-	return &Part{Book: b, Env: env, Squaring: squaring.New(env.Cluster.Workers.ReportS, env.Log), sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{}, quiet: map[string]fleet.Quiet{},
+	return &Part{Book: b, Env: env, Squaring: squaring.New(env.Cluster.Workers.ReportS, env.Log), sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{},
 		touched: map[string]bool{}, revisit: map[string]bool{}, held: map[string]bool{}, vanished: map[string]bool{}}
 }
 
@@ -134,12 +133,12 @@
 // QuietChanged takes in which machines an owner does not hear.
 func (pt *Part) QuietChanged(owner string, value json.RawMessage) error {
 	if value == nil {
-		delete(pt.quiet, owner)
+		delete(pt.Quiet, owner)
 		return nil
 	}
-	q, err := fleet.DecodeQuiet(value, pt.quiet[owner], pt.Now)
+	q, err := fleet.DecodeQuiet(value, pt.Quiet[owner], pt.Now)
 	if err == nil {
-		pt.quiet[owner] = q
+		pt.Quiet[owner] = q
 	}
 	return err
 }
--- a/internal/part/square.go
+++ b/internal/part/square.go
@@ -158,7 +158,7 @@
 		}
 		d.Changes = append(d.Changes, decide.Become(m, next)...)
 	}
-	if len(d.Keys()) > tuning.AnewMost {
+	if len(d.Keys()) > min(tuning.AnewMost, pt.Cluster.State.TxnOps) {
 		return []decide.Decision{pt.Gone(t, jobs.Gone, 0)}
 	}
 	return []decide.Decision{d}
--- a/internal/rental/condemn.go
+++ b/internal/rental/condemn.go
@@ -216,13 +216,13 @@
 		return
 	}
 	many := quiet > 2 && float64(quiet) > tuning.SilentMost*float64(all)
-	lease := jobs.Seconds(re.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
+	times := re.Cluster.Workers
 	// A new leader first waits whether the workers come to it.
-	fresh := re.Now.Sub(re.Since) < jobs.Seconds(re.Cluster.Workers.ReportS*tuning.SilentReports)
+	fresh := re.Now.Sub(re.Since) < times.Quiet()
 	for _, m := range re.ByName() {
 		h := m.Name
 		since, is := re.QuietSince(m)
-		if !is || re.Now.Sub(re.Heard(h)) < tuning.HeardFresh {
+		if !is || re.Now.Sub(re.Heard(h)) < times.HeardFresh() {
 			continue
 		}
 		long := min(re.Now.Sub(since), re.Now.Sub(re.Since))
@@ -235,7 +235,7 @@
 			re.lose(m, "silent and no longer listed")
 		case !many && !cut && !blind && !fresh && long > tuning.SilentGiveUp:
 			re.lose(m, "silent")
-		case !cut && long > lease:
+		case !cut && long > times.GoneBy():
 			re.lose(m, "silent beyond its lease")
 		}
 	}
@@ -244,7 +244,7 @@
 // condemnCancelled condemns machines that still hold a cancelled task when its
 // time runs out: nobody may be able to reach them.
 func (re *Rental) condemnCancelled() []decide.Decision {
-	limit := int64(re.Cluster.Workers.CancelS * tuning.CancelDelete * 1000)
+	limit := re.Cluster.CancelDelete().Milliseconds()
 	hosts := map[string]bool{}
 	for _, j := range re.Closed {
 		if j.Rec.State != jobs.Cancelled || re.Ms()-j.Rec.EndMs <= limit {
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -218,6 +218,11 @@
 	case "lease": // lease SECONDS of the workers
 		s.w.LeaseS = s.number(words[1])
 		s.set.Cluster.Workers.LeaseS = s.w.LeaseS
+	case "cancel": // cancel SECONDS: by then a cancelled job's tasks are gone
+		s.w.CancelS = s.number(words[1])
+		s.set.Cluster.Workers.CancelS = s.w.CancelS
+	case "values": // values KIBIBYTES OPERATIONS: of a value, and of a transaction
+		s.set.Cluster.State.ValueKB, s.set.Cluster.State.TxnOps = s.number(words[1]), int(s.number(words[2]))
 	case "quotas": // quotas FILE: the tree of testdata/quotas that is in force at first
 		s.set.Operator.Quotas = s.quotas(words[1])
 	case "pipelines": // pipelines [MOST_RUNS]: turned on
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,6 +113,11 @@
 	s, errs := Parse(b)
 	op, opErrs := loadOperator(operatorFiles)
 	s.Operator = op
+	if len(errs) == 0 && len(opErrs) == 0 {
+		if err := s.checkTTL(); err != nil {
+			opErrs = append(opErrs, err)
+		}
+	}
 	if op.Quotas != nil && len(errs) == 0 {
 		_, faults := quota.Build(op.Quotas, s.TeamMap(), s.Classes())
 		for _, f := range faults {
@@ -183,6 +188,7 @@
 	c.that(k.Size <= k.State.TxnOps, "cluster.size", "must not be above cluster.state.txn_ops")
 	c.positive("cluster.cloud.rps", k.Cloud.RPS)
 	c.that(k.Cloud.ListLagS >= 0, "cluster.cloud.list_lag_s", "must not be negative")
+	k.checkTimes(c)
 	c.positive("cluster.limits.memory_mb", k.Limits.MemoryMB)
 	c.that(k.Limits.FdLimit >= 64, "cluster.limits.fd_limit", "must be at least 64")
 	return s, c.errs
--- /dev/null
+++ b/internal/settings/times.go
@@ -0,0 +1,105 @@
+package settings
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/harrierreel/harrierreel/internal/tuning"
+)
+
+// The times in this file compete with the deployment's report_s, lease_s and cancel_s.
+// Deployments differ in these by a factor of four, so nothing that competes with them is
+// a constant.
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// NextReport: so long after one report the next one is sent at the latest.
+func (w Workers) NextReport() time.Duration {
+	return seconds(w.ReportS * (1 + tuning.ReportJitter))
+}
+
+// Late: a machine unheard for longer is asked directly. Never later than a machine counts
+// as freshly heard (tuning.FreshReports).
+func (w Workers) Late() time.Duration {
+	late := max(seconds(w.ReportS*tuning.ReportLate), w.NextReport()+tuning.ReportSlack)
+	return min(late, seconds(w.ReportS*tuning.FreshReports))
+}
+
+// Quiet: a machine unheard for longer is called quiet; not before it was asked directly
+// and could have answered.
+func (w Workers) Quiet() time.Duration {
+	return max(seconds(w.ReportS*tuning.SilentReports), w.Late()+tuning.CommandTimeout+tuning.Pulse)
+}
+
+// GoneBy: a machine unheard for longer holds nothing any more, whatever happened to it.
+func (w Workers) GoneBy() time.Duration { return seconds(w.LeaseS * (1 + tuning.SilentDelete)) }
+
+// HeardFresh: a machine that another controller heard this recently is not given up.
+func (w Workers) HeardFresh() time.Duration {
+	return min(tuning.HeardFresh, seconds(w.LeaseS*tuning.HeardLease))
+}
+
+// visit: a worker whose controller does not answer is at another one so long after its
+// last answered report at the latest.
+func (w Workers) visit() time.Duration {
+	return w.NextReport() + tuning.WorkerPatience + tuning.WorkerNext
+}
+
+// LeastLease is the shortest lease that outlasts the loss of a controller whose own lease
+// has the given length: a worker asks it in vain, and once more for each time that it is
+// sent back there, because the others cannot know yet that it has ended, or asks a second
+// one in vain. What is merely not heard must be given up by then, too.
+func (w Workers) LeastLease(ttl time.Duration) time.Duration {
+	round := tuning.WorkerTurn + tuning.WorkerPatience + tuning.WorkerNext
+	known := ttl + tuning.ViewTakes - (tuning.WorkerPatience + tuning.WorkerNext)
+	back := math.Ceil(max(0, known.Seconds()) / round.Seconds())
+	return max(w.visit()+time.Duration(1+back)*round, w.Quiet()+tuning.SilentGiveUp)
+}
+
+// deletes is what a delete may take that is in a hurry: a look, a change whose leader
+// ended before it was made, and a request that got no answer and was sent again.
+func (k Cluster) deletes() time.Duration {
+	gap := seconds(1 / max(k.Cloud.RPS*tuning.DeleteShare, 1e-3))
+	return tuning.CondemnEvery + tuning.StateTimeout + tuning.MemberTTL + tuning.ViewTakes + gap + tuning.DeleteAgain + tuning.CloudAnswer
+}
+
+// CancelDelete: a machine that still holds a cancelled task so long after its
+// cancellation is deleted. The rest of cancel_s is for the delete.
+func (k Cluster) CancelDelete() time.Duration {
+	cancel := seconds(k.Workers.CancelS)
+	return min(seconds(k.Workers.CancelS*tuning.CancelDelete), cancel-k.deletes())
+}
+
+// leastCancel is the shortest cancel_s: a machine that nobody hears is called quiet and
+// given up before anything else is tried, and then it must still be possible to delete it.
+func (k Cluster) leastCancel() time.Duration {
+	return k.Workers.Quiet() + tuning.SilentGiveUp + k.deletes()
+}
+
+// checkTimes tells which of the workers' times leave no safe value for what must fit into
+// them. Those that are missing are told already.
+func (k Cluster) checkTimes(c *check) {
+	w := k.Workers
+	if w.ReportS <= 0 || w.LeaseS <= 0 || w.CancelS <= 0 || k.Cloud.RPS <= 0 {
+		return
+	}
+	say := func(d time.Duration) string { return fmt.Sprintf("%.1f", d.Seconds()) }
+	least := w.LeastLease(tuning.MemberTTL)
+	c.that(seconds(w.LeaseS) >= least, "cluster.workers.lease_s",
+		fmt.Sprintf("must be at least %s with report_s %g: a worker asks two controllers in vain before a third answers it", say(least), w.ReportS))
+	c.that(seconds(w.CancelS) >= seconds(w.LeaseS)+tuning.CancelSpare, "cluster.workers.cancel_s",
+		fmt.Sprintf("must be at least %s: %s more than lease_s, when a task that nobody reaches ends", say(seconds(w.LeaseS)+tuning.CancelSpare), say(tuning.CancelSpare)))
+	least = k.leastCancel()
+	c.that(seconds(w.CancelS) >= least, "cluster.workers.cancel_s",
+		fmt.Sprintf("must be at least %s with report_s %g and cloud.rps %g, to delete a machine that cannot be reached", say(least), w.ReportS, k.Cloud.RPS))
+}
+
+// checkTTL tells whether the controllers' own leases are too long for the workers'.
+func (s *Settings) checkTTL() error {
+	w := s.Cluster.Workers
+	if least := w.LeastLease(seconds(s.Operator.MemberTTLS)); seconds(w.LeaseS) < least {
+		return fmt.Errorf("members.ttl_s: %g needs cluster.workers.lease_s of at least %.1f, it is %g", s.Operator.MemberTTLS, least.Seconds(), w.LeaseS)
+	}
+	return nil
+}
--- a/internal/sight/sight.go
+++ b/internal/sight/sight.go
@@ -117,7 +117,10 @@
 	if si.Outside() {
 		return out
 	}
-	lasting := si.complaints.Lasting(si.Now, si.OwnerOf)
+	lasting := si.complaints.Lasting(si.Now, si.OwnerOf, func(owner, host string) bool {
+		_, is := si.Quiet[owner][host]
+		return is
+	})
 	if len(lasting) == 0 {
 		return out
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -237,7 +237,7 @@
 func (c *Client) enqueue(p Priority, q pending) {
 	limit := tuning.StateQueue
 	if p == User || p == Poll {
-		limit = tuning.UserQueue
+		limit = min(tuning.UserQueue, max(tuning.UserQueueLeast, int(c.rps*tuning.UserCalls.Seconds())))
 	}
 	if p != Membership && len(c.queues[p]) >= limit {
 		// Not an answer of the service: a node that is asked too much must not take
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -73,6 +73,10 @@
 	// PollGap: pause between two readings of the epoch for users' polls; all
 	// polls that come meanwhile share one.
 	PollGap = 100 * time.Millisecond
+	// PollShare: share of the state service's requests that these readings of all
+	// controllers together may take; at 80 requests a second and three controllers
+	// 10 a second of each, with their watches, were all of a follower's part.
+	PollShare = 0.2
 	// PollWait: polls that could not be answered by then are refused; users
 	// wait 2 s.
 	PollWait = 1500 * time.Millisecond
@@ -116,8 +120,12 @@
 	RentShare = 0.6
 	// StateQueue: calls waiting for the rate budget before users are refused.
 	StateQueue = 400
-	// UserQueue: calls waiting before calls for users are refused.
-	UserQueue = 60
+	// UserQueue: calls waiting before calls for users are refused, where the node's share
+	// of the requests serves as many within UserCalls; UserQueueLeast in any case. Users
+	// give up after 5 s (a poll after 2 s), and a call that is made then is made in vain.
+	UserQueue      = 60
+	UserQueueLeast = 10
+	UserCalls      = 2 * time.Second
 	// Resend: times that a call beyond the limits is sent again.
 	Resend = 3
 	// StateBudget: share of the state service's limits that all nodes
@@ -262,8 +270,8 @@
 	// CommandGap: pause between two commands to a machine whose last one
 	// brought no change.
 	CommandGap = 700 * time.Millisecond
-	// CancelDelete: share of cancel_s after which a machine that still holds
-	// a cancelled task is deleted.
+	// CancelDelete: share of cancel_s after which, at the latest, a machine that still
+	// holds a cancelled task is deleted (settings.Cluster.CancelDelete).
 	CancelDelete = 0.55
 	// AcceptTries: times that a submission is tried while the view changes under it; two
 	// changes follow each other where a controller is replaced.
@@ -668,8 +676,8 @@
 	// SquareRent: some looks at the queue, which then has been offered all machines; what it
 	// still lacks is rented.
 	SquareRent = 2 * time.Second
-	// AnewMost: records that a decision to place a gang's tasks where they were may write;
-	// transactions hold no fewer than 16.
+	// AnewMost: records that a decision to place a gang's tasks where they were may write,
+	// where a transaction holds as many.
 	AnewMost = 12
 	// AnewEvery: between two looks at what has vanished, each of which goes through all of
 	// it.
