Sessions: what was ahead of a former view is compared anew under a later one

Cause: a controller that the state service refuses for longer than 1.3 leases has, when it is let in again, sessions that have been ahead of it for as long. It then condemned machines of its own that others had spoken to meanwhile, with all on them.

--- a/internal/workers/session.go
+++ b/internal/workers/session.go
@@ -125,9 +125,12 @@
 	s.lost = map[string]uint64{}
 }
 
-// NewEpoch moves the session to a later view.
+// NewEpoch moves the session to a later view. What was ahead of the former one is compared
+// anew: a controller that was out of the view for longer than a lease would otherwise take
+// machines that others spoke to meanwhile for ones that nobody can speak to.
 func (s *Session) NewEpoch(epoch uint64) {
 	if epoch > s.Epoch {
+		s.Ahead = time.Time{}
 		s.restart(epoch, 0)
 	}
 }
