--- a/internal/rental/condemn.go
+++ b/internal/rental/condemn.go
@@ -80,6 +80,11 @@
 				c.deleted[h] = re.Now
 				delete(c.listed, h)
 			}
+			if err == nil && status != 200 {
+				// Refused, so not carried out: asked again with the next request, for the
+				// cloud may be back long before an unanswered one would be repeated.
+				delete(c.deleting, h)
+			}
 		}
 		re.condemnAt = time.Time{} // free what was on them at once
 	})
@@ -244,10 +249,14 @@
 // condemnCancelled condemns machines that still hold a cancelled task when its
 // time runs out: nobody may be able to reach them.
 func (re *Rental) condemnCancelled() []decide.Decision {
-	limit := re.Cluster.CancelDelete().Milliseconds()
+	limit, over := re.Cluster.CancelDelete().Milliseconds(), jobs.Seconds(re.Cluster.Workers.CancelS).Milliseconds()
+	// What was over before a new leader began has ended with its lease, and the machine's
+	// first report says so: it is not deleted for a record that nobody was there to free.
+	fresh := re.Now.Sub(re.Since) < re.Cluster.Workers.Quiet()
 	hosts := map[string]bool{}
 	for _, j := range re.Closed {
-		if j.Rec.State != jobs.Cancelled || re.Ms()-j.Rec.EndMs <= limit {
+		age := re.Ms() - j.Rec.EndMs
+		if j.Rec.State != jobs.Cancelled || age <= limit || fresh && age > over {
 			continue
 		}
 		for _, t := range j.Active {
