--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -295,9 +295,6 @@
 	}
 	n.member.PeerHeard(h.From)
 	n.told.Take(h.From, h.Message)
-	if h.Short() {
-		return
-	}
 	n.sight.Hint(h.From, h.StateOK, h.Blind)
 	n.part.Squaring.OtherHeard(h.From, h.Heard, h.Epoch)
 	if h.Epoch > n.mirror.Epoch {
@@ -324,15 +321,22 @@
 		return
 	}
 	n.lastHint, n.hintedEpoch = n.Now, n.mirror.Epoch
-	line := peer.Encode(peer.Hint{From: n.set.NodeName, Message: n.told.Greeting(), Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.sight.Blind(), Heard: n.heardUnder(), Unreached: n.sight.Here()})
+	h := n.hint(n.told.Greeting())
+	h.Unreached = n.sight.Here()
+	line := peer.Encode(h)
 	for _, p := range n.set.Peers {
 		n.out.Hint(p.NodeName, line)
 	}
 }
 
-// send sends a peer a line about cancellations only.
+// hint is what this node says of itself with each line, beside what the line is about.
+func (n *Node) hint(m cancellation.Message) peer.Hint {
+	return peer.Hint{From: n.set.NodeName, Message: m, Epoch: n.mirror.Epoch, StateOK: n.sync.live && !n.client.Down(), Blind: n.sight.Blind(), Heard: n.heardUnder()}
+}
+
+// send sends a peer a line about cancellations.
 func (n *Node) send(name string, m cancellation.Message) {
-	n.out.Hint(name, peer.Encode(peer.Hint{From: n.set.NodeName, Message: m}))
+	n.out.Hint(name, peer.Encode(n.hint(m)))
 }
 
 // heardUnder is the view under which this node has heard its machines, as its own watch
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -34,12 +34,6 @@
 	cancellation.Message
 }
 
-// Short tells whether the line is about cancellations only, and says nothing else of its
-// sender.
-func (h *Hint) Short() bool {
-	return h.Epoch == 0 && !h.StateOK && h.Heard == 0 && (h.Ask != nil || h.Taken == nil)
-}
-
 // Fault is why a line is not taken in.
 type Fault string
 
