--- a/internal/front/asks_test.go
+++ b/internal/front/asks_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -116,3 +117,38 @@
 		t.Errorf("told %v", told)
 	}
 }
+
+// A submission that is repeated is told that its job is live only by a read that came back
+// at once, as a question is: another controller may have told the end of it meanwhile.
+func TestRepeatedSubmissionIsNoOlder(t *testing.T) {
+	const body = `{"uid":"wk-000001","jobclass":"c","owner":"team","shape":"sweep","rank":"standard","pieces":1,"cores":1,"accelerators":1,"memory_gb":1,"bundle":"b","pull_gb":1,"expect_s":1,"snapshot_s":0,"stash_s":0}`
+	for _, known := range []bool{true, false} { // to the mirror
+		for took, want := range map[time.Duration]int{0: 200, 2 * tuning.ReadFresh: 503} {
+			d := newDoor(t, false)
+			record := ""
+			d.state = func(method, target, sent string) (int, string) {
+				switch {
+				case method == "POST" && record == "":
+					_, record, _ = strings.Cut(sent, `"v":`)
+					record, _, _ = strings.Cut(record, `}]}`)
+					return 200, `{"epoch":8}`
+				case method == "POST":
+					return 409, `{"failed":["job/wk-000001"],"epoch":8}`
+				case target == "/store/job/wk-000001":
+					d.Now = d.Now.Add(took)
+					return 200, `{"key":"job/wk-000001","v":` + record + `,"stamp":8}`
+				}
+				return 404, `{"epoch":8}`
+			}
+			if r := d.ask("POST", "/work", body); r.Status != 201 {
+				t.Fatalf("%d %s", r.Status, r.Body)
+			}
+			if !known {
+				delete(d.Jobs, "wk-000001")
+			}
+			if r := d.ask("POST", "/work", body); r.Status != want {
+				t.Errorf("known %v, read in %v: %d %s", known, took, r.Status, r.Body)
+			}
+		}
+	}
+}
--- a/internal/front/jobs.go
+++ b/internal/front/jobs.go
@@ -397,16 +397,10 @@
 		respond(wire.Refuse("not able to accept"))
 		return
 	}
-	// A job that is known already is answered by a read; only an unknown one
-	// is judged, since what made it acceptable may have changed since.
+	// A job that is known already is answered by a read, as a question about it is; only
+	// an unknown one is judged, since what made it acceptable may have changed since.
 	if fr.Jobs[spec.UID] != nil {
-		fr.read(spec.UID, func(s jobs.Final, err error) {
-			if err != nil {
-				respond(wire.Refuse("state unavailable"))
-				return
-			}
-			known(s)
-		})
+		fr.askFor(ask{spec.UID, respond, fr.Now})
 		return
 	}
 	if len(fr.Builds) == 0 {
@@ -464,6 +458,8 @@
 		case errors.Is(err, store.ErrConflict):
 			fr.read(spec.UID, func(s jobs.Final, err error) {
 				switch {
+				case err == nil && s.State == jobs.Live: // by a read that may have been slow
+					fr.askFor(ask{spec.UID, respond, fr.Now})
 				case err == nil:
 					known(s)
 				case !errors.Is(err, errNoJob) || tries <= 1:
