--- a/internal/rental/condemn.go
+++ b/internal/rental/condemn.go
@@ -80,6 +80,11 @@
 				c.deleted[h] = re.Now
 				delete(c.listed, h)
 			}
+			if err == nil && status != 200 {
+				// Refused, so not carried out: asked again with the next request, for the
+				// cloud may be back long before an unanswered one would be repeated.
+				delete(c.deleting, h)
+			}
 		}
 		re.condemnAt = time.Time{} // free what was on them at once
 	})
@@ -216,13 +221,13 @@
 		return
 	}
 	many := quiet > 2 && float64(quiet) > tuning.SilentMost*float64(all)
-	lease := jobs.Seconds(re.Cluster.Workers.LeaseS * (1 + tuning.SilentDelete))
+	times := re.Cluster.Workers
 	// A new leader first waits whether the workers come to it.
-	fresh := re.Now.Sub(re.Since) < jobs.Seconds(re.Cluster.Workers.ReportS*tuning.SilentReports)
+	fresh := re.Now.Sub(re.Since) < times.Quiet()
 	for _, m := range re.ByName() {
 		h := m.Name
 		since, is := re.QuietSince(m)
-		if !is || re.Now.Sub(re.Heard(h)) < tuning.HeardFresh {
+		if !is || re.Now.Sub(re.Heard(h)) < times.HeardFresh() {
 			continue
 		}
 		long := min(re.Now.Sub(since), re.Now.Sub(re.Since))
@@ -235,7 +240,7 @@
 			re.lose(m, "silent and no longer listed")
 		case !many && !cut && !blind && !fresh && long > tuning.SilentGiveUp:
 			re.lose(m, "silent")
-		case !cut && long > lease:
+		case !cut && long > times.GoneBy():
 			re.lose(m, "silent beyond its lease")
 		}
 	}
@@ -244,10 +249,14 @@
 // condemnCancelled condemns machines that still hold a cancelled task when its
 // time runs out: nobody may be able to reach them.
 func (re *Rental) condemnCancelled() []decide.Decision {
-	limit := int64(re.Cluster.Workers.CancelS * tuning.CancelDelete * 1000)
+	limit, over := re.Cluster.CancelDelete().Milliseconds(), jobs.Seconds(re.Cluster.Workers.CancelS).Milliseconds()
+	// What was over before a new leader began has ended with its lease, and the machine's
+	// first report says so: it is not deleted for a record that nobody was there to free.
+	fresh := re.Now.Sub(re.Since) < re.Cluster.Workers.Quiet()
 	hosts := map[string]bool{}
 	for _, j := range re.Closed {
-		if j.Rec.State != jobs.Cancelled || re.Ms()-j.Rec.EndMs <= limit {
+		age := re.Ms() - j.Rec.EndMs
+		if j.Rec.State != jobs.Cancelled || age <= limit || fresh && age > over {
 			continue
 		}
 		for _, t := range j.Active {
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -73,6 +73,10 @@
 	// PollGap: pause between two readings of the epoch for users' polls; all
 	// polls that come meanwhile share one.
 	PollGap = 100 * time.Millisecond
+	// PollShare: share of the state service's requests that these readings of all
+	// controllers together may take; at 80 requests a second and three controllers
+	// 10 a second of each, with their watches, were all of a follower's part.
+	PollShare = 0.2
 	// PollWait: polls that could not be answered by then are refused; users
 	// wait 2 s.
 	PollWait = 1500 * time.Millisecond
@@ -116,8 +120,12 @@
 	RentShare = 0.6
 	// StateQueue: calls waiting for the rate budget before users are refused.
 	StateQueue = 400
-	// UserQueue: calls waiting before calls for users are refused.
-	UserQueue = 60
+	// UserQueue: calls waiting before calls for users are refused, where the node's share
+	// of the requests serves as many within UserCalls; UserQueueLeast in any case. Users
+	// give up after 5 s (a poll after 2 s), and a call that is made then is made in vain.
+	UserQueue      = 60
+	UserQueueLeast = 10
+	UserCalls      = 2 * time.Second
 	// Resend: times that a call beyond the limits is sent again.
 	Resend = 3
 	// StateBudget: share of the state service's limits that all nodes
@@ -262,8 +270,8 @@
 	// CommandGap: pause between two commands to a machine whose last one
 	// brought no change.
 	CommandGap = 700 * time.Millisecond
-	// CancelDelete: share of cancel_s after which a machine that still holds
-	// a cancelled task is deleted.
+	// CancelDelete: share of cancel_s after which, at the latest, a machine that still
+	// holds a cancelled task is deleted (settings.Cluster.CancelDelete).
 	CancelDelete = 0.55
 	// AcceptTries: times that a submission is tried while the view changes under it; two
 	// changes follow each other where a controller is replaced.
@@ -668,8 +676,8 @@
 	// SquareRent: some looks at the queue, which then has been offered all machines; what it
 	// still lacks is rented.
 	SquareRent = 2 * time.Second
-	// AnewMost: records that a decision to place a gang's tasks where they were may write;
-	// transactions hold no fewer than 16.
+	// AnewMost: records that a decision to place a gang's tasks where they were may write,
+	// where a transaction holds as many.
 	AnewMost = 12
 	// AnewEvery: between two looks at what has vanished, each of which goes through all of
 	// it.
@@ -737,3 +745,49 @@
 	// LoansSaid: how often the log tells the counts of loans.
 	LoansSaid = time.Minute
 )
+
+// Cancellations told (package cancellation).
+const (
+	// ProofMargin: leases are renewed until cancel_s - lease_s after the last proof, less
+	// this: two turns of a busy loop (0.3 s), the grain of the workers' clocks, and a
+	// launch that leaves with the last renewal.
+	ProofMargin = 1500 * time.Millisecond
+	// ProofDrift: share of cancel_s by which clocks may drift apart (0.05% each way).
+	ProofDrift = 0.001
+	// ProofAsk: while the state service does not answer, the other controllers are asked
+	// once it has proven nothing for so long.
+	ProofAsk = time.Second
+	// ProofAskEvery: pause between two rounds of questions: one short line to each other
+	// controller, and one back.
+	ProofAskEvery = time.Second
+	// ProofRounds: rounds whose answers are waited for; a line that took longer than so
+	// many seconds proves nothing that a later one does not.
+	ProofRounds = 8
+	// FollowWindow: share of the time left for renewals (cancel_s - lease_s less the
+	// margin) that a watch may be held at most, where that is less than FollowHold.
+	FollowWindow = 0.25
+	// MostTold: cancellations kept that this process has told; two seconds of a swarm of
+	// 2,000 a second. Whoever has not taken in what was dropped proves nothing by it.
+	MostTold = 4096
+	// MostHeard: cancellations heard of that the mirror does not show yet, of all others.
+	MostHeard = 16384
+	// ToldInLine: cancellations in one line; at 30 bytes each far below MaxPeerLine.
+	ToldInLine = 500
+	// ToldGather: least pause between two lines that pass on what was told; of a swarm of
+	// 2,000 a second 40 go in a line.
+	ToldGather = 20 * time.Millisecond
+	// ToldAgain: what was not confirmed is passed on again.
+	ToldAgain = time.Second
+	// MostPeers: controllers that a line may speak of.
+	MostPeers = 64
+	// CourierAfter: an owner that has not confirmed a cancellation by then is taken to be
+	// out of reach: confirmations come with the next line, within PeerBeat.
+	CourierAfter = 1500 * time.Millisecond
+	// CourierLook: how often is looked for such owners' machines. CourierCalls: calls to
+	// them under way at once. CourierAgain: pause before a machine is called again;
+	// CourierClean: if it held nothing that is cancelled, for a launch may still come.
+	CourierLook  = 500 * time.Millisecond
+	CourierCalls = 16
+	CourierAgain = 2 * time.Second
+	CourierClean = 5 * time.Second
+)
