Scaler: what no look at the queue came to counts as demand

Cause: a look at the queue ends with the changes that it may make. With 30 changes a second and 240 jobs at the start, their submissions took all changes for ten seconds, and the looks came to a few jobs at a time for as long again. The queue seemed empty meanwhile: at 10 s 33 of 82 machines were drained, at 20 s ten given back, and the first large rent came at 31 s. Later, what the last look did not come to still counted as without room, and machines were rented for it although others had come up.

Change: at a step of the scaler, jobs that no look came to (queue.Unlooked) and what the last one did not come to are packed onto machines that are up first; the rest is rented for.

--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -175,12 +175,16 @@
 		q.shutRooms(j.UID, p)
 	}
 	q.preempt(p)
-	// What was not looked at waits as it did.
+	// What was not looked at waits as it did; there may be room for it by now.
 	for _, w := range before {
 		if !seen[w.Task.Job] {
+			w.Unlooked = true
 			q.Waiting = append(q.Waiting, w)
 		}
 	}
+	if budget {
+		q.looked = seen // without, what fits somewhere could not be given its place
+	}
 	p.end(q)
 	q.Commit(p.ds)
 }
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -58,6 +58,7 @@
 	// Waiting is what found no room in the last look.
 	Waiting []*Waiting
 
+	looked     map[*book.Job]bool   // that the last look with changes to spend came to
 	avoid      map[string]time.Time // machines not offered for a while
 	preempted  map[string]making    // tasks that room is made for
 	holds      map[string]hold      // machines kept, by job
@@ -78,7 +79,7 @@
 // Reset forgets what only a leader keeps: a new one starts from the records.
 func (q *Queue) Reset() {
 	q.letGo()
-	q.Waiting = nil
+	q.Waiting, q.looked = nil, nil
 	q.avoid, q.preempted, q.holds, q.claims = map[string]time.Time{}, map[string]making{}, map[string]hold{}, map[string]*claim{}
 	q.gatherings = map[string]*gathering{}
 }
@@ -98,6 +99,8 @@
 	Site string
 	// Gathers: it is a large gang, for which room is kept as it comes.
 	Gathers bool
+	// Unlooked: the last look did not come to it, so that there may be room for it.
+	Unlooked bool
 
 	zones map[string]int // of its job's tasks in the look under way, nil if they are to be counted
 	Soon  bool           // its window is yet to open
--- a/internal/rental/plan.go
+++ b/internal/rental/plan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/parts"
+	"github.com/harrierreel/harrierreel/internal/queue"
 	"github.com/harrierreel/harrierreel/internal/scaler"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -176,19 +178,19 @@
 
 // queuedFor is how many machines of a group the waiting tasks would fill that
 // may go there, by share.
-func (re *Rental) queuedFor(g fleet.Group) float64 {
+func (re *Rental) queuedFor(g fleet.Group, waiting []*queue.Waiting, fits map[*queue.Waiting]int) float64 {
 	b := re.Builds[g.Build]
 	if b == nil {
 		return 0
 	}
 	sum := 0.0
-	for _, w := range re.Queue.StillWaiting() {
+	for _, w := range waiting {
 		spec := &w.Task.Job.Rec.Spec
 		if w.Gathers {
 			continue // its need is demand, and what is kept for it as well; no more stays for it
 		}
 		if share := spec.Need().Share(b.Whole()); share <= 1+1e-9 && spec.AllowsBuild(g.Build) && (spec.Loaner || !g.Loaner) {
-			sum += share * float64(w.Count)
+			sum += share * float64(w.Count-fits[w])
 		}
 	}
 	return sum
@@ -228,7 +230,8 @@
 	// Queued room goes to the booting machines that will take it, then to the
 	// cheapest group. What finds no booting machine is unmet: shares alone
 	// would not see that free room can be too scattered for a task.
-	fit := re.packQueue(counts, booting, demand)
+	queued := append(re.Queue.StillWaiting(), re.Queue.Unlooked()...)
+	fit, fits := re.packQueue(counts, booting, demand, queued)
 
 	sum := Summary{Step: re.Summary.Step + 1, History: map[string][]float64{}, Drain: fleet.Draining{}}
 	groups := map[fleet.Group]bool{}
@@ -271,9 +274,9 @@
 			}
 		}
 		surplus := act.Surplus
-		if queued := re.queuedFor(g); queued > 0 {
+		if room := re.queuedFor(g, queued, fits); room > 0 {
 			// Draining while tasks wait that could go there gains nothing.
-			surplus = min(surplus, -int(math.Ceil(queued)))
+			surplus = min(surplus, -int(math.Ceil(room)))
 		}
 		next, gone, revived := fleet.DrainStep(now, idle[g], surplus, op.DrainSteps, op.ReviveSteps)
 		for h, st := range next {
@@ -354,14 +357,25 @@
 }
 
 // packQueue adds queued room to demand and returns how many machines of each
-// group the queue needs beyond those that boot.
-func (re *Rental) packQueue(counts, booting map[kind]int, demand map[fleet.Group]float64) map[fleet.Group]int {
+// group the queue needs beyond those that boot. What the last look at the queue did not come
+// to goes on machines that are up first; fits tells how many of its tasks.
+func (re *Rental) packQueue(counts, booting map[kind]int, demand map[fleet.Group]float64, queued []*queue.Waiting) (fit map[fleet.Group]int, fits map[*queue.Waiting]int) {
 	c := &re.cloud
 	type bin struct {
 		k    kind
 		free parts.Room
+		up   bool
 	}
 	var bins []bin
+	if slices.ContainsFunc(queued, func(w *queue.Waiting) bool { return w.Unlooked }) {
+		gathered := re.Queue.Gathered()
+		for _, m := range re.ByName() {
+			b := c.catalog[m.Build]
+			if _, draining := re.Summary.Drain[m.Name]; b != nil && !draining && re.InUse(m) {
+				bins = append(bins, bin{kind{fleet.Group{Build: m.Build, Loaner: m.Loaner}, m.Site}, b.Whole().Sub(re.Used(m.Name)).Sub(gathered[m.Name]), true})
+			}
+		}
+	}
 	var kinds []kind
 	for k := range booting {
 		kinds = append(kinds, k)
@@ -370,17 +384,17 @@
 	for _, k := range kinds {
 		if b := c.catalog[k.Build]; b != nil {
 			for range booting[k] {
-				bins = append(bins, bin{k, b.Whole()})
+				bins = append(bins, bin{k, b.Whole(), false})
 			}
 		}
 	}
-	fit := map[fleet.Group]int{}
+	fit, fits = map[fleet.Group]int{}, map[*queue.Waiting]int{}
 	zonesOf := map[*book.Job]map[string]int{}
 	wanted := map[kind]int{}
 	for k, v := range counts {
 		wanted[k] = v
 	}
-	for _, w := range re.Queue.StillWaiting() {
+	for _, w := range queued {
 		spec := &w.Task.Job.Rec.Spec
 		zones := zonesOf[w.Task.Job]
 		if zones == nil {
@@ -393,7 +407,7 @@
 		left := w.Count
 		for i := 0; i < len(bins) && left > 0; i++ {
 			b := &bins[i]
-			if !spec.Allows(b.k.Build, b.k.site, b.k.Loaner) || !b.free.Fits(spec.Need()) {
+			if b.up && !w.Unlooked || !spec.Allows(b.k.Build, b.k.site, b.k.Loaner) || !b.free.Fits(spec.Need()) {
 				continue
 			}
 			share := spec.Need().Share(c.catalog[b.k.Build].Whole())
@@ -402,6 +416,9 @@
 				demand[b.k.Group] += share
 				zones[b.k.site]++
 				left--
+				if b.up {
+					fits[w]++
+				}
 			}
 		}
 		for left > 0 {
@@ -419,9 +436,9 @@
 				zones[k.site]++
 				left--
 			}
-			bins = append(bins, bin{k, free})
+			bins = append(bins, bin{k, free, false})
 		}
 	}
 	c.planned = wanted
-	return fit
+	return fit, fits
 }
--- a/internal/rental/rent.go
+++ b/internal/rental/rent.go
@@ -104,7 +104,7 @@
 	c.round++
 	c.again = false
 	counts, booting := re.supplyOf()
-	fit := re.packQueue(counts, booting, map[fleet.Group]float64{})
+	fit, _ := re.packQueue(counts, booting, map[fleet.Group]float64{}, append(re.Queue.StillWaiting(), re.Queue.Unlooked()...))
 	var groups []fleet.Group
 	for g := range fit {
 		groups = append(groups, g)
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -648,6 +648,10 @@
 		if got := s.w.Cloud.Rented; got > int(s.number(args[1])) {
 			s.fatal("%d machines were ever rented, more than %s", got, args[1])
 		}
+	case "rents": // expect rents COUNT: at least so many were ever rented
+		if got := s.w.Cloud.Rented; got < int(s.number(args[1])) {
+			s.fatal("only %d machines were ever rented, not %s", got, args[1])
+		}
 	case "lost": // expect lost COUNT: machines that were deleted with tasks on them
 		if got := s.w.Cloud.Lost; got != int(s.number(args[1])) {
 			s.fatal("%d machines were deleted with tasks on them, not %s", got, args[1])
