Queue: large gangs are overdue once their class's last aim for starting has passed

Cause: until a gang is overdue nothing that comes free on busy machines is kept for it, and 16 whole machines of one zone never stand free at once while all are in use.

TestGangsOverdueByTheirAims fails without.

--- a/internal/queue/order.go
+++ b/internal/queue/order.go
@@ -76,7 +76,7 @@
 func (q *Queue) Overdue(j *book.Job) bool {
 	waited := time.Duration(q.Ms()-j.Rec.AtMs) * time.Millisecond
 	if j.Rec.Spec.Gang() {
-		return large(&j.Rec.Spec) && waited >= tuning.GangOverdue
+		return large(&j.Rec.Spec) && waited >= q.gangOverdueAfter(j.Rec.Spec.Class)
 	}
 	return waited >= q.overdueAfter(j.Rec.Spec.Class) && len(j.Active)+len(j.Again)+j.Done == 0
 }
@@ -85,16 +85,33 @@
 // last of its aims for starting can still be met, or where all of those are shorter than
 // making room takes, in time for the users' bound.
 func (q *Queue) overdueAfter(class string) time.Duration {
+	last := q.lastAim(class)
+	if last < tuning.OverdueAim {
+		return tuning.Overdue
+	}
+	return min(tuning.Overdue, last-tuning.OverdueLead)
+}
+
+// gangOverdueAfter is the wait after which a class's large gangs are overdue: once the last
+// of its aims for starting has been missed, so that they take no room from what can still
+// meet one, and in any case in time for the users' bound.
+func (q *Queue) gangOverdueAfter(class string) time.Duration {
+	last := q.lastAim(class)
+	if last < tuning.OverdueAim {
+		return tuning.GangOverdue
+	}
+	return min(tuning.GangOverdue, last+tuning.GangAimPast)
+}
+
+// lastAim is the last of a class's aims for starting, 0 if it has none.
+func (q *Queue) lastAim(class string) time.Duration {
 	last := time.Duration(0)
 	for _, o := range q.Objectives {
 		if o.Kind == "wait" && o.Class == class {
 			last = max(last, jobs.Seconds(o.WithinS))
 		}
 	}
-	if last < tuning.OverdueAim {
-		return tuning.Overdue
-	}
-	return min(tuning.Overdue, last-tuning.OverdueLead)
+	return last
 }
 
 // StartBy is the time by which a job must start to meet the next of its
--- a/internal/queue/queue_test.go
+++ b/internal/queue/queue_test.go
@@ -14,6 +14,7 @@
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/quota"
 	"github.com/harrierreel/harrierreel/internal/records"
+	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -279,3 +280,32 @@
 		t.Errorf("came to %s, not to the fullest %s", d.where("wk-5"), d.where("wk-0"))
 	}
 }
+
+// A large gang is overdue once the last of its class's aims for starting has passed, and
+// after GangOverdue in any case; smaller ones never are.
+func TestGangsOverdueByTheirAims(t *testing.T) {
+	d := newDesk(t, map[string]quota.Team{"b": {Name: "b"}})
+	gang := func(class string, pieces int) func(*jobs.Spec) {
+		return func(s *jobs.Spec) { s.Shape, s.Class, s.Pieces = jobs.Ensemble, class, pieces }
+	}
+	for _, o := range []settings.Objective{{Kind: "wait", Class: "soon", WithinS: 90}, {Kind: "wait", Class: "soon", WithinS: 50}, {Kind: "wait", Class: "late", WithinS: 150}, {Kind: "wait", Class: "at-once", WithinS: 10}} {
+		d.Objectives = append(d.Objectives, o)
+	}
+	after := map[string]int{"soon": 100, "late": 160, "at-once": 160, "none": 160}
+	for class := range after {
+		d.job("wk-"+class, "b", "standard", 16, gang(class, 16))
+		d.job("wk-small-"+class, "b", "standard", 4, gang(class, 4))
+	}
+	begin := d.Now
+	for _, s := range []int{0, 99, 101, 159, 161, 500} {
+		d.Now = begin.Add(time.Duration(s) * time.Second)
+		for class, from := range after {
+			if got := d.Overdue(d.Jobs["wk-"+class]); got != (s >= from) {
+				t.Errorf("%s after %d s: overdue %v", class, s, got)
+			}
+			if d.Overdue(d.Jobs["wk-small-"+class]) {
+				t.Errorf("a gang of four is overdue after %d s", s)
+			}
+		}
+	}
+}
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -395,6 +395,10 @@
 	// fleet's busy day 0.78 of fit-trainer's began within 150 s where none was overdue, 0.60
 	// where all gangs were after 105 s or 120 s. The rest of 240 s is a boot and a fetch.
 	GangOverdue = 160 * time.Second
+	// GangAimPast: where the last of its class's aims for starting is sooner, a large gang is
+	// overdue so long after that. Room for 16 whole machines in one zone takes up to two
+	// minutes to come free; begun at 160 s, a third of them began after 240 s.
+	GangAimPast = 10 * time.Second
 	// BeginShare: one task and one for each so many go to the head with it. They show
 	// that it runs and what its tasks take; more would hold up the smaller jobs that it
 	// waits behind.
