--- a/internal/fleet/images.go
+++ b/internal/fleet/images.go
@@ -65,16 +65,3 @@
 		return image.Bundle == bundle && now.Sub(image.Since) < image.Ready.Sub(image.Since)*2/3
 	})
 }
-
-// Fetching is how much of an image of gb a machine would have fetched more of, by the time
-// that it has it, for those that it is fetching already: fetches on one machine share its
-// rate, by halves and thirds until the shorter is done.
-func (i Images) Fetching(host string, gb, rate float64, now time.Time) float64 {
-	sum := 0.0
-	for _, image := range i[host] {
-		if left := image.Ready.Sub(now).Seconds() * rate; left > 0 {
-			sum += min(left, gb)
-		}
-	}
-	return sum
-}
--- a/internal/queue/gangs.go
+++ b/internal/queue/gangs.go
@@ -194,7 +194,6 @@
 	}
 	for i, h := range hosts {
 		offers = append(offers, offer{all[i], h})
-		q.promise(h, spec)
 	}
 	return offers, whole
 }
--- a/internal/queue/lend.go
+++ b/internal/queue/lend.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"github.com/harrierreel/harrierreel/internal/book"
-	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/settings"
@@ -216,38 +215,7 @@
 	if q.loans != nil && spec.Shape == jobs.Standing {
 		return lending.PullS(q.Book, q.Now, m, build, spec)
 	}
-	gb := spec.PullGB + q.Images.Fetching(m.Name, spec.PullGB, build.PullRate, q.Now)
-	for _, f := range q.promised[m.Name] {
-		if f.Bundle != spec.Bundle && !q.Cached(m.Name, f.Bundle) {
-			gb += min(f.GB, spec.PullGB)
-		}
-	}
-	return gb / build.PullRate
-}
-
-// promise notes that a machine is to fetch an image for a task that the leader has in mind
-// for it: no record shows it yet.
-func (q *Queue) promise(host string, spec *jobs.Spec) {
-	if spec.PullGB <= 0 || q.Cached(host, spec.Bundle) || slices.ContainsFunc(q.promised[host], func(f fleet.Image) bool { return f.Bundle == spec.Bundle }) {
-		return
-	}
-	q.promised[host] = append(q.promised[host], fleet.Image{Bundle: spec.Bundle, GB: spec.PullGB})
-}
-
-// promises begins a look with what is under way: eight replicas of eight jobs came onto
-// one machine in one look, and their images took eight times as long.
-func (q *Queue) promises() {
-	q.promised = map[string][]fleet.Image{}
-	for _, piece := range book.Sorted(q.Reserved) {
-		if r := q.Reserved[piece]; r.Task.Job.Rec != nil {
-			q.promise(r.Host, &r.Task.Job.Rec.Spec)
-		}
-	}
-	for _, piece := range book.Sorted(q.Released) {
-		if t := q.Released[piece]; t.Want != "" && t.Job.Rec != nil {
-			q.promise(t.Want, &t.Job.Rec.Spec)
-		}
-	}
+	return spec.PullGB / build.PullRate
 }
 
 // lendCached tells whether a replica should wait for a machine that holds its weights,
--- a/internal/queue/pass.go
+++ b/internal/queue/pass.go
@@ -138,7 +138,6 @@
 func (q *Queue) Release() {
 	q.letGo()
 	p := q.newPass()
-	q.promises()
 	q.keepLoans(p)
 	before := q.StillWaiting()
 	q.Waiting = nil
@@ -262,7 +261,6 @@
 		c.Load = c.Whole.Sub(c.Free).Share(c.Whole)
 		zones[c.Site]++
 		if !c.Cached && spec.PullGB > 0 {
-			q.promise(c.Host, spec)
 			c.Cached = true // for the next of them
 		}
 	}
--- a/internal/queue/queue.go
+++ b/internal/queue/queue.go
@@ -11,7 +11,6 @@
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/calendar"
 	"github.com/harrierreel/harrierreel/internal/decide"
-	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/settings"
@@ -67,8 +66,6 @@
 	gatherings map[string]*gathering
 	loans      *lending.Keeper // nil if nothing is lent
 	kept       []string        // bookings for windows that are about to open
-	// promised is by machine the images that it is to fetch for what no record shows yet.
-	promised map[string][]fleet.Image
 }
 
 // New makes an empty queue over a book.
@@ -84,7 +81,7 @@
 	q.letGo()
 	q.Waiting, q.looked = nil, nil
 	q.avoid, q.preempted, q.holds, q.claims = map[string]time.Time{}, map[string]making{}, map[string]hold{}, map[string]*claim{}
-	q.gatherings, q.promised = map[string]*gathering{}, map[string][]fleet.Image{}
+	q.gatherings = map[string]*gathering{}
 }
 
 // Waiting is queued tasks of one job that may run by their limits but have found
