--- a/internal/settings/budgets.go
+++ b/internal/settings/budgets.go
@@ -2,38 +2,31 @@
 
 import (
 	"math"
-	"time"
 
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
-// PollGap is the pause between two readings of the epoch that a controller makes for
-// users' polls: those of all controllers together take no more than their share of the
-// state service's requests.
-func (k Cluster) PollGap() time.Duration {
-	return max(tuning.PollGap, seconds(float64(max(k.Size, 1))/max(k.State.RPS*tuning.PollShare, 1)))
-}
-
 // Standing is what goes on while nothing is decided, as shares of what the deployment
 // allows: the requests of all controllers, those of one that follows of its own part, the
-// leader's calls to the cloud, and its changes.
-type Standing struct{ Requests, Follower, Calls, Changes float64 }
+// same while calls wait, the leader's calls to the cloud, and its changes.
+type Standing struct{ Requests, Follower, Yielding, Calls, Changes float64 }
 
 // Standing computes it, with users who ask all the time and changes that keep all watches
-// busy, which is the most that it may be. Pages is how many the cloud's list has.
+// busy, which is the most that it may be. Pages is how many the cloud's list has. The epoch
+// is read for polls less often while the budget holds other calls back.
 func (k Cluster) Standing(pages int) Standing {
 	n := float64(max(k.Size, 1))
 	renew := 1 / tuning.MemberRenew.Seconds()
 	watch := k.State.RPS * tuning.FollowShare / n
-	poll := 1 / k.PollGap().Seconds()
-	each := renew + watch + poll
+	each := renew + watch + 1/tuning.PollGap.Seconds()
+	least := renew + watch + 1/tuning.PollAgain.Seconds()
 	part := k.State.RPS * tuning.StateBudget
 	if n > 1 {
 		part *= (1 - tuning.LeaderShare) / (n - 1)
 	}
 	every := max(tuning.ListEvery.Seconds(), float64(pages)/(k.Cloud.RPS*tuning.ListShare))
 	return Standing{
-		Requests: n * each / k.State.RPS, Follower: each / part,
+		Requests: n * each / k.State.RPS, Follower: each / part, Yielding: least / part,
 		Calls:   (float64(pages)/every + 1/tuning.CatalogEvery.Seconds()) / (k.Cloud.RPS * tuning.CloudBudget),
 		Changes: 1 / tuning.Step.Seconds() / k.State.WriteRPS,
 	}
@@ -48,6 +41,6 @@
 	return []any{
 		"asked_s", w.Late().Seconds(), "quiet_s", w.Quiet().Seconds(), "gone_s", w.GoneBy().Seconds(), "cancel_delete_s", k.CancelDelete().Seconds(),
 		"lease_s_least", w.LeastLease(tuning.MemberTTL).Seconds(), "cancel_s_least", max(k.leastCancel(), seconds(w.LeaseS)+tuning.CancelSpare).Seconds(),
-		"requests_pct", pct(s.Requests), "follower_pct", pct(s.Follower), "cloud_pct", pct(s.Calls),
+		"requests_pct", pct(s.Requests), "follower_pct", pct(s.Follower), "follower_yields_pct", pct(s.Yielding), "cloud_pct", pct(s.Calls),
 	}
 }
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -73,10 +73,6 @@
 	// PollGap: pause between two readings of the epoch for users' polls; all
 	// polls that come meanwhile share one.
 	PollGap = 100 * time.Millisecond
-	// PollShare: share of the state service's requests that these readings of all
-	// controllers together may take; at 80 requests a second and three controllers
-	// 10 a second of each, with their watches, were all of a follower's part.
-	PollShare = 0.2
 	// PollWait: polls that could not be answered by then are refused; users
 	// wait 2 s.
 	PollWait = 1500 * time.Millisecond
