--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -73,10 +73,6 @@
 	// PollGap: pause between two readings of the epoch for users' polls; all
 	// polls that come meanwhile share one.
 	PollGap = 100 * time.Millisecond
-	// PollShare: share of the state service's requests that these readings of all
-	// controllers together may take; at 80 requests a second and three controllers
-	// 10 a second of each, with their watches, were all of a follower's part.
-	PollShare = 0.2
 	// PollWait: polls that could not be answered by then are refused; users
 	// wait 2 s.
 	PollWait = 1500 * time.Millisecond
@@ -395,6 +391,10 @@
 	// fleet's busy day 0.78 of fit-trainer's began within 150 s where none was overdue, 0.60
 	// where all gangs were after 105 s or 120 s. The rest of 240 s is a boot and a fetch.
 	GangOverdue = 160 * time.Second
+	// GangAimPast: where the last of its class's aims for starting is sooner, a large gang is
+	// overdue so long after that. Room for 16 whole machines in one zone takes up to two
+	// minutes to come free; begun at 160 s, a third of them began after 240 s.
+	GangAimPast = 10 * time.Second
 	// BeginShare: one task and one for each so many go to the head with it. They show
 	// that it runs and what its tasks take; more would hold up the smaller jobs that it
 	// waits behind.
