--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -178,7 +178,7 @@
 	})
 	n.rental = rental.New(n.Book, rental.Env{
 		Operator: set.Operator, Cluster: set.Cluster, SliceLimit: n.sliceLimit(), Log: log, Chance: rng, Queue: n.queue, Send: out.Cloud,
-		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) && n.part.Squaring.MayRent(n.Now) }, Hurried: func() bool { return !n.part.Squaring.Steady() },
+		Leads: func() (bool, uint64) { return n.role == members.Leader, n.roleEpoch }, MayRent: func() bool { return n.checks.May(standby.Rent) && n.part.Reconciling.MayRent(n.Now) }, Hurried: func() bool { return !n.part.Reconciling.Steady() },
 		Wake: func() { n.dirty = true },
 		Busy: n.commits.Busy, Recorded: func(key string) bool { return n.mirror.Stamp(key) != 0 },
 		Allows: n.client.Allows, Spare: n.client.Spare, Down: n.client.Down, Held: n.client.Waiting, Commit: n.commits.Commit,
@@ -296,7 +296,7 @@
 	n.member.PeerHeard(h.From)
 	n.told.Take(h.From, h.Message)
 	n.sight.Hint(h.From, h.StateOK, h.Blind)
-	n.part.Squaring.OtherHeard(h.From, h.Heard, h.Epoch)
+	n.part.Reconciling.OtherHeard(h.From, h.Heard, h.Epoch)
 	if h.Epoch > n.mirror.Epoch {
 		if n.behind.IsZero() {
 			n.behind = n.Now
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -52,7 +52,7 @@
 	n.client.Pump(n.Now)
 	n.Now = n.Now.Add(time.Second) // the budget fills
 	n.client.Pump(n.Now)
-	n.part.Squaring.View(1, nil, nil, n.Now) // as on any day: steady
+	n.part.Reconciling.View(1, nil, nil, n.Now) // as on any day: steady
 	return n
 }
 
--- a/internal/part/command.go
+++ b/internal/part/command.go
@@ -6,7 +6,7 @@
 
 	"github.com/harrierreel/harrierreel/internal/book"
 	"github.com/harrierreel/harrierreel/internal/jobs"
-	"github.com/harrierreel/harrierreel/internal/squaring"
+	"github.com/harrierreel/harrierreel/internal/reconcile"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/workers"
 )
@@ -68,7 +68,7 @@
 		if err != nil || (status != 200 && status != 409) || json.Unmarshal(answer, &r) != nil || r.Host != s.Host {
 			pt.Log.Debug("command without answer", "machine", s.Host, "status", status, "error", err)
 			s.Unanswered()
-			pt.Squaring.Note(s.Host, squaring.Silent, pt.Now)
+			pt.Reconciling.Note(s.Host, reconcile.Silent, pt.Now)
 			pt.healthOf(s.Host).Rest(pt.Now.Add(tuning.UnansweredRest))
 			return
 		}
@@ -105,9 +105,9 @@
 func (pt *Part) takes(t *book.Task, m *book.Machine) bool { return pt.Ready(m) && book.Suits(t, m) }
 
 // Ready tells whether a machine takes new tasks at all, by its record.
-func (pt *Part) Ready(m *book.Machine) bool { return pt.Squaring.Open(m.Name) && pt.sound(m) }
+func (pt *Part) Ready(m *book.Machine) bool { return pt.Reconciling.Open(m.Name) && pt.sound(m) }
 
-// sound tells whether a machine would take new tasks if it is squared.
+// sound tells whether a machine would take new tasks if it is reconciled.
 func (pt *Part) sound(m *book.Machine) bool {
 	if !pt.InUse(m) || pt.Builds[m.Build] == nil {
 		return false
--- a/internal/part/health.go
+++ b/internal/part/health.go
@@ -31,7 +31,7 @@
 	case !s.Ahead.IsZero() && pt.Now.Sub(s.Ahead) > times.GoneBy():
 		// Nobody of this view can speak to it: its lease is over, and what it holds with it.
 		return pt.Moving(s.Host, fleet.Sick, "has seen a later baton than this view's")
-	case !pt.Squaring.Steady() && s.Tick == 0 && s.CallFails > 0, // never heard
+	case !pt.Reconciling.Steady() && s.Tick == 0 && s.CallFails > 0, // never heard
 		quiet > times.Quiet() || s.CallFails >= tuning.SilentCalls && quiet > times.Late():
 		unheard[s.Host] = true
 	case s.State != workers.Known:
--- a/internal/part/part.go
+++ b/internal/part/part.go
@@ -14,9 +14,9 @@
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/queue"
+	"github.com/harrierreel/harrierreel/internal/reconcile"
 	"github.com/harrierreel/harrierreel/internal/rental"
 	"github.com/harrierreel/harrierreel/internal/settings"
-	"github.com/harrierreel/harrierreel/internal/squaring"
 	"github.com/harrierreel/harrierreel/internal/workers"
 )
 
@@ -68,8 +68,8 @@
 	*book.Book
 	Env
 
-	// Squaring is what is known of this controller's machines since it started.
-	Squaring *squaring.Tracker
+	// Reconciling is what is known of this controller's machines since it started.
+	Reconciling *reconcile.Tracker
 
 	sessions map[string]*workers.Session
 	health   map[string]*fleet.Health
@@ -94,7 +94,7 @@
 
 // New makes the part of an owner over a book.
 func New(b *book.Book, env Env) *Part {
-	return &Part{Book: b, Env: env, Squaring: squaring.New(env.Cluster.Workers.ReportS, env.Log), sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{}, came: map[string][2]uint64{},
+	return &Part{Book: b, Env: env, Reconciling: reconcile.New(env.Cluster.Workers.ReportS, env.Log), sessions: map[string]*workers.Session{}, health: map[string]*fleet.Health{}, came: map[string][2]uint64{},
 		touched: map[string]bool{}, revisit: map[string]bool{}, held: map[string]bool{}, vanished: map[string]bool{}}
 }
 
@@ -120,7 +120,7 @@
 			continue
 		}
 		s.NewEpoch(pt.Epoch())
-		if pt.Squaring.Steady() || s.CallFails == 0 {
+		if pt.Reconciling.Steady() || s.CallFails == 0 {
 			s.LastCall = time.Time{}
 		}
 	}
@@ -135,7 +135,7 @@
 	if len(own) < len(pt.Machines) {
 		others = slices.DeleteFunc(pt.Members(), func(m string) bool { return m == pt.Me })
 	}
-	pt.Squaring.View(pt.Epoch(), own, others, pt.Now)
+	pt.Reconciling.View(pt.Epoch(), own, others, pt.Now)
 	pt.lastSweep = time.Time{}
 }
 
@@ -158,5 +158,5 @@
 	delete(pt.health, host)
 	delete(pt.came, host)
 	delete(pt.sessions, host)
-	pt.Squaring.Lost(host)
+	pt.Reconciling.Lost(host)
 }
--- a/internal/part/square.go
+++ b/internal/part/reconcile.go
@@ -9,16 +9,16 @@
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/gangs"
 	"github.com/harrierreel/harrierreel/internal/jobs"
-	"github.com/harrierreel/harrierreel/internal/squaring"
+	"github.com/harrierreel/harrierreel/internal/reconcile"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/workers"
 )
 
-// mayAsk tells whether a call may be spent on a machine while this controller squares:
+// mayAsk tells whether a call may be spent on a machine while this controller reconciles:
 // those that died must not hold up those that run.
 func (pt *Part) mayAsk(s *workers.Session) bool {
 	switch {
-	case pt.Squaring.Steady():
+	case pt.Reconciling.Steady():
 		return true
 	case s.CallFails > 0:
 		return pt.doubted < tuning.DoubtedCalls && !pt.Rental.GivenUp(s.Host)
@@ -31,7 +31,7 @@
 // putOff has a machine looked at again when a call comes free, and not with the next
 // sweep: 64 machines every 0.4 s were ten seconds for all of a fleet's.
 func (pt *Part) putOff(s *workers.Session) {
-	if !pt.Squaring.Steady() {
+	if !pt.Reconciling.Steady() {
 		pt.waiting = append(pt.waiting, s.Host)
 	}
 }
@@ -50,34 +50,34 @@
 }
 
 // count notes a difference, once for every look of a pass.
-func (pt *Part) count(host string, d squaring.Difference, a squaring.Answer) {
+func (pt *Part) count(host string, d reconcile.Difference, a reconcile.Answer) {
 	if pt.counting {
-		pt.Squaring.Count(host, d, a)
+		pt.Reconciling.Count(host, d, a)
 	}
 }
 
 // compared takes in what a look at a machine has found.
 func (pt *Part) compared(s *workers.Session, rv *reviewed) {
 	switch {
-	case pt.Squaring.Steady():
+	case pt.Reconciling.Steady():
 	case s.State != workers.Known:
 		if pt.Rental.GivenUp(s.Host) {
-			pt.Squaring.Note(s.Host, squaring.Silent, pt.Now)
+			pt.Reconciling.Note(s.Host, reconcile.Silent, pt.Now)
 		}
 	case len(rv.orders) > 0 || len(rv.decisions) > 0 || rv.held || rv.busy:
-		pt.Squaring.Note(s.Host, squaring.Shows, pt.Now)
-		pt.Squaring.Note(s.Host, squaring.Departs, pt.Now)
+		pt.Reconciling.Note(s.Host, reconcile.Shows, pt.Now)
+		pt.Reconciling.Note(s.Host, reconcile.Departs, pt.Now)
 	default:
-		pt.Squaring.Note(s.Host, squaring.Shows, pt.Now)
-		pt.Squaring.Note(s.Host, squaring.Agrees, pt.Now)
+		pt.Reconciling.Note(s.Host, reconcile.Shows, pt.Now)
+		pt.Reconciling.Note(s.Host, reconcile.Agrees, pt.Now)
 	}
 }
 
 // free is what becomes of a recorded task that is not on its machine. While this
-// controller squares, one that vanished from a machine that may hold it still, as it
+// controller reconciles, one that vanished from a machine that may hold it still, as it
 // does where the lease ran out, is left to placeAnew.
-func (pt *Part) free(t *book.Task, why squaring.Difference, out *reviewed) {
-	if !pt.Squaring.Steady() && why == squaring.Vanished && pt.again(t) {
+func (pt *Part) free(t *book.Task, why reconcile.Difference, out *reviewed) {
+	if !pt.Reconciling.Steady() && why == reconcile.Vanished && pt.again(t) {
 		pt.vanished[t.Piece] = true
 		out.held = true
 		return
@@ -173,17 +173,17 @@
 	return pt.Jobs[uid].Tasks[num]
 }
 
-// turn is the order in which decisions are made while this controller squares; on any
+// turn is the order in which decisions are made while this controller reconciles; on any
 // other day they go by rank alone.
-func (pt *Part) turn(d *decide.Decision) squaring.Turn {
-	if pt.Squaring.Steady() || len(d.Changes) == 0 {
-		return squaring.Ends
+func (pt *Part) turn(d *decide.Decision) reconcile.Turn {
+	if pt.Reconciling.Steady() || len(d.Changes) == 0 {
+		return reconcile.Ends
 	}
 	t := d.Changes[0].Task
 	if t.Job.Rec == nil {
-		return squaring.Cancelled
+		return reconcile.Cancelled
 	}
-	return squaring.TurnOf(&t.Job.Rec.Spec, t.Job.Rec.State != jobs.Live, d.Changes[0].Next.State == jobs.Placed)
+	return reconcile.TurnOf(&t.Job.Rec.Spec, t.Job.Rec.State != jobs.Live, d.Changes[0].Next.State == jobs.Placed)
 }
 
 // again tells whether a task is known to be gone from a machine of this controller's
@@ -199,11 +199,11 @@
 
 // awaits tells whether a machine with a task of a record has yet to be heard.
 func (pt *Part) awaits(sl *book.Slice) bool {
-	if pt.Squaring.Phase() != squaring.Hearing {
+	if pt.Reconciling.Phase() != reconcile.Hearing {
 		return false
 	}
 	for _, t := range sl.Tasks {
-		if t.On() && sl.Holds(t) && pt.Squaring.Awaits(t.Host) {
+		if t.On() && sl.Holds(t) && pt.Reconciling.Awaits(t.Host) {
 			return true
 		}
 	}
@@ -213,10 +213,10 @@
 // HeardUnder is the view under which all of this controller's machines were heard, or are
 // on the list of those that it does not hear, 0 if some are not.
 func (pt *Part) HeardUnder() uint64 {
-	for _, h := range pt.Squaring.GivenUp() {
+	for _, h := range pt.Reconciling.GivenUp() {
 		if m := pt.Machines[h]; m != nil && m.Owner == pt.Me && pt.InUse(m) {
 			return 0
 		}
 	}
-	return pt.Squaring.Heard()
+	return pt.Reconciling.Heard()
 }
--- a/internal/part/square_test.go
+++ b/internal/part/reconcile_test.go
@@ -9,7 +9,7 @@
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/jobs"
-	"github.com/harrierreel/harrierreel/internal/squaring"
+	"github.com/harrierreel/harrierreel/internal/reconcile"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
@@ -83,7 +83,7 @@
 	for range 30 { // two calls to the other stay without an answer
 		o.pass()
 	}
-	if o.Squaring.Phase() == squaring.Hearing {
+	if o.Reconciling.Phase() == reconcile.Hearing {
 		t.Fatal("a machine that does not answer is waited for")
 	}
 	ds := o.pass()
--- a/internal/part/review.go
+++ b/internal/part/review.go
@@ -13,7 +13,7 @@
 	"github.com/harrierreel/harrierreel/internal/fleet"
 	"github.com/harrierreel/harrierreel/internal/gangs"
 	"github.com/harrierreel/harrierreel/internal/jobs"
-	"github.com/harrierreel/harrierreel/internal/squaring"
+	"github.com/harrierreel/harrierreel/internal/reconcile"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 	"github.com/harrierreel/harrierreel/internal/wire"
@@ -48,7 +48,7 @@
 		owner = pt.OwnerOf(r.Host)
 	}
 	if owner != pt.Me {
-		pt.Squaring.SentOn(owner)
+		pt.Reconciling.SentOn(owner)
 		if news {
 			pt.Complain(owner, r.Host, true)
 		}
@@ -176,25 +176,25 @@
 		}
 		verdict, p := s.Judge(piece, t.Try)
 		m := pt.Machines[s.Host]
-		rec := squaring.Recorded{Verdict: verdict, Over: over, Stopping: t.State == jobs.Stopping, Leaving: m == nil || m.State == fleet.Deleting || m.State == fleet.Deleted}
+		rec := reconcile.Recorded{Verdict: verdict, Over: over, Stopping: t.State == jobs.Stopping, Leaving: m == nil || m.State == fleet.Deleting || m.State == fleet.Deleted}
 		if verdict == workers.OnIt {
 			pt.ran(s, t, p)
 			rec.Save = !over && pt.saveNow(s, t, p)
 		}
-		diff, answer := squaring.OfRecorded(rec)
+		diff, answer := reconcile.OfRecorded(rec)
 		pt.count(s.Host, diff, answer)
 		switch answer {
-		case squaring.Launch:
+		case reconcile.Launch:
 			if pt.tooSoon(t) || !pt.Launches() {
 				pt.revisit[s.Host] = true
 				continue
 			}
 			out.orders = append(out.orders, workers.Order{Verb: workers.Launch, Piece: piece, Try: t.Try})
-		case squaring.Stop:
+		case reconcile.Stop:
 			out.orders = append(out.orders, pt.stopOrder(t, over))
-		case squaring.End:
+		case reconcile.End:
 			out.decisions = append(out.decisions, pt.ended(s, t, p))
-		case squaring.Free:
+		case reconcile.Free:
 			pt.free(t, diff, &out)
 		}
 	}
@@ -208,15 +208,15 @@
 			// What is cancelled is stopped at once; its end is reaped only once no record can
 			// name it any more.
 			writing := !recorded && pt.writing(piece) && (p.Status == workers.Ended || !pt.Cancelled(jobOf(piece)))
-			diff, answer := squaring.OfReported(p.Status, recorded, writing)
+			diff, answer := reconcile.OfReported(p.Status, recorded, writing)
 			if !recorded {
 				pt.count(s.Host, diff, answer)
 			}
 			switch answer {
-			case squaring.Reap:
+			case reconcile.Reap:
 				out.orders = append(out.orders, workers.Order{Verb: workers.Reap, Piece: piece, Try: p.Try})
 				s.Forget(piece, p.Try)
-			case squaring.Stop:
+			case reconcile.Stop:
 				zero := 0.0
 				out.orders = append(out.orders, workers.Order{Verb: workers.Stop, Piece: piece, Try: p.Try, WindDownS: &zero})
 			}
@@ -455,7 +455,7 @@
 	}
 	pt.waiting = pt.waiting[:0]
 	ds = append(ds, pt.placeAnew()...)
-	pt.Squaring.Settle(pt.Now, pt.Known())
+	pt.Reconciling.Settle(pt.Now, pt.Known())
 	// Where the budget does not allow all, a guest's thousands of ends must not
 	// stand before those that others wait for.
 	sort.SliceStable(ds, func(a, b int) bool {
--- a/internal/squaring/fleet.go
+++ b/internal/reconcile/fleet.go
@@ -1,4 +1,4 @@
-package squaring
+package reconcile
 
 import (
 	"time"
@@ -11,10 +11,10 @@
 
 // Phases, in order. Steady is the end: from then on nothing here holds anything back.
 const (
-	Reading  Phase = "reading"  // the state service; it is in no view yet
-	Hearing  Phase = "hearing"  // some machines have not been heard, or others had no time to
-	Squaring Phase = "squaring" // of those heard, some still differ
-	Steady   Phase = "steady"
+	Reading     Phase = "reading"     // the state service; it is in no view yet
+	Hearing     Phase = "hearing"     // some machines have not been heard, or others had no time to
+	Reconciling Phase = "reconciling" // of those heard, some still differ
+	Steady      Phase = "steady"
 )
 
 // Duty is what a controller does.
@@ -24,7 +24,7 @@
 const (
 	Halt    Duty = "stop what is cancelled or not recorded"
 	Settle  Duty = "free, end and begin again what machines tell"
-	Hand    Duty = "place on machines that are squared"
+	Hand    Duty = "place on machines that are reconciled"
 	HandAny Duty = "place on machines of others, by their records"
 	Rent    Duty = "rent"
 )
@@ -32,10 +32,10 @@
 // may is what may be decided in each phase. Who may decide at all, as a member or a
 // leader, is not told here (standby.Checks, the view's stamp).
 var may = map[Phase]map[Duty]bool{
-	Reading:  {},
-	Hearing:  {Halt: true, Settle: true, Hand: true},
-	Squaring: {Halt: true, Settle: true, Hand: true, HandAny: true, Rent: true},
-	Steady:   {Halt: true, Settle: true, Hand: true, HandAny: true, Rent: true},
+	Reading:     {},
+	Hearing:     {Halt: true, Settle: true, Hand: true},
+	Reconciling: {Halt: true, Settle: true, Hand: true, HandAny: true, Rent: true},
+	Steady:      {Halt: true, Settle: true, Hand: true, HandAny: true, Rent: true},
 }
 
 // May tells whether a duty may be done in a phase.
@@ -43,7 +43,7 @@
 
 // Counts is how many machines are in each state.
 type Counts struct {
-	Unheard, Heard, Differs, Squared, GivenUp int
+	Unheard, Heard, Differs, Reconciled, GivenUp int
 }
 
 // of is the count of a state.
@@ -55,8 +55,8 @@
 		return &c.Heard
 	case Differs:
 		return &c.Differs
-	case Squared:
-		return &c.Squared
+	case Reconciled:
+		return &c.Reconciled
 	case GivenUp:
 	}
 	return &c.GivenUp
@@ -72,7 +72,7 @@
 }
 
 // Advance is the one place where the phase changes. within is by when machines that run
-// are heard (two report intervals and some), most by when squaring is over in any case:
+// are heard (two report intervals and some), most by when reconciling is over in any case:
 // what still differs then is what differs on any day.
 func (p Phase) Advance(f Facts, within, most time.Duration) Phase {
 	switch {
@@ -80,10 +80,10 @@
 		return p
 	case f.For >= most:
 		return Steady
-	case f.Unheard > 0 && f.For < within, f.Others && f.Viewed < tuning.SquareOthers:
+	case f.Unheard > 0 && f.For < within, f.Others && f.Viewed < tuning.ReconcileOthers:
 		return Hearing
 	case f.Heard+f.Differs > 0:
-		return Squaring
+		return Reconciling
 	}
 	return Steady
 }
--- a/internal/squaring/machine.go
+++ b/internal/reconcile/machine.go
@@ -1,19 +1,19 @@
-// Package squaring is how a controller that starts squares what machines report with
+// Package reconcile is how a controller that starts reconciles what machines report with
 // what is recorded: which machines have been heard, what differs, and what may be
 // decided before all of it is known. After all controllers went down nothing else knows.
 // It has no IO and no clock.
-package squaring
+package reconcile
 
 // Machine is where a machine stands between its records and its reports.
 type Machine string
 
 // States of a machine.
 const (
-	Unheard Machine = "unheard"  // no report under our baton yet
-	Heard   Machine = "heard"    // not compared yet
-	Differs Machine = "differs"  // something is still to be done about it
-	Squared Machine = "squared"  // records and reports agree
-	GivenUp Machine = "given up" // no longer waited for: it does not answer, or is lost
+	Unheard    Machine = "unheard"    // no report under our baton yet
+	Heard      Machine = "heard"      // not compared yet
+	Differs    Machine = "differs"    // something is still to be done about it
+	Reconciled Machine = "reconciled" // records and reports agree
+	GivenUp    Machine = "given up"   // no longer waited for: it does not answer, or is lost
 )
 
 // Event is what happens to a machine.
@@ -37,10 +37,10 @@
 		}
 	case Agrees:
 		if m == Heard || m == Differs {
-			return Squared, true
+			return Reconciled, true
 		}
 	case Departs:
-		if m == Heard || m == Squared {
+		if m == Heard || m == Reconciled {
 			return Differs, true
 		}
 	case Silent:
@@ -48,7 +48,7 @@
 			return GivenUp, true
 		}
 	case Anew:
-		if m == Heard || m == Differs || m == Squared {
+		if m == Heard || m == Differs || m == Reconciled {
 			return Unheard, true
 		}
 	}
--- a/internal/squaring/order.go
+++ b/internal/reconcile/order.go
@@ -1,4 +1,4 @@
-package squaring
+package reconcile
 
 import "github.com/harrierreel/harrierreel/internal/jobs"
 
--- a/internal/squaring/squaring_test.go
+++ b/internal/reconcile/reconcile_test.go
@@ -1,4 +1,4 @@
-package squaring
+package reconcile
 
 import (
 	"fmt"
@@ -40,7 +40,7 @@
 				tr.Note(h, e, now)
 				agreed[h] = e == Agrees && heard || agreed[h] && e != Departs
 				tr.Settle(now, 9)
-				if before == Squaring && tr.Phase() == Hearing || before == Steady && tr.Phase() != Steady {
+				if before == Reconciling && tr.Phase() == Hearing || before == Steady && tr.Phase() != Steady {
 					t.Fatalf("%s after %s", tr.Phase(), before)
 				}
 			}
--- a/internal/squaring/tracker.go
+++ b/internal/reconcile/tracker.go
@@ -1,4 +1,4 @@
-package squaring
+package reconcile
 
 import (
 	"fmt"
@@ -11,7 +11,7 @@
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
-// Tracker is one controller's squaring of its own machines, from its start until it is
+// Tracker is one controller's reconciling of its own machines, from its start until it is
 // steady. Then it forgets them and holds nothing back.
 type Tracker struct {
 	phase    Phase
@@ -26,29 +26,29 @@
 	counts   Counts
 	lost     []string // given up when it became steady
 
-	heard, squared *hdrhistogram.Histogram // ms from the first view, by machine
-	differences    map[Difference]int
-	answers        map[Answer]int
-	sentOn         map[string]int // reports that were sent on, by the controller that they were sent to
-	log            *slog.Logger
+	heard, reconciled *hdrhistogram.Histogram // ms from the first view, by machine
+	differences       map[Difference]int
+	answers           map[Answer]int
+	sentOn            map[string]int // reports that were sent on, by the controller that they were sent to
+	log               *slog.Logger
 }
 
 // New makes the tracker of a controller whose workers report every reportS seconds.
 func New(reportS float64, log *slog.Logger) *Tracker {
 	h := func() *hdrhistogram.Histogram {
-		return hdrhistogram.New(1, tuning.SquareMost.Milliseconds()*2, 2)
+		return hdrhistogram.New(1, tuning.ReconcileMost.Milliseconds()*2, 2)
 	}
 	return &Tracker{
 		phase:  Reading,
-		within: time.Duration(tuning.SquareReports*reportS*float64(time.Second)) + tuning.SquareSlack, most: tuning.SquareMost,
-		machines: map[string]Machine{}, heard: h(), squared: h(), differences: map[Difference]int{}, answers: map[Answer]int{}, sentOn: map[string]int{}, log: log,
+		within: time.Duration(tuning.ReconcileReports*reportS*float64(time.Second)) + tuning.ReconcileSlack, most: tuning.ReconcileMost,
+		machines: map[string]Machine{}, heard: h(), reconciled: h(), differences: map[Difference]int{}, answers: map[Answer]int{}, sentOn: map[string]int{}, log: log,
 	}
 }
 
 // Phase is how far it has come.
 func (t *Tracker) Phase() Phase { return t.phase }
 
-// Steady tells whether squaring is over.
+// Steady tells whether reconciling is over.
 func (t *Tracker) Steady() bool { return t.phase == Steady }
 
 // May tells whether a duty may be done now.
@@ -57,14 +57,14 @@
 // MayRent tells whether machines may be rented: once the queue has been offered those that
 // were heard last.
 func (t *Tracker) MayRent(now time.Time) bool {
-	return t.May(Rent) && now.Sub(t.opened) >= tuning.SquareRent
+	return t.May(Rent) && now.Sub(t.opened) >= tuning.ReconcileRent
 }
 
-// Open tells whether a machine takes new work: own ones once they are squared, others'
+// Open tells whether a machine takes new work: own ones once they are reconciled, others'
 // once their owners had the time to hear them and to tell which they do not.
 func (t *Tracker) Open(host string) bool {
 	m, own := t.machines[host]
-	return t.Steady() || own && t.May(Hand) && m == Squared || !own && t.May(HandAny)
+	return t.Steady() || own && t.May(Hand) && m == Reconciled || !own && t.May(HandAny)
 }
 
 // Awaits tells whether a machine has yet to be heard and may soon be: what hangs on
@@ -73,7 +73,7 @@
 	return t.phase == Hearing && t.machines[host] == Unheard
 }
 
-// View begins squaring with the first view, and takes in which machines are this
+// View begins reconciling with the first view, and takes in which machines are this
 // controller's under a later one, and which others have some: all machines have to show
 // the new baton.
 func (t *Tracker) View(epoch uint64, hosts, others []string, now time.Time) {
@@ -106,7 +106,7 @@
 
 // Note takes in what happened to a machine of this controller's.
 func (t *Tracker) Note(host string, e Event, now time.Time) {
-	if t.phase != Hearing && t.phase != Squaring {
+	if t.phase != Hearing && t.phase != Reconciling {
 		return
 	}
 	m, known := t.machines[host]
@@ -122,8 +122,8 @@
 	case next == m:
 	case next == Heard:
 		_ = t.heard.RecordValue(now.Sub(t.since).Milliseconds() + 1)
-	case next == Squared:
-		_ = t.squared.RecordValue(now.Sub(t.since).Milliseconds() + 1)
+	case next == Reconciled:
+		_ = t.reconciled.RecordValue(now.Sub(t.since).Milliseconds() + 1)
 	}
 }
 
@@ -137,7 +137,7 @@
 
 // Count notes a difference and its answer, at the first look at a machine.
 func (t *Tracker) Count(host string, d Difference, a Answer) {
-	if m := t.machines[host]; !t.Steady() && d != Unclear && m != Differs && m != Squared {
+	if m := t.machines[host]; !t.Steady() && d != Unclear && m != Differs && m != Reconciled {
 		t.differences[d]++
 		t.answers[a]++
 	}
@@ -179,14 +179,14 @@
 	}
 }
 
-// Settle moves the phase on by what is known up to an epoch of the state service, and tells the log when squaring is over.
+// Settle moves the phase on by what is known up to an epoch of the state service, and tells the log when reconciling is over.
 func (t *Tracker) Settle(now time.Time, known uint64) {
 	maps.DeleteFunc(t.others, func(_ string, by uint64) bool { return by > 0 && by <= known })
 	next := t.phase.Advance(Facts{Begun: !t.since.IsZero(), Counts: t.counts, Others: len(t.others) > 0, For: now.Sub(t.since), Viewed: now.Sub(t.viewed)}, t.within, t.most)
 	if next == t.phase {
 		return
 	}
-	t.log.Debug("squaring", "phase", string(next), "machines", fmt.Sprintf("%+v", t.counts), "after_ms", now.Sub(t.since).Milliseconds())
+	t.log.Debug("reconciling", "phase", string(next), "machines", fmt.Sprintf("%+v", t.counts), "after_ms", now.Sub(t.since).Milliseconds())
 	if t.phase == Hearing {
 		t.opened = now
 	}
@@ -195,10 +195,10 @@
 		return
 	}
 	if t.heard.TotalCount() > 0 {
-		t.log.Info("squared", "machines", fmt.Sprintf("%+v", t.counts), "after_ms", now.Sub(t.since).Milliseconds(),
-			"heard_half_ms", t.heard.ValueAtQuantile(50), "heard_last_ms", t.heard.Max(), "squared_half_ms", t.squared.ValueAtQuantile(50), "squared_last_ms", t.squared.Max(),
+		t.log.Info("reconciled", "machines", fmt.Sprintf("%+v", t.counts), "after_ms", now.Sub(t.since).Milliseconds(),
+			"heard_half_ms", t.heard.ValueAtQuantile(50), "heard_last_ms", t.heard.Max(), "reconciled_half_ms", t.reconciled.ValueAtQuantile(50), "reconciled_last_ms", t.reconciled.Max(),
 			"differences", fmt.Sprint(t.differences), "answers", fmt.Sprint(t.answers), "sent_on", fmt.Sprint(t.sentOn))
 	}
 	t.lost = t.GivenUp()
-	t.machines, t.heard, t.squared, t.differences, t.answers, t.sentOn, t.counts = nil, nil, nil, nil, nil, nil, Counts{}
+	t.machines, t.heard, t.reconciled, t.differences, t.answers, t.sentOn, t.counts = nil, nil, nil, nil, nil, nil, Counts{}
 }
--- a/internal/settings/times_test.go
+++ b/internal/settings/times_test.go
@@ -45,7 +45,7 @@
 	hold(w.visit()+round <= lease, "a worker outlives that it asks two controllers in vain")
 	hold(w.GoneBy() > lease+w.NextReport()-seconds(w.ReportS), "a machine holds nothing only after its lease")
 	hold(w.HeardFresh() >= round && w.HeardFresh() < lease, "what is heard elsewhere is heard again in between, and within its lease")
-	hold(seconds(w.ReportS*tuning.SquareReports)+tuning.SquareSlack <= lease, "a controller that starts squares within a lease")
+	hold(seconds(w.ReportS*tuning.ReconcileReports)+tuning.ReconcileSlack <= lease, "a controller that starts reconciles within a lease")
 	hold(cancel-lease >= tuning.CancelSpare, "what nobody reaches ends in time")
 	hold(k.CancelDelete() >= w.Quiet()+tuning.SilentGiveUp, "a machine with a cancelled task is not deleted before it would be given up")
 	hold(k.CancelDelete()+k.deletes() <= cancel, "a delete that must be repeated is answered in time")
--- a/internal/tuning/tuning.go
+++ b/internal/tuning/tuning.go
@@ -662,20 +662,20 @@
 	ReclaimMost = 50
 )
 
-// Squaring: what a controller that starts does before it knows what its machines have.
+// Reconciling: what a controller that starts does before it knows what its machines have.
 const (
-	// SquareReports, reports, and SquareSlack: by then every machine that runs has
+	// ReconcileReports, reports, and ReconcileSlack: by then every machine that runs has
 	// reported twice, the second time with our baton, and been reached directly.
-	SquareReports = 2.0
-	SquareSlack   = 2 * time.Second
-	// SquareMost: after so long what still differs is what differs on any day.
-	SquareMost = 60 * time.Second
-	// SquareOthers: an owner that has not told by then that it heard its machines is
+	ReconcileReports = 2.0
+	ReconcileSlack   = 2 * time.Second
+	// ReconcileMost: after so long what still differs is what differs on any day.
+	ReconcileMost = 60 * time.Second
+	// ReconcileOthers: an owner that has not told by then that it heard its machines is
 	// waited for no longer: it has called them twice, and told which did not answer.
-	SquareOthers = 5 * time.Second
-	// SquareRent: some looks at the queue, which then has been offered all machines; what it
+	ReconcileOthers = 5 * time.Second
+	// ReconcileRent: some looks at the queue, which then has been offered all machines; what it
 	// still lacks is rented.
-	SquareRent = 2 * time.Second
+	ReconcileRent = 2 * time.Second
 	// AnewMost: records that a decision to place a gang's tasks where they were may write,
 	// where a transaction holds as many.
 	AnewMost = 12
