--- a/internal/cancellation/courier.go
+++ b/internal/cancellation/courier.go
@@ -48,7 +48,7 @@
 	c.open = append(c.open, delivery{uid, seq, now})
 }
 
-// keep looks which machines hold tasks of what was told, whose owners have not confirmed
+// deliver looks which machines hold tasks of what was told, whose owners have not confirmed
 // it, and visits them.
 func (s *Service) deliver() {
 	c := &s.courier
--- a/internal/cancellation/service.go
+++ b/internal/cancellation/service.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"maps"
 	"slices"
 	"time"
 
@@ -195,6 +194,3 @@
 		s.lapsed = s.Withheld
 	}
 }
-
-// Jobs that are known to be cancelled though no record shows it, for tests and the log.
-func (s *Service) Known() []string { return slices.Sorted(maps.Keys(s.Proof.jobs)) }
