Settings: only times without a safe value are refused, tight ones are told

The users' check of real processes comes with report_s 1 and short leases: the program refused to start, for a lease below what outlasts the loss of a controller. That costs work and breaks no rule, so it is told in the log. Refused are a lease that ends between two reports, and a cancel_s of less than 5 s above lease_s.

--- a/cmd/harrierreel/main.go
+++ b/cmd/harrierreel/main.go
@@ -66,6 +66,9 @@
 			context.AfterFunc(ctx, stop)
 			log.Info("starting", "node", node.Describe(set), "version", version)
 			log.Info("fits", set.Cluster.Fits()...)
+			for _, told := range set.Cluster.Tight() {
+				log.Warn("times are tight", "what", told)
+			}
 			if err := node.Serve(ctx, set, log); !errors.Is(err, context.Canceled) {
 				return &cli.Exit{Code: cli.ExitFailed, Text: err.Error()}
 			}
--- a/internal/settings/times.go
+++ b/internal/settings/times.go
@@ -67,8 +67,10 @@
 // CancelDelete: a machine that still holds a cancelled task so long after its
 // cancellation is deleted. The rest of cancel_s is for the delete.
 func (k Cluster) CancelDelete() time.Duration {
-	cancel := seconds(k.Workers.CancelS)
-	return min(seconds(k.Workers.CancelS*tuning.CancelDelete), cancel-k.deletes())
+	share := seconds(k.Workers.CancelS * tuning.CancelDelete)
+	// Where cancel_s is tight a machine is given the time to be heard all the same.
+	heard := min(share, k.Workers.Quiet()+tuning.SilentGiveUp)
+	return max(min(share, seconds(k.Workers.CancelS)-k.deletes()), heard)
 }
 
 // leastCancel is the shortest cancel_s: a machine that nobody hears is called quiet and
@@ -81,24 +83,37 @@
 // them. Those that are missing are told already.
 func (k Cluster) checkTimes(c *check) {
 	w := k.Workers
-	if w.ReportS <= 0 || w.LeaseS <= 0 || w.CancelS <= 0 || k.Cloud.RPS <= 0 {
+	if w.ReportS <= 0 || w.LeaseS <= 0 || w.CancelS <= 0 {
 		return
 	}
-	say := func(d time.Duration) string { return fmt.Sprintf("%.1f", d.Seconds()) }
-	least := w.LeastLease(tuning.MemberTTL)
-	c.that(seconds(w.LeaseS) >= least, "cluster.workers.lease_s",
-		fmt.Sprintf("must be at least %s with report_s %g: a worker asks two controllers in vain before a third answers it", say(least), w.ReportS))
-	c.that(seconds(w.CancelS) >= seconds(w.LeaseS)+tuning.CancelSpare, "cluster.workers.cancel_s",
-		fmt.Sprintf("must be at least %s: %s more than lease_s, when a task that nobody reaches ends", say(seconds(w.LeaseS)+tuning.CancelSpare), say(tuning.CancelSpare)))
-	least = k.leastCancel()
+	c.that(seconds(w.LeaseS) > w.NextReport(), "cluster.workers.lease_s",
+		fmt.Sprintf("must be more than %s with report_s %g: every lease would end between two reports", inSeconds(w.NextReport()), w.ReportS))
+	least := seconds(w.LeaseS) + tuning.CancelSpare
 	c.that(seconds(w.CancelS) >= least, "cluster.workers.cancel_s",
-		fmt.Sprintf("must be at least %s with report_s %g and cloud.rps %g, to delete a machine that cannot be reached", say(least), w.ReportS, k.Cloud.RPS))
+		fmt.Sprintf("must be at least %s: %s more than lease_s, when a task that nobody reaches ends", inSeconds(least), inSeconds(tuning.CancelSpare)))
 }
 
-// checkTTL tells whether the controllers' own leases are too long for the workers'.
+func inSeconds(d time.Duration) string { return fmt.Sprintf("%.1f", d.Seconds()) }
+
+// Tight names the workers' times that keep every rule but may cost work, each with what is
+// lost: the program starts with them and says so.
+func (k Cluster) Tight() []string {
+	w := k.Workers
+	var out []string
+	if least := w.LeastLease(tuning.MemberTTL); seconds(w.LeaseS) < least {
+		out = append(out, fmt.Sprintf("cluster.workers.lease_s: below %s with report_s %g: a worker asks two controllers in vain before a third answers it, and its lease ends meanwhile", inSeconds(least), w.ReportS))
+	}
+	if least := k.leastCancel(); seconds(w.CancelS) < least {
+		out = append(out, fmt.Sprintf("cluster.workers.cancel_s: below %s with report_s %g and cloud.rps %g: a machine that cannot be reached may not be deleted in time, and its lease alone ends what is cancelled", inSeconds(least), w.ReportS, k.Cloud.RPS))
+	}
+	return out
+}
+
+// checkTTL tells whether operators made the controllers' own leases too long for the
+// workers'.
 func (s *Settings) checkTTL() error {
 	w := s.Cluster.Workers
-	if least := w.LeastLease(seconds(s.Operator.MemberTTLS)); seconds(w.LeaseS) < least {
+	if least := w.LeastLease(seconds(s.Operator.MemberTTLS)); s.Operator.MemberTTLS > tuning.MemberTTL.Seconds() && seconds(w.LeaseS) < least {
 		return fmt.Errorf("members.ttl_s: %g needs cluster.workers.lease_s of at least %.1f, it is %g", s.Operator.MemberTTLS, least.Seconds(), w.LeaseS)
 	}
 	return nil
