Commands to workers are encoded in one place; counts that nothing read are out

The body of a direct command stood in part and in the courier; a line's sender was looked up through a list made anew for each line; the model counted what no check looked at.

--- a/internal/cancellation/courier.go
+++ b/internal/cancellation/courier.go
@@ -128,21 +128,13 @@
 		v.state = stopping
 		c.calls++
 		s.Delivered += len(orders)
-		s.Call(endpoint, "POST", "/commands", commandsBody(r.Baton, r.Tenure, orders), tuning.CommandTimeout, func(int, []byte, error) {
+		s.Call(endpoint, "POST", "/commands", workers.Commands(r.Baton, r.Tenure, orders), tuning.CommandTimeout, func(int, []byte, error) {
 			c.calls--
 			rest(tuning.CourierAgain)
 		})
 	})
 }
 
-func commandsBody(token, session uint64, orders []workers.Order) []byte {
-	return jobs.Encode(struct {
-		Baton  uint64          `json:"baton"`
-		Tenure uint64          `json:"tenure"`
-		Orders []workers.Order `json:"orders"`
-	}{token, session, orders})
-}
-
 // StopsFor is a stop at once for each reported task that is not ended and whose job is
 // cancelled.
 func StopsFor(pieces []workers.Piece, cancelled func(uid string) bool) []workers.Order {
--- a/internal/cancellation/model_test.go
+++ b/internal/cancellation/model_test.go
@@ -32,8 +32,6 @@
 	deaf      bool                 // the machine does not hear answers
 	calm      time.Time            // until then no further trouble comes
 	jobs      int
-
-	byPeers, lapses int
 }
 
 // teller is another controller.
@@ -84,12 +82,8 @@
 			m.shown = max(m.shown, l.upto)
 			m.owner.Shown(l.basis)
 		case l.told != nil: // also of a process that has ended since
-			before := m.owner.at
 			m.owner.Take(l.who.name, *l.told, m.now)
 			m.owner.Answered(l.who.name, *l.told)
-			if m.owner.at.After(before) {
-				m.byPeers++
-			}
 		case !l.who.away && l.who.inc == l.inc: // a connection ends with its process
 			for _, t := range l.who.log.Answer(l.ask.Taken, l.ask.Nonce) {
 				m.send(line{who: l.who, inc: l.inc, told: &t})
@@ -123,10 +117,7 @@
 		m.renewed = m.now // its next session
 	}
 	sent := m.now.Add(-time.Duration(rapid.IntRange(0, 3).Draw(m.t, "report")) * step)
-	switch {
-	case !m.owner.Renews(m.now):
-		m.lapses++
-	case !m.deaf && sent.After(m.renewed):
+	if m.owner.Renews(m.now) && !m.deaf && sent.After(m.renewed) {
 		m.renewed = sent
 		for uid := range m.on {
 			if m.owner.Cancelled(uid) || slices.Contains(m.committed[:m.shown], uid) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -288,7 +288,9 @@
 
 // Line takes a line from a peer.
 func (n *Node) Line(line []byte) {
-	h, fault := peer.Decode(line, func(name string) bool { return slices.Contains(n.set.PeerNames(), name) })
+	h, fault := peer.Decode(line, func(name string) bool {
+		return slices.ContainsFunc(n.set.Peers, func(p settings.Peer) bool { return p.NodeName == name })
+	})
 	if fault != "" {
 		n.said.Note(refusals.Peers, "line", string(fault), 400, line)
 		return
--- a/internal/part/command.go
+++ b/internal/part/command.go
@@ -42,11 +42,7 @@
 		orders = []workers.Order{}
 	}
 	baton, tenure := s.Baton(), max(s.Tenure, 1)
-	body := jobs.Encode(struct {
-		Baton  uint64          `json:"baton"`
-		Tenure uint64          `json:"tenure"`
-		Orders []workers.Order `json:"orders"`
-	}{baton, tenure, orders})
+	body := workers.Commands(baton, tenure, orders)
 	s.Sending(orders, pt.Now)
 	pt.calls++
 	answered := pt.asking(s)
--- a/internal/workers/session.go
+++ b/internal/workers/session.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/harrierreel/harrierreel/internal/jobs"
 )
 
 // BatonSpan is the room for a machine's counter below the view's epoch.
@@ -64,6 +66,16 @@
 	Reap   = "reap"
 )
 
+// Commands is the body of a direct command under a fencing token, for one session of the
+// worker.
+func Commands(token, session uint64, orders []Order) []byte {
+	return jobs.Encode(struct {
+		Baton  uint64  `json:"baton"`
+		Tenure uint64  `json:"tenure"`
+		Orders []Order `json:"orders"`
+	}{token, session, orders})
+}
+
 // State is the state of a session.
 type State string
 
