Messages in a definite order: relayed stops, machines without a record, two open occurrences

All 151 ranges over maps in the core were read for others whose order reaches a message or a decision: decommissionUnrecorded (order of the decisions in a transaction) and calendar.Keeper.holdersOf (which of two open occurrences of a class decides). All three go by sorted keys now. Left as they are: sums of floating point numbers in the order of a map (demand by job, accumulated capacity), whose last digits may differ.

--- a/internal/calendar/document_test.go
+++ b/internal/calendar/document_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -275,3 +276,22 @@
 		t.Error("tasks may start on a track whose record can't be read:", verdict)
 	}
 }
+
+// If occurrences on two tracks are open for a class, which happens when one opened under an earlier
+// revision, the verdict must not depend on the order of a map.
+func TestGateOfTwoOpenOccurrencesIsDefinite(t *testing.T) {
+	keeper := NewKeeper(buildPlan(t, goodDocument), testValueBytes)
+	class := quota.Key{Team: "shop", Class: "export"}
+	if err := keeper.ApplyTrack("markets", exportOpen().encode(testValueBytes)); err != nil {
+		t.Fatal(err)
+	}
+	later := *keeper.holders["markets"]
+	later.EndMs += 10_000
+	keeper.holders["nights"] = &later
+	for range 100 {
+		occurrence, keys := keeper.holdersOf(class)
+		if occurrence != &later || !slices.Equal(keys, []string{TrackKey("markets"), TrackKey("nights")}) {
+			t.Fatalf("got the occurrence that ends at %d and %v", occurrence.EndMs, keys)
+		}
+	}
+}
--- a/internal/calendar/gate.go
+++ b/internal/calendar/gate.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/harrierreel/harrierreel/internal/clusterstate"
 	"github.com/harrierreel/harrierreel/internal/quota"
 )
 
@@ -63,7 +64,8 @@
 func (k *Keeper) holdersOf(class quota.Key) (*Occurrence, []string) {
 	var holder *Occurrence
 	var keys []string
-	for name, occurrence := range k.holders {
+	for _, name := range clusterstate.SortedKeys(k.holders) {
+		occurrence := k.holders[name]
 		if !occurrence.Has(class) {
 			continue
 		}
--- a/internal/cancellation/stop_relay.go
+++ b/internal/cancellation/stop_relay.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/agent"
@@ -93,13 +95,14 @@
 }
 
 // relayToMachines begins attempts for the machines with tasks of a job whose owners have not
-// confirmed its cancellation.
+// confirmed its cancellation, in the order of the tasks.
 func (s *Service) relayToMachines(stop pendingStop) {
 	job := s.state.Jobs[stop.jobID]
 	if job == nil {
 		return
 	}
-	for _, task := range job.Active {
+	for _, index := range slices.Sorted(maps.Keys(job.Active)) {
+		task := job.Active[index]
 		owner := s.shards.OwnerOf(task.Machine)
 		if !task.OnMachine() || owner == s.config.Name || s.confirmed(owner, stop.seq) {
 			continue
--- a/internal/provisioning/decommission.go
+++ b/internal/provisioning/decommission.go
@@ -68,7 +68,7 @@
 // read. Such a machine is deleted again; the cloud ignores unknown names.
 func (p *Provisioner) decommissionUnrecorded() []decide.Decision {
 	var decisions []decide.Decision
-	for name := range p.state.TasksOnMachine {
+	for _, name := range clusterstate.SortedKeys(p.state.TasksOnMachine) {
 		if p.state.Machines[name] == nil && p.collaborators.Records.Revision(fleet.MachinePrefix+name) == 0 {
 			decisions = append(decisions, p.recordToDelete(name, "tasks on a machine without a record")...)
 		}
--- a/internal/provisioning/decommission_test.go
+++ b/internal/provisioning/decommission_test.go
@@ -66,3 +66,24 @@
 		t.Errorf("deleted %v, want none", l.deleted)
 	}
 }
+
+// The decisions on machines without a record must be in a definite order, so that two runs of the
+// same scenario send the same messages.
+func TestMachinesWithoutRecordAreDecommissionedByName(t *testing.T) {
+	l := newLeader(t)
+	var want []string
+	for i := range 20 {
+		machine := fmt.Sprintf("i-%02d", i)
+		jobID := fmt.Sprintf("wk-%d", i)
+		l.applyJob(jobs.Record{State: jobs.Live, Spec: testSpec(jobID, 1)})
+		l.place(jobID, machine)
+		want = append(want, fleet.MachinePrefix+machine)
+	}
+	var got []string
+	for _, decision := range l.decommissionUnrecorded() {
+		got = append(got, decision.Keys()...)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("decided on %v, want %v", got, want)
+	}
+}
