No answer about a live job by what was heard lately: the other controllers prove it

Cause: while the state service is slow, a query was answered after 0.6 s from a mirror not known to be recent, if gossip of all members had come within 1.2 s. Lines lost for less than that, and with them the one about "done", went unnoticed.

Change: after 0.6 s the other controllers are asked which ends they have acknowledged since the query came (readconsistency.PeerProof), and the mirror answers within 30 ms of that once all have said so; else the job is read, as before, or the user told to retry.

--- a/internal/api/epoch_reads.go
+++ b/internal/api/epoch_reads.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/harrierreel/harrierreel/internal/readconsistency"
 	"github.com/harrierreel/harrierreel/internal/store"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -13,6 +14,7 @@
 func (s *Server) ReconcileQueries() {
 	s.expireQueries()
 	s.AnswerQueries(time.Time{})
+	s.queryPeers()
 	s.reconcileReads()
 	s.agedEpoch.advance(s.mirror.Epoch, s.state.Now)
 	if priority, due := s.epochReadDue(); due {
@@ -136,9 +138,8 @@
 // AnswerQueries answers the queries whose epoch the mirror has reached. The mirror includes all
 // changes up to some time after shownAt, which is zero if unknown. A job that is live in the mirror
 // may have ended since then, and another controller may have told the user so. A query about a job
-// is therefore answered only while the mirror is known to be at most tuning.MaxReadAge behind. If
-// that takes too long, the query is answered based on the acknowledgements received from the other
-// controllers.
+// is therefore answered only while the mirror is known to be at most tuning.MaxReadAge behind, or
+// while the other controllers have just answered what they have acknowledged since it arrived.
 func (s *Server) AnswerQueries(shownAt time.Time) {
 	p := &s.queries
 	fresh := !shownAt.IsZero() && s.state.Now.Sub(shownAt) <= tuning.MaxReadAge
@@ -172,19 +173,49 @@
 	return unverified
 }
 
-// acceptsUnverified reports whether a query has waited so long that it may be answered from a
-// mirror that is not known to be up to date. That is never allowed while gossip from a member is
-// missing: acknowledgements from that member may have been lost. In that case the job is read
-// separately, and the query is refused if that fails.
+// acceptsUnverified reports whether a query may be answered from a mirror that is not known to be up
+// to date, because the other controllers have answered what they have acknowledged since it arrived.
+// While gossip from a member is missing, the job is read separately too, and the query is refused if
+// that fails.
 func (s *Server) acceptsUnverified(query *pendingQuery) bool {
-	if s.state.Now.Sub(query.arrivedAt) < tuning.QueryUnverifiedAfter {
+	if !s.unverifiedTooLong(query) {
 		return false
 	}
-	if s.view.HearsAllMembers() {
+	if s.peerProof.Covers(query.arrivedAt, s.state.Now) {
 		return true
 	}
-	if !query.separate {
+	if !query.separate && !s.view.HearsAllMembers() {
 		s.readSeparately(query)
 	}
 	return false
 }
+
+// unverifiedTooLong reports whether a query has waited so long for a mirror that is known to be up
+// to date that the other controllers are queried for it.
+func (s *Server) unverifiedTooLong(query *pendingQuery) bool {
+	return s.state.Now.Sub(query.arrivedAt) >= tuning.QueryUnverifiedAfter
+}
+
+// queryPeers queries the other controllers, at most every tuning.QueryGap, while there are queries
+// that only lack the confirmation that the mirror is up to date and have waited too long for it.
+func (s *Server) queryPeers() {
+	var oldest time.Time
+	for _, batch := range s.queries.batches {
+		for i := range batch.queries {
+			query := &batch.queries[i]
+			if batch.reached && s.unverifiedTooLong(query) && (oldest.IsZero() || query.arrivedAt.Before(oldest)) {
+				oldest = query.arrivedAt
+			}
+		}
+	}
+	if !oldest.IsZero() && s.peerProof.SinceLastQuery(s.state.Now) >= tuning.QueryGap {
+		s.peers.QueryAcks(s.peerProof.Begin(oldest, s.state.Now))
+	}
+}
+
+// PeerAnswered handles another controller's answer to a query about its acknowledgements, which the
+// AckLog has already recorded.
+func (s *Server) PeerAnswered(from string, answer readconsistency.PeerAnswer) {
+	s.peerProof.Answered(from, answer)
+	s.AnswerQueries(time.Time{})
+}
--- a/internal/api/fixture_test.go
+++ b/internal/api/fixture_test.go
@@ -32,6 +32,7 @@
 	commit             func([]decide.Decision) // if nil, decisions are dropped
 	cancelledElsewhere string                  // ID of the job that another controller has reported as cancelled
 	acknowledged       []string                // IDs of the jobs passed to Acknowledge
+	ackQueries         []readconsistency.PeerQuery
 }
 
 func (f *fakeController) MayDecide() bool             { return f.ready }
@@ -47,6 +48,10 @@
 func (f *fakeController) Acknowledge(jobID string)    { f.acknowledged = append(f.acknowledged, jobID) }
 func (f *fakeController) Cancelled(jobID string) bool { return jobID == f.cancelledElsewhere }
 
+func (f *fakeController) QueryAcks(query readconsistency.PeerQuery) {
+	f.ackQueries = append(f.ackQueries, query)
+}
+
 func (f *fakeController) Heartbeat(_ []byte, respond func(http1.Reply)) {
 	respond(http1.Reply{Status: 299})
 }
@@ -108,6 +113,7 @@
 		Loop:          s.fake,
 		Agents:        s.fake,
 		Cancellations: s.fake,
+		Peers:         s.fake,
 	})
 	return s
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -28,6 +28,8 @@
 	Acks   *readconsistency.AckLog
 	Log    *slog.Logger
 	Random *rand.Rand
+	// PeerNonce is a random number from which the queries to other controllers are numbered.
+	PeerNonce uint64
 }
 
 // Collaborators are the parts of the controller that a Server calls. All are required.
@@ -39,6 +41,7 @@
 	Loop          LoopWaker
 	Agents        Agents
 	Cancellations Cancellations
+	Peers         Peers
 }
 
 // View is the current membership view of the cluster, as this controller knows it.
@@ -93,6 +96,12 @@
 	Cancelled(jobID string) bool
 }
 
+// Peers are the other controllers in the settings.
+type Peers interface {
+	// QueryAcks sends a query to all of them. Server.PeerAnswered is called for each answer.
+	QueryAcks(query readconsistency.PeerQuery)
+}
+
 // Server handles the requests that arrive at one controller. Only the event loop may call it.
 type Server struct {
 	state    *clusterstate.State
@@ -110,6 +119,7 @@
 	loop          LoopWaker
 	agents        Agents
 	cancellations Cancellations
+	peers         Peers
 
 	finals      *jobs.FinalCache
 	sharedReads map[string]*sharedRead // by job ID
@@ -117,6 +127,7 @@
 	reads       readQueue
 	held        []heldAnswer
 	agedEpoch   agedEpoch
+	peerProof   *readconsistency.PeerProof
 	runs        *pipelines.Keeper // nil unless pipelines are enabled
 	quotas      quotas
 }
@@ -139,10 +150,16 @@
 		loop:          collaborators.Loop,
 		agents:        collaborators.Agents,
 		cancellations: collaborators.Cancellations,
+		peers:         collaborators.Peers,
 
 		finals:      jobs.NewFinalCache(config.Settings.Operator.FinalCache),
 		sharedReads: map[string]*sharedRead{},
 	}
+	var peerNames []string
+	for _, peer := range config.Settings.Peers {
+		peerNames = append(peerNames, peer.NodeName)
+	}
+	s.peerProof = readconsistency.NewPeerProof(peerNames, config.PeerNonce)
 	s.quotas.teams = config.Settings.TeamMap()
 	s.quotas.enabled = config.Settings.Operator.Quotas != nil
 	s.newRuns()
--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -8,6 +8,7 @@
 	"github.com/harrierreel/harrierreel/internal/callerrors"
 	"github.com/harrierreel/harrierreel/internal/cancellation"
 	"github.com/harrierreel/harrierreel/internal/peer"
+	"github.com/harrierreel/harrierreel/internal/readconsistency"
 	"github.com/harrierreel/harrierreel/internal/settings"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -25,6 +26,7 @@
 	if gossip.Acknowledged != nil {
 		c.acks.ApplyPeerAcks(*gossip.Acknowledged, c.state.Now)
 	}
+	c.handleAckQuery(gossip)
 	c.reachability.ApplyGossip(gossip.From, gossip.StoreReachable, gossip.Isolated)
 	c.shard.Reconciling.OwnerHeard(gossip.From, gossip.MachinesHeardEpoch, gossip.Epoch)
 	if gossip.Epoch > c.mirror.Epoch {
@@ -36,6 +38,22 @@
 	c.applyUnreached(gossip.From, gossip.Unreached)
 }
 
+// handleAckQuery answers a peer's query about acknowledgements, or records its answer to a query of
+// this controller.
+func (c *Controller) handleAckQuery(gossip peer.Gossip) {
+	if gossip.AckQuery != nil {
+		if answer, complete := c.acks.AnswerQuery(*gossip.AckQuery, c.state.Now); complete {
+			reply := c.newAckGossip()
+			reply.AckAnswer = &answer
+			c.transport.Gossip(gossip.From, peer.Encode(reply))
+		}
+	}
+	if gossip.AckAnswer != nil {
+		c.acks.ApplyPeerAcks(readconsistency.Acks{Ended: gossip.AckAnswer.Ended}, c.state.Now)
+		c.api.PeerAnswered(gossip.From, *gossip.AckAnswer)
+	}
+}
+
 // isPeer reports whether the settings list a controller of this name as a peer.
 func (c *Controller) isPeer(name string) bool {
 	return slices.ContainsFunc(c.settings.Peers, func(p settings.Peer) bool { return p.NodeName == name })
@@ -81,14 +99,28 @@
 // before the answers are sent.
 func (c *Controller) broadcastAcks() {
 	for _, acks := range c.acks.TakeUnsent() {
-		gossip := c.newGossip(cancellation.Message{})
+		gossip := c.newAckGossip()
 		gossip.Acknowledged = &acks
-		gossip.Epoch = 0
-		gossip.MachinesHeardEpoch = 0
 		c.broadcast(gossip)
 	}
 }
 
+// queryAcks asks all other controllers what they have acknowledged.
+func (c *Controller) queryAcks(query readconsistency.PeerQuery) {
+	gossip := c.newAckGossip()
+	gossip.AckQuery = &query
+	c.broadcast(gossip)
+}
+
+// newAckGossip returns a gossip message for acknowledgements. It has no epoch: such messages are too
+// frequent for every one of them to make all controllers catch up.
+func (c *Controller) newAckGossip() peer.Gossip {
+	gossip := c.newGossip(cancellation.Message{})
+	gossip.Epoch = 0
+	gossip.MachinesHeardEpoch = 0
+	return gossip
+}
+
 // broadcast sends a gossip message to all peers.
 func (c *Controller) broadcast(gossip peer.Gossip) {
 	line := peer.Encode(gossip)
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -42,8 +42,11 @@
 
 // Messages are encoded and decoded byte for byte as recorded.
 func TestGossipIsEncodedAndDecodedAsRecorded(t *testing.T) {
-	full := fullGossip()
-	goldentest.RequireNonZeroFields(t, full)
+	full := fullGossip() // as far as the version before AckQuery writes it
+	all := full
+	all.AckQuery = &readconsistency.PeerQuery{Nonce: 12, AgeMs: 630}
+	all.AckAnswer = &readconsistency.PeerAnswer{Nonce: 13, Ended: full.Acknowledged.Ended}
+	goldentest.RequireNonZeroFields(t, all)
 	heartbeat := Gossip{
 		From:           "ctl-a",
 		Epoch:          40,
@@ -52,6 +55,7 @@
 	}
 	for file, gossip := range map[string]Gossip{
 		"hint.json":       full,
+		"hint-all.json":   all,
 		"hint-least.json": {From: "ctl-a"},
 		"hint-beat.json":  heartbeat,
 		"hint-told.json":  {From: "ctl-a", StoreReachable: true, Acknowledged: &readconsistency.Acks{}},
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -37,11 +37,18 @@
 	// all controllers catch up.
 	Acknowledged *readconsistency.Acks `json:"told_of,omitempty"`
 
+	// AckQuery asks for the acknowledgements that the receiver sends in an AckAnswer. Like
+	// Acknowledged they are sent without an epoch.
+	AckQuery  *readconsistency.PeerQuery  `json:"told_query,omitempty"`
+	AckAnswer *readconsistency.PeerAnswer `json:"told_answer,omitempty"`
+
 	cancellation.Message // embedded: its fields are part of the same JSON object
 }
 
 // Valid reports whether the message could have been sent by a controller.
-func (g *Gossip) Valid() bool { return g.Message.Valid() && g.Acknowledged.Valid() }
+func (g *Gossip) Valid() bool {
+	return g.Message.Valid() && g.Acknowledged.Valid() && g.AckQuery.Valid() && g.AckAnswer.Valid()
+}
 
 // DecodeReason is the reason of a DecodeError. Operators see its values in the counts of refused
 // calls.
--- a/internal/readconsistency/ack_log.go
+++ b/internal/readconsistency/ack_log.go
@@ -17,6 +17,9 @@
 	order      []string                   // job IDs in the order in which they were first recorded
 	unsent     []string                   // IDs of jobs whose acknowledgements have not been sent to peers
 	lastGossip map[string]time.Time       // by peer, when a message of it last arrived
+	// completeSince is the time since which the log has everything that this process has
+	// acknowledged; zero until the first message of another controller.
+	completeSince time.Time
 }
 
 type acknowledgement struct {
@@ -31,7 +34,12 @@
 }
 
 // PeerAlive records that a message of another controller arrived, whatever its content.
-func (l *AckLog) PeerAlive(from string, now time.Time) { l.lastGossip[from] = now }
+func (l *AckLog) PeerAlive(from string, now time.Time) {
+	l.lastGossip[from] = now
+	if l.completeSince.IsZero() {
+		l.completeSince = now
+	}
+}
 
 // AllResponsive reports whether messages of all the given controllers have arrived recently.
 func (l *AckLog) AllResponsive(names []string, now time.Time) bool {
@@ -79,8 +87,7 @@
 	}
 	if !known {
 		if len(l.order) >= tuning.MaxAcks {
-			delete(l.acks, l.order[0])
-			l.order = l.order[1:]
+			l.evictOldest()
 		}
 		l.order = append(l.order, jobID)
 	}
@@ -88,6 +95,15 @@
 	return true
 }
 
+// evictOldest removes the acknowledgement of the job that was recorded first.
+func (l *AckLog) evictOldest() {
+	if at := l.acks[l.order[0]].recordedAt; at.After(l.completeSince) {
+		l.completeSince = at.Add(1)
+	}
+	delete(l.acks, l.order[0])
+	l.order = l.order[1:]
+}
+
 // TakeUnsent returns messages to the other controllers with everything that has been acknowledged
 // since the last call.
 func (l *AckLog) TakeUnsent() []Acks {
--- a/internal/readconsistency/doc.go
+++ b/internal/readconsistency/doc.go
@@ -11,8 +11,8 @@
 //     time after the read was sent. Thus, even if messages between controllers are lost, an answer
 //     that was read before a change has left before that change is acknowledged.
 //   - A read that took longer is repeated, and eventually the user is told to retry. A mirror that
-//     is not known to be that recent is used for answers only later, together with what was
-//     received from peers, and only while messages arrive from every other member of the view.
+//     is not known to be that recent is used for an answer only if all other controllers have just
+//     said what they have acknowledged since the question arrived (PeerProof).
 //
 // The package does no I/O and reads no clock.
 package readconsistency
--- a/internal/tuning/calls.go
+++ b/internal/tuning/calls.go
@@ -56,8 +56,9 @@
 	// PeerUnresponsiveAfter is the time without gossip after which another controller may be
 	// partitioned from this one. Gossip is sent every GossipEvery.
 	PeerUnresponsiveAfter = 1200 * time.Millisecond
-	// QueryUnverifiedAfter is the age at which a query is answered even from a mirror that is not
-	// known to be as recent as MaxReadAge. Users wait for 2 s, which leaves time to try for proof.
+	// QueryUnverifiedAfter is the age at which the other controllers are asked about a query that
+	// the mirror could answer, but for not being known to be as recent as MaxReadAge. Users wait for
+	// 2 s, which leaves time to read the job if they do not answer.
 	QueryUnverifiedAfter = 600 * time.Millisecond
 	// ReservedReadShare is the share of a second's requests that reads for queries leave to other
 	// calls.
