state verify reads all values of the claims

Only the first value was decoded; "claims/more:N" went unchecked. All are read now; a value that the first one refers to and that is missing, and a machine claimed for two jobs, are findings. State.ApplyClaims had no other caller and is gone.

--- a/internal/clusterstate/apply.go
+++ b/internal/clusterstate/apply.go
@@ -141,12 +141,3 @@
 	}
 	delete(s.Images, name)
 }
-
-// ApplyClaims applies the record of the claimed machines. An unreadable record counts as empty,
-// because the leader writes it again, and ApplyClaims returns an error.
-func (s *State) ApplyClaims(value json.RawMessage) error {
-	claims, err := fleet.DecodeClaims(value)
-	s.MachineClaims = claims
-	s.ClaimedBy = claims.ByMachine()
-	return err
-}
--- a/internal/fleet/claims.go
+++ b/internal/fleet/claims.go
@@ -80,12 +80,21 @@
 		}
 	}
 	add(first)
-	for _, digits := range first[continuationsEntry] {
+	for _, number := range first.Continuations() {
+		add(values[number])
+	}
+	return joined
+}
+
+// Continuations returns the numbers of the values that continue a first value.
+func (c Claims) Continuations() []int {
+	var numbers []int
+	for _, digits := range c[continuationsEntry] {
 		if number, err := strconv.Atoi(digits); err == nil {
-			add(values[number])
+			numbers = append(numbers, number)
 		}
 	}
-	return joined
+	return numbers
 }
 
 // Divide splits the claims into values of up to limit bytes each. It keeps the order of a job's
--- a/internal/snapshot/check.go
+++ b/internal/snapshot/check.go
@@ -43,6 +43,7 @@
 	report       Report
 	recordByTask map[string]string // by task ID, the key of the record that holds the task
 	finalStates  map[string]jobs.StoredState
+	claimValues  map[int]fleet.Claims // the readable values of the machine claims, by number
 }
 
 // Check reads all records as a controller does, and reports violations of the invariants:
@@ -56,6 +57,7 @@
 		report:       Report{Epoch: snapshot.Epoch, Keys: map[string]int{}, Findings: []Finding{}},
 		recordByTask: map[string]string{},
 		finalStates:  map[string]jobs.StoredState{},
+		claimValues:  map[int]fleet.Claims{},
 	}
 	c.state = clusterstate.New(c.quotaTree(teams), func(string) {})
 	c.applyRecords()
@@ -64,6 +66,7 @@
 		c.checkLifecycle(jobID, job)
 		c.checkTasks(job)
 	}
+	c.checkClaims()
 	c.checkCalendar()
 	for _, fault := range c.state.Audit() {
 		c.addFinding("", fault)
@@ -94,16 +97,16 @@
 	kind, name, _ := strings.Cut(key, "/")
 	c.report.Keys[kind]++
 	var err error
-	switch key {
-	case members.ViewKey:
+	switch number := fleet.ClaimsNumber(key); {
+	case number > 0:
+		c.claimValues[number], err = fleet.DecodeClaims(item.Value)
+	case key == members.ViewKey:
 		if _, ok := members.Decode(item.Value); !ok {
 			err = errors.New("not a view")
 		}
-	case fleet.ClaimsKey:
-		err = c.state.ApplyClaims(item.Value)
-	case quota.StoreKey:
+	case key == quota.StoreKey:
 		_, err = quota.Decode(item.Value)
-	case calendar.StoreKey:
+	case key == calendar.StoreKey:
 		_, err = calendar.DecodeDocument(item.Value)
 	default:
 		err = c.applyByPrefix(kind+"/", name, key, item)
@@ -218,6 +221,26 @@
 	}
 }
 
+// checkClaims reports values that the first value of the claims refers to and that are missing, and
+// machines that are claimed for two jobs.
+func (c *checker) checkClaims() {
+	for _, number := range c.claimValues[1].Continuations() {
+		if key := fleet.ClaimsKeyOf(number); c.snapshot.Items[key].Revision == 0 {
+			c.addFinding(fleet.ClaimsKey, fmt.Sprintf("is continued in %s, which is missing", key))
+		}
+	}
+	claims := fleet.JoinClaims(c.claimValues)
+	claimedFor := map[string]string{}
+	for _, jobID := range clusterstate.SortedKeys(claims) {
+		for _, machine := range claims[jobID] {
+			if other := claimedFor[machine]; other != "" && other != jobID {
+				c.addFinding(fleet.ClaimsKey, fmt.Sprintf("%s is claimed for %s and for %s", machine, other, jobID))
+			}
+			claimedFor[machine] = jobID
+		}
+	}
+}
+
 // checkCalendar reports the tracks that have tasks on machines of classes without a common window.
 func (c *checker) checkCalendar() {
 	item, ok := c.snapshot.Items[calendar.StoreKey]
