--- a/internal/scenario/expectations_services_test.go
+++ b/internal/scenario/expectations_services_test.go
@@ -8,6 +8,7 @@
 	"beyond":      (*script).expectBeyond,
 	"poisoned":    (*script).expectPoisoned,
 	"keys":        (*script).expectKeys,
+	"polls":       (*script).expectPolls,
 }
 
 // expectLateDone checks "expect late-done MIN": transactions executed late.
@@ -51,6 +52,16 @@
 	}
 }
 
+// expectPolls checks "expect polls MIN SHARE": since "count-polls", users asked running controllers
+// at least MIN questions about jobs, and at least SHARE of them were answered in time.
+func (s *script) expectPolls(args []string) {
+	s.t.Helper()
+	polls := *s.sim.Polls
+	if polls.Asked < int(s.number(args[1])) || float64(polls.Answered) < s.number(args[2])*float64(polls.Asked) {
+		s.fatal("%d questions, %d of them answered in time, want %s and the share %s", polls.Asked, polls.Answered, args[1], args[2])
+	}
+}
+
 // expectKeys checks "expect keys PREFIX COUNT": keys in the state service.
 func (s *script) expectKeys(args []string) {
 	s.t.Helper()
--- a/internal/scenario/verbs_controllers_test.go
+++ b/internal/scenario/verbs_controllers_test.go
@@ -38,9 +38,15 @@
 	"heal-zone":       withName("heal-zone", (*script).leaderVerb),
 	"mark":            withName("mark", (*script).leaderVerb),
 	"expect":          (*script).expect,
+	"count-polls":     (*script).verbCountPolls,
 	"calm":            (*script).verbCalm,
 }
 
+// verbCountPolls executes "count-polls": "expect polls" counts the questions asked from now on.
+func (s *script) verbCountPolls(_ []string) {
+	s.sim.Polls = &simulation.PollCounts{}
+}
+
 // verbCrash executes "crash NODE": its process is killed.
 func (s *script) verbCrash(args []string) {
 	s.sim.Nodes[s.node(args[0])].Crash()
--- a/internal/scenario/verbs_services_test.go
+++ b/internal/scenario/verbs_services_test.go
@@ -3,6 +3,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/harrierreel/harrierreel/internal/simulation"
 )
 
 // serviceVerbs are about the state service and the cloud.
@@ -10,6 +12,7 @@
 	"late-writes":  withName("late-writes", (*script).delayVerb),
 	"late-reports": withName("late-reports", (*script).delayVerb),
 	"state":        (*script).verbState,
+	"links":        (*script).verbLinks,
 	"slow":         (*script).verbSlow,
 	"slow-some":    (*script).verbSlowSome,
 	"slow-watch":   (*script).verbSlowWatch,
@@ -25,6 +28,16 @@
 	s.sim.Store.SetDown(args[0] == "down")
 }
 
+// verbLinks executes "links DELAY_S JITTER LOSS": the one-way delay between all parties, the share
+// by which it varies, and the share of packets that are lost once.
+func (s *script) verbLinks(args []string) {
+	s.sim.Links = simulation.Links{
+		Delay:  time.Duration(s.number(args[0]) * float64(time.Second)),
+		Jitter: s.number(args[1]),
+		Loss:   s.number(args[2]),
+	}
+}
+
 // verbSlow executes "slow SECONDS": the state service delays its answers.
 func (s *script) verbSlow(args []string) {
 	s.sim.Store.Slow = time.Duration(s.number(args[0]) * float64(time.Second))
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -36,7 +36,31 @@
 	}
 }
 
-// latency draws the latency of a packet, 1 to 4 ms.
+// Links describes the links between all parties, in addition to the 1 to 4 ms that every packet takes.
+type Links struct {
+	Delay  time.Duration // mean one-way delay
+	Jitter float64       // the delay varies by up to this share, either way
+	Loss   float64       // share of packets that are lost and sent again after RetransmitAfter
+}
+
+// RetransmitAfter is how long a sender waits before it sends a lost packet again, as TCP does.
+const RetransmitAfter = 200 * time.Millisecond
+
+// linkDelay draws the additional delay of a packet. It draws from linkRNG, so that links without
+// delay leave the course of a simulation as it was.
+func (sim *Simulator) linkDelay() time.Duration {
+	links := sim.Links
+	if links == (Links{}) {
+		return 0
+	}
+	delay := time.Duration(float64(links.Delay) * (1 + links.Jitter*(2*sim.linkRNG.Float64()-1)))
+	for sim.linkRNG.Float64() < links.Loss {
+		delay += RetransmitAfter
+	}
+	return delay
+}
+
+// latency draws the latency of a packet on a link without delay, 1 to 4 ms.
 func (sim *Simulator) latency() time.Duration {
 	return time.Millisecond + time.Duration(sim.RNG.IntN(3000))*time.Microsecond
 }
@@ -65,7 +89,7 @@
 		case cutNone:
 		}
 	}
-	sim.After(latency(), f)
+	sim.After(latency()+sim.linkDelay(), f)
 }
 
 // requestDelay configures the delay of requests of one kind.
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -23,6 +23,8 @@
 	Start     time.Time
 	RNG       *rand.Rand
 	gossipRNG *rand.Rand
+	linkRNG   *rand.Rand
+	Links     Links
 	Log       *slog.Logger
 
 	events        eventHeap
@@ -49,6 +51,9 @@
 	pollBurstsUntil time.Time // see PollInBursts
 	cancelAtEnd     faultRate // share of jobs that are cancelled as they end
 	BurstAnswers    int       // answers to polls of bursts
+	// Polls counts users' questions about jobs. A question asked is counted in the PollCounts that
+	// was set at that time.
+	Polls *PollCounts
 
 	Store      *Store
 	Cloud      *Cloud
@@ -163,6 +168,8 @@
 		),
 		RNG:           rand.New(rand.NewPCG(seed, 1)),
 		gossipRNG:     rand.New(rand.NewPCG(seed, 2)),
+		linkRNG:       rand.New(rand.NewPCG(seed, 3)),
+		Polls:         &PollCounts{},
 		Log:           log,
 		cuts:          map[string]cutMode{},
 		requestDelays: map[string]*requestDelay{},
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -31,6 +31,7 @@
 	var sent time.Time
 	requested := sim.Now
 	sim.Nodes[name].requests++
+	counted := sim.countPoll(name, method)
 	sim.call("user", name, 5*time.Second, func(answer func(int, []byte)) {
 		sim.Nodes[name].request(method, target, body, func(status int, b []byte) {
 			sent = sim.Now
@@ -39,12 +40,37 @@
 	}, func(status int, b []byte, err error) {
 		sim.answerSentAt, sim.requestSentAt = sent, requested
 		if err == nil {
+			counted(status)
 			sim.checkUserAnswer(name, method, target, status, b)
 		}
 		done(status, b, err)
 	})
 }
 
+// PollCounts counts users' questions about jobs at running controllers.
+type PollCounts struct {
+	Asked    int
+	Answered int // with 200 or 404, within pollTimeout
+}
+
+// pollTimeout is how long a user waits for the answer to a question (protocol).
+const pollTimeout = 2 * time.Second
+
+// countPoll counts a request if it is a question about a job at a running controller. It returns
+// the function to call with the status of the answer.
+func (sim *Simulator) countPoll(node, method string) func(status int) {
+	if method != "GET" || !sim.Nodes[node].alive {
+		return func(int) {}
+	}
+	counts, askedAt := sim.Polls, sim.Now
+	counts.Asked++
+	return func(status int) {
+		if (status == 200 || status == 404) && sim.Now.Sub(askedAt) <= pollTimeout {
+			counts.Answered++
+		}
+	}
+}
+
 // checkUserAnswer counts a controller's answer to a user and checks it against the protocol.
 func (sim *Simulator) checkUserAnswer(node, method, target string, status int, body []byte) {
 	sim.checkLines(node, body)
