Log lines that tell why a question was refused, why a task was stopped, and what the store took

New, every ten seconds: what questions were answered from and at which step the others were refused, with the peers whose answer was missing (queries counted); calls to the store by kind with their durations (store calls counted); stops by reason (stops counted). Each stop has a line with the task, the attempt and for whose sake (debug); each controller says which view it takes to be in force and with which token that begins.

--- a/internal/api/epoch_reads.go
+++ b/internal/api/epoch_reads.go
@@ -27,18 +27,23 @@
 	p := &s.queries
 	batches := p.batches[:0]
 	for _, batch := range p.batches {
-		if batch.queries = s.handleOverdue(batch.queries); len(batch.queries) > 0 {
+		step := atWatch
+		if batch.reached {
+			step = atRecency
+		}
+		if batch.queries = s.handleOverdue(batch.queries, step); len(batch.queries) > 0 {
 			batches = append(batches, batch)
 		}
 	}
 	p.batches = batches
-	p.waiting, p.awaitingEpoch = s.handleOverdue(p.waiting), s.handleOverdue(p.awaitingEpoch)
+	p.waiting = s.handleOverdue(p.waiting, atEpochRead)
+	p.awaitingEpoch = s.handleOverdue(p.awaitingEpoch, atEpochRead)
 }
 
-// handleOverdue refuses the queries that have timed out and returns the others. For those that have
+// handleOverdue refuses the queries that have timed out in a step and returns the others. For those that have
 // waited longer than tuning.QueryReadAfter it also reads the job separately. queries is in order of
 // arrival.
-func (s *Server) handleOverdue(queries []pendingQuery) []pendingQuery {
+func (s *Server) handleOverdue(queries []pendingQuery, step refusalStep) []pendingQuery {
 	if len(queries) == 0 || s.state.Now.Sub(queries[0].arrivedAt) <= tuning.QueryReadAfter {
 		return queries
 	}
@@ -46,7 +51,7 @@
 	for _, query := range queries {
 		waited := s.state.Now.Sub(query.arrivedAt)
 		if waited > tuning.QueryTimeout {
-			query.respond(unavailable())
+			s.refuse(step, query.respond)
 			continue
 		}
 		if query.jobID != "" && !query.separate && waited > tuning.QueryReadAfter {
@@ -100,7 +105,7 @@
 	served := p.takeServed(readID)
 	if err != nil {
 		for _, query := range served {
-			query.respond(unavailable())
+			s.refuse(atReadFailed, query.respond)
 		}
 		return
 	}
--- a/internal/api/queries.go
+++ b/internal/api/queries.go
@@ -47,6 +47,7 @@
 // query handles a user's query about a job's state.
 func (s *Server) query(jobID string, respond func(http1.Reply)) {
 	if found, ok := s.finals.Get(jobID); ok {
+		s.counts.answered[fromFinals]++
 		s.answer(jobID, http.StatusOK, found, true, respond)
 		return
 	}
@@ -79,6 +80,7 @@
 			}
 		},
 		arrivedAt: query.arrivedAt,
+		secondary: true,
 	})
 }
 
@@ -91,8 +93,12 @@
 // addQuery adds a query to those that wait for the next epoch read, or refuses it if the mirror is
 // not available or too many queries are waiting.
 func (s *Server) addQuery(query pendingQuery) {
-	if s.client.Unavailable() || !s.watch.MirrorLive() {
-		query.respond(unavailable())
+	switch {
+	case s.client.Unavailable():
+		s.refuse(atState, query.respond)
+		return
+	case !s.watch.MirrorLive():
+		s.refuse(atMirror, query.respond)
 		return
 	}
 	limit := tuning.MaxPendingQueries
@@ -100,6 +106,7 @@
 		limit += tuning.MaxShedJobs // extra room reserved for jobs whose last request was refused
 	}
 	if len(s.queries.waiting) >= limit {
+		s.counts.refused[atQueue]++
 		s.shedLoad(query.jobID, query.respond)
 		return
 	}
@@ -122,5 +129,6 @@
 		return
 	}
 	s.reads.shedding.reset(query.jobID)
+	s.counts.answered[fromMirror]++
 	s.answer(query.jobID, http.StatusOK, found, true, query.respond)
 }
--- a/internal/api/read_queue.go
+++ b/internal/api/read_queue.go
@@ -16,6 +16,7 @@
 	jobID     string
 	respond   func(http1.Reply)
 	arrivedAt time.Time
+	secondary bool // the request also waits for the mirror, so a failed read does not refuse it
 }
 
 // readQueue holds the requests that wait for a read. Under overload, requests about the jobs that
@@ -65,11 +66,19 @@
 // requestRead queues a read of a job's state for a user.
 func (s *Server) requestRead(read pendingRead) {
 	if shed, full := s.reads.add(read); full {
+		s.countRefusedRead(shed, atQueue)
 		s.shedLoad(shed.jobID, shed.respond)
 	}
 	s.reconcileReads()
 }
 
+// countRefusedRead counts a request that is refused in a step, unless it also waits for the mirror.
+func (s *Server) countRefusedRead(read pendingRead, step refusalStep) {
+	if !read.secondary {
+		s.counts.refused[step]++
+	}
+}
+
 // reconcileReads sends as many reads as the request budget allows. It refuses requests whose users
 // have timed out instead of reading for them: otherwise, with a long queue, every response would
 // come too late.
@@ -84,8 +93,10 @@
 		}
 		switch {
 		case s.client.Unavailable():
+			s.countRefusedRead(read, atState)
 			q.take(i).respond(unavailable())
 		case waited > tuning.QueryTimeout:
+			s.countRefusedRead(read, atQueue)
 			q.take(i)
 			s.shedLoad(read.jobID, read.respond)
 		case !s.client.AllowsRead(reserve):
@@ -105,6 +116,7 @@
 		read.respond(errorReply(http.StatusNotFound, "no such job"))
 		return
 	case err != nil:
+		s.countRefusedRead(read, atJobRead)
 		read.respond(unavailable())
 		return
 	}
@@ -115,5 +127,6 @@
 		}
 	}
 	s.reads.shedding.reset(read.jobID)
+	s.counts.answered[fromRead]++
 	s.answer(read.jobID, http.StatusOK, found, true, read.respond)
 }
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -124,6 +124,7 @@
 	finals      *jobs.FinalCache
 	sharedReads map[string]*sharedRead // by job ID
 	queries     pendingQueries
+	counts      queryCounts
 	reads       readQueue
 	held        []heldAnswer
 	agedEpoch   agedEpoch
@@ -154,6 +155,7 @@
 
 		finals:      jobs.NewFinalCache(config.Settings.Operator.FinalCache),
 		sharedReads: map[string]*sharedRead{},
+		counts:      newQueryCounts(),
 	}
 	var peerNames []string
 	for _, peer := range config.Settings.Peers {
--- a/internal/commit/commit.go
+++ b/internal/commit/commit.go
@@ -84,6 +84,8 @@
 	// completionWrites counts the writes in flight that record the end of a job.
 	completionWrites int
 	quarantine       decide.Quarantine
+	// stopCounts counts the committed decisions to stop a task, by kind of reason.
+	stopCounts map[string]int
 }
 
 // New returns a committer that works on a state.
@@ -96,6 +98,8 @@
 		log:      config.Log,
 		fence:    fence{key: FencePrefix + config.Name},
 		inFlight: map[string]bool{},
+
+		stopCounts: map[string]int{},
 	}
 }
 
--- a/internal/commit/settlement.go
+++ b/internal/commit/settlement.go
@@ -18,6 +18,7 @@
 	writes := txn.Txn.Writes
 	switch {
 	case err == nil:
+		c.logStops(txn.Decisions)
 		c.mirror.ApplyCommit(writes, epoch)
 		c.finish(writes, txn.Decisions, true)
 	case errors.Is(err, store.ErrConflict):
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -71,7 +71,7 @@
 	dirty              bool // an event since the last reconciliation may call for decisions
 	reconciledAt       time.Time
 	leaderReconciledAt time.Time
-	writesLoggedAt     time.Time
+	countsLoggedAt     time.Time
 
 	checks            standby.Checks // readiness checks of a new leader
 	tickedAt          time.Time      // time of the last tick
@@ -142,7 +142,7 @@
 		c.sendGossip()
 		c.cancellations.Reconcile()
 		c.api.ReconcileQueries()
-		c.logWriteCounts()
+		c.logCounts()
 		c.logCallErrors()
 		c.dirty = true
 	})
--- a/internal/controller/diagnostics.go
+++ b/internal/controller/diagnostics.go
@@ -6,12 +6,21 @@
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
 
-// logWriteCounts logs the number of writes to the store by kind of key, every
-// tuning.AutoscalerStep.
-func (c *Controller) logWriteCounts() {
-	if c.state.Now.Sub(c.writesLoggedAt) >= tuning.AutoscalerStep {
-		c.writesLoggedAt = c.state.Now
-		c.log.Debug("store writes counted", "writes", fmt.Sprint(c.client.TakeWriteCounts()))
+// logCounts logs what has been counted, every tuning.AutoscalerStep: the writes to the store by kind
+// of key, the calls to it by kind and duration, the outcomes of users' queries, and the stopped tasks
+// by reason.
+func (c *Controller) logCounts() {
+	if c.state.Now.Sub(c.countsLoggedAt) < tuning.AutoscalerStep {
+		return
+	}
+	c.countsLoggedAt = c.state.Now
+	c.log.Debug("store writes counted", "writes", fmt.Sprint(c.client.TakeWriteCounts()))
+	c.log.Debug("store calls counted",
+		"calls", fmt.Sprint(c.client.TakeCallCounts()),
+		"mirror_epoch", c.mirror.Epoch)
+	c.api.LogCounts()
+	if stops := c.committer.TakeStopCounts(); len(stops) > 0 {
+		c.log.Debug("stops counted", "reasons", fmt.Sprint(stops))
 	}
 }
 
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -1,6 +1,9 @@
 package controller
 
 import (
+	"strings"
+
+	"github.com/harrierreel/harrierreel/internal/agent"
 	"github.com/harrierreel/harrierreel/internal/members"
 	"github.com/harrierreel/harrierreel/internal/sharding"
 )
@@ -48,6 +51,13 @@
 	if role != c.role {
 		c.log.Info("role changed", "role", string(role), "epoch", epoch)
 	}
+	if c.view != nil {
+		c.log.Info("view in force",
+			"epoch", epoch,
+			"leader", c.view.Leader,
+			"members", strings.Join(c.view.Names(), ","),
+			"first_token", epoch*agent.FencingTokenSpan)
+	}
 	if (role == members.Leader) != (c.role == members.Leader) {
 		c.resetLeaderState()
 	}
--- a/internal/readconsistency/peer_proof.go
+++ b/internal/readconsistency/peer_proof.go
@@ -1,6 +1,8 @@
 package readconsistency
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
@@ -85,6 +87,9 @@
 	}
 }
 
+// Unanswered returns the names of the peers that have not answered the last query, sorted.
+func (p *PeerProof) Unanswered() []string { return slices.Sorted(maps.Keys(p.unanswered)) }
+
 // Covers reports whether all ends of jobs that were acknowledged since the given time are known now.
 func (p *PeerProof) Covers(since, now time.Time) bool {
 	if len(p.peers) == 0 {
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -50,6 +50,7 @@
 	waiting     int            // calls in all queues
 	failures    int            // consecutive calls without an answer or answered 503
 	writeCounts map[string]int // writes enqueued, by kind of key
+	callCounts  map[CallKind]CallCount
 }
 
 // New returns a client with an empty budget that sends its calls with send and its watches with
@@ -60,6 +61,7 @@
 		watch:       watch,
 		shareFactor: 1,
 		writeCounts: map[string]int{},
+		callCounts:  map[CallKind]CallCount{},
 		WatchHold:   tuning.WatchHold,
 	}
 }
--- a/internal/store/queue.go
+++ b/internal/store/queue.go
@@ -73,7 +73,9 @@
 	if call.sent != nil {
 		call.sent()
 	}
+	sentAt := c.now
 	done := func(status int, body []byte, err error) {
+		c.countCall(call.kind(), sentAt, err)
 		if err == nil && status == http.StatusTooManyRequests && call.retries < tuning.MaxRateLimitRetries {
 			c.requeue(priority, call)
 			return
