Questions about live jobs are answered over slow links: ends are told once the others have confirmed them

Cause: a right to answer that rests on messages taking less than a fixed time. An answer that a job is live had to leave within 30 ms of the read that it is from, since an end was told 30 ms after it was recorded; the fallback, the proof of the peers, rested on the same 30 ms for a line and its answer and on every other controller being up.

Change: each controller confirms the lines that pass on ends of jobs. An end is told once all others have confirmed it, or 0.9 s after it was learned where a confirmation lacks; so an answer may leave up to 0.8 s after its read was sent (tuning.ReadLease, AckHold). No clocks are compared and no delay is assumed: a slower read is refused. The mirror's recency is kept as the time of the newest read of the epoch that it has reached, instead of being known at one event only. answerAccepted, suspected of the same flaw, answers by the same right instead of by gossip heard lately, and refuses what it cannot read. Controllers declare in form/NAME that they confirm; beside one that does not, the former rules hold, with gossip of all members as the last resort (docs/upgrades.md).

--- a/internal/api/answers.go
+++ b/internal/api/answers.go
@@ -13,15 +13,27 @@
 // found. That keeps reads monotonic: no user gets an older state of a job than any user has been
 // told before, by this controller or another one (package readconsistency).
 
-// heldAnswer is a response that must not be sent before dueAt.
+// heldAnswer is a response about a job that must not be sent before dueAt.
 type heldAnswer struct {
+	jobID string
 	dueAt time.Time
 	send  func()
 }
 
 // holdAnswer schedules a call of send after wait has passed.
-func (s *Server) holdAnswer(wait time.Duration, send func()) {
-	s.held = append(s.held, heldAnswer{dueAt: s.state.Now.Add(wait), send: send})
+func (s *Server) holdAnswer(jobID string, wait time.Duration, send func()) {
+	s.held = append(s.held, heldAnswer{jobID: jobID, dueAt: s.state.Now.Add(wait), send: send})
+}
+
+// AcksConfirmed makes the held responses due that no other controller stands against any more,
+// because all have confirmed that they know of the state.
+func (s *Server) AcksConfirmed() {
+	for i := range s.held {
+		held := &s.held[i]
+		if dueAt := s.state.Now.Add(s.acks.Remaining(held.jobID, s.state.Now)); dueAt.Before(held.dueAt) {
+			held.dueAt = dueAt
+		}
+	}
 }
 
 // ReleaseHeld sends the held responses that are due. The event loop calls it in each iteration.
@@ -71,12 +83,13 @@
 
 // answer responds to a user with the state that was found for a job, or with a newer one if it is
 // known. A final state that no user has been told yet is sent only after the other controllers have
-// had time to receive it. withCounts adds the counts of tasks to the response.
+// confirmed that they know of it, or no longer answer from what they read before it. withCounts adds
+// the counts of tasks to the response.
 func (s *Server) answer(jobID string, status int, found jobs.StoredState, withCounts bool, respond func(http1.Reply)) {
 	found = s.newestState(jobID, found)
 	if found.State != jobs.Live || status == http.StatusCreated {
 		if wait := s.acknowledge(jobID, found); wait > 0 {
-			s.holdAnswer(wait, func() { s.answer(jobID, status, found, withCounts, respond) })
+			s.holdAnswer(jobID, wait, func() { s.answer(jobID, status, found, withCounts, respond) })
 			return
 		}
 	}
--- a/internal/api/epoch_reads.go
+++ b/internal/api/epoch_reads.go
@@ -112,11 +112,8 @@
 	if len(served) > 0 {
 		p.batches = append(p.batches, queryBatch{queries: served, epoch: epoch})
 	}
-	shownAt := sentAt
-	if epoch > s.mirror.Epoch {
-		shownAt = time.Time{} // the mirror lags, so this read does not show when it was up to date
-	}
-	s.AnswerQueries(shownAt)
+	s.recency.epochRead(epoch, sentAt)
+	s.AnswerQueries(time.Time{})
 	if len(p.batches) > 0 {
 		s.watch.WatchNow()
 	}
@@ -143,11 +140,13 @@
 // AnswerQueries answers the queries whose epoch the mirror has reached. The mirror includes all
 // changes up to some time after shownAt, which is zero if unknown. A job that is live in the mirror
 // may have ended since then, and another controller may have told the user so. A query about a job
-// is therefore answered only while the mirror is known to be at most tuning.MaxReadAge behind, or
-// while the other controllers have just answered what they have acknowledged since it arrived.
+// is therefore answered only while the mirror is known to be at most AckLog.MaxLiveReadAge behind, or
+// if acceptsUnverified allows it.
 func (s *Server) AnswerQueries(shownAt time.Time) {
 	p := &s.queries
-	fresh := !shownAt.IsZero() && s.state.Now.Sub(shownAt) <= tuning.MaxReadAge
+	s.recency.shown(shownAt)
+	s.recency.mirrorReached(s.mirror.Epoch)
+	recent := s.isRecent(s.recency.shownAt, false)
 	batches := p.batches
 	p.batches = nil // answering may add queries
 	var rest []queryBatch
@@ -157,7 +156,7 @@
 			continue
 		}
 		batch.reached, p.lagging = true, false
-		if batch.queries = s.answerReached(batch.queries, fresh); len(batch.queries) > 0 {
+		if batch.queries = s.answerReached(batch.queries, recent); len(batch.queries) > 0 {
 			rest = append(rest, batch)
 		}
 	}
@@ -165,11 +164,11 @@
 }
 
 // answerReached answers queries whose epoch the mirror has reached, and returns those that still
-// wait until the mirror is known to be up to date. fresh tells whether it is known to be.
-func (s *Server) answerReached(queries []pendingQuery, fresh bool) []pendingQuery {
+// wait until the mirror is known to be recent. recent tells whether it is.
+func (s *Server) answerReached(queries []pendingQuery, recent bool) []pendingQuery {
 	var unverified []pendingQuery
 	for _, query := range queries {
-		if query.jobID == "" || fresh || s.acceptsUnverified(&query) {
+		if query.jobID == "" || recent || s.acceptsUnverified(&query) {
 			query.answer()
 		} else {
 			unverified = append(unverified, query)
@@ -178,10 +177,12 @@
 	return unverified
 }
 
-// acceptsUnverified reports whether a query may be answered from a mirror that is not known to be up
-// to date, because the other controllers have answered what they have acknowledged since it arrived.
-// While gossip from a member is missing, the job is read separately too, and the query is refused if
-// that fails.
+// acceptsUnverified reports whether a query may be answered from a mirror that is not known to be
+// recent, because the other controllers have answered what they have acknowledged since it arrived.
+// That takes lines that arrive within tuning.MaxReadAge. Beside a controller of an older version,
+// which leaves no other way, gossip of all members has to suffice on slower links; the answer is
+// then not older than anything that was told before the question (docs/upgrades.md). While gossip
+// from a member is missing, the job is read separately too, and the query is refused if that fails.
 func (s *Server) acceptsUnverified(query *pendingQuery) bool {
 	if !s.unverifiedTooLong(query) {
 		return false
@@ -189,10 +190,12 @@
 	if s.peerProof.Covers(query.arrivedAt, s.state.Now) {
 		return true
 	}
-	if !query.separate && !s.view.HearsAllMembers() {
+	hearsAll := s.view.HearsAllMembers()
+	if !query.separate && !hearsAll {
 		s.readSeparately(query)
 	}
-	return false
+	waited := s.state.Now.Sub(query.arrivedAt)
+	return hearsAll && s.acks.HasOlderPeer() && waited >= tuning.QueryReadAfter
 }
 
 // unverifiedTooLong reports whether a query has waited so long for a mirror that is known to be up
--- a/internal/api/job_reads.go
+++ b/internal/api/job_reads.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"time"
 
 	"github.com/harrierreel/harrierreel/internal/jobs"
 	"github.com/harrierreel/harrierreel/internal/store"
@@ -99,9 +100,9 @@
 }
 
 // readCurrent reads a job's state for a response that is sent immediately. A job is reported as
-// live or unknown only if the read took at most tuning.MaxReadAge: a slower read shows an older
-// state, and another controller may have told the user a newer one since. A slow read is repeated
-// if there is time and budget.
+// unknown only if the read took at most tuning.MaxReadAge, and as live only if it took at most
+// AckLog.MaxLiveReadAge: a slower read shows an older state, and another controller may have told the
+// user a newer one since. A slow read is repeated if there is time and budget.
 func (s *Server) readCurrent(jobID string, done func(jobs.StoredState, error)) {
 	startedAt := s.state.Now
 	var read func()
@@ -117,7 +118,7 @@
 			switch {
 			case isAcknowledged && acknowledged.State != jobs.Live:
 				done(acknowledged, nil)
-			case s.state.Now.Sub(sentAt) <= tuning.MaxReadAge && (!unknown || !isAcknowledged):
+			case s.isRecent(sentAt, unknown) && (!unknown || !isAcknowledged):
 				done(found, err)
 			case s.state.Now.Sub(startedAt) <= tuning.ReadDeadline && s.client.AllowsRead(tuning.ReservedReadShare):
 				read()
@@ -129,6 +130,16 @@
 	read()
 }
 
+// isRecent reports whether a read that was sent at sentAt may be answered from now, given whether it
+// shows that the job is unknown rather than live.
+func (s *Server) isRecent(sentAt time.Time, unknown bool) bool {
+	maxAge := s.acks.MaxLiveReadAge()
+	if unknown {
+		maxAge = tuning.MaxReadAge
+	}
+	return s.state.Now.Sub(sentAt) <= maxAge
+}
+
 // findJob finds a job's state for a decision that is conditional on the revision of the job's
 // record. Such a decision may be based on a mirror that is out of date, since its transaction would
 // then fail.
--- a/internal/api/read_queue.go
+++ b/internal/api/read_queue.go
@@ -122,7 +122,7 @@
 	}
 	if found.State == jobs.Live {
 		if wait := s.acknowledgeAccepted(read.jobID); wait > 0 {
-			s.holdAnswer(wait, func() { s.requestRead(read) })
+			s.holdAnswer(read.jobID, wait, func() { s.requestRead(read) })
 			return
 		}
 	}
--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -124,6 +124,7 @@
 	finals      *jobs.FinalCache
 	sharedReads map[string]*sharedRead // by job ID
 	queries     pendingQueries
+	recency     mirrorRecency
 	counts      queryCounts
 	reads       readQueue
 	held        []heldAnswer
@@ -196,6 +197,7 @@
 	var final jobs.StoredState
 	if json.Unmarshal(value, &final) == nil {
 		s.finals.Put(jobID, final)
+		s.acks.Learn(jobID, final, s.state.Now)
 	}
 }
 
--- a/internal/api/submissions.go
+++ b/internal/api/submissions.go
@@ -123,17 +123,20 @@
 }
 
 // answerAccepted responds to a submission whose job was accepted by a transaction sent at sentAt.
-// If the transaction's response came late, and acknowledgements from other controllers may have
-// been lost, the job may already have ended, so its state is read again if possible.
+// If the transaction's response came too late, the job may already have ended and another controller
+// may have told a user so. Its state is then read again; the repeat of a submission that is refused
+// because that fails finds the job accepted. Beside a controller of an older version, which gives
+// nobody a right to answer from older reads, gossip from all members has to suffice.
 func (s *Server) answerAccepted(sub submission, sentAt time.Time) {
-	live := jobs.StoredState{State: jobs.Live}
-	if s.state.Now.Sub(sentAt) <= tuning.MaxReadAge || s.view.HearsAllMembers() {
+	if s.isRecent(sentAt, false) || s.acks.HasOlderPeer() && s.view.HearsAllMembers() {
+		live := jobs.StoredState{State: jobs.Live}
 		s.answer(sub.spec.ID, http.StatusCreated, live, false, sub.respond)
 		return
 	}
 	s.readCurrent(sub.spec.ID, func(found jobs.StoredState, err error) {
 		if err != nil {
-			found = live
+			sub.respond(unavailable())
+			return
 		}
 		s.answer(sub.spec.ID, http.StatusCreated, found, false, sub.respond)
 	})
--- a/internal/controller/changes.go
+++ b/internal/controller/changes.go
@@ -110,6 +110,11 @@
 
 func (c *Controller) applyCapabilities(record change) {
 	c.membership.ApplyCapabilities(record.name, record.value)
+	// A member that ends leaves no capabilities; what it last declared stays true of its answers
+	// until it declares something else.
+	if capabilities, ok := c.membership.Capabilities(record.name); ok {
+		c.acks.SetConfirms(record.name, capabilities.ConfirmsAcks)
+	}
 }
 
 func (c *Controller) applyUnresponsive(record change) {
--- a/internal/controller/gossip.go
+++ b/internal/controller/gossip.go
@@ -24,7 +24,10 @@
 	c.cancellations.Receive(gossip.From, gossip.Message)
 	c.acks.PeerAlive(gossip.From, c.state.Now)
 	if gossip.Acknowledged != nil {
-		c.acks.ApplyPeerAcks(*gossip.Acknowledged, c.state.Now)
+		c.applyPeerAcks(gossip.From, *gossip.Acknowledged)
+	}
+	if gossip.AckConfirmed != nil && c.acks.Confirmed(gossip.From, *gossip.AckConfirmed) {
+		c.api.AcksConfirmed()
 	}
 	c.handleAckQuery(gossip)
 	c.reachability.ApplyGossip(gossip.From, gossip.StoreReachable, gossip.Isolated)
@@ -38,6 +41,17 @@
 	c.applyUnreached(gossip.From, gossip.Unreached)
 }
 
+// applyPeerAcks records what a peer is about to tell users, and confirms it if the peer waits for
+// that.
+func (c *Controller) applyPeerAcks(from string, acks readconsistency.Acks) {
+	c.acks.ApplyPeerAcks(acks, c.state.Now)
+	if acks.Line != 0 {
+		reply := c.newAckGossip()
+		reply.AckConfirmed = &readconsistency.Confirmation{Line: acks.Line}
+		c.transport.Gossip(from, peer.Encode(reply))
+	}
+}
+
 // handleAckQuery answers a peer's query about acknowledgements, or records its answer to a query of
 // this controller.
 func (c *Controller) handleAckQuery(gossip peer.Gossip) {
--- a/internal/controller/wiring_readconsistency.go
+++ b/internal/controller/wiring_readconsistency.go
@@ -1,6 +1,8 @@
 package controller
 
 import (
+	"math/rand/v2"
+
 	"github.com/harrierreel/harrierreel/internal/readconsistency"
 	"github.com/harrierreel/harrierreel/internal/tuning"
 )
@@ -8,8 +10,16 @@
 // newAckLog returns the log of the job states that were reported to users. Without peers no other
 // controller can give a conflicting answer, so answers are not delayed.
 func (c *Controller) newAckLog() *readconsistency.AckLog {
+	delay := tuning.AckDelay
 	if len(c.settings.Peers) == 0 {
-		return readconsistency.NewAckLog(0)
+		delay = 0
+	}
+	var peers []string
+	for _, peer := range c.settings.Peers {
+		peers = append(peers, peer.NodeName)
 	}
-	return readconsistency.NewAckLog(tuning.AckDelay)
+	log := readconsistency.NewAckLog(delay)
+	// The number is not from c.rand, so as not to change what a seed stands for.
+	log.RequireConfirmations(peers, tuning.AckHold, rand.Uint64())
+	return log
 }
--- a/internal/members/capabilities.go
+++ b/internal/members/capabilities.go
@@ -9,6 +9,9 @@
 	// AnswersProbes reports whether the controller answers liveness probes (package standby). A
 	// controller that does not must not be declared dead because of an unanswered probe.
 	AnswersProbes bool `json:"calls,omitempty"`
+	// ConfirmsAcks reports whether the controller confirms lines with ends of jobs, and waits for
+	// such confirmations before it tells a user of an end (package readconsistency).
+	ConfirmsAcks bool `json:"acks,omitempty"`
 }
 
 // AllSupportBatches reports whether every member of the view, in the incarnation that the view
--- a/internal/members/golden_test.go
+++ b/internal/members/golden_test.go
@@ -32,9 +32,12 @@
 }
 
 func TestGoldenCapabilities(t *testing.T) {
-	full := Capabilities{Incarnation: 11, BatchFormat: 1, AnswersProbes: true}
+	former := Capabilities{Incarnation: 11, BatchFormat: 1, AnswersProbes: true} // of the version before ConfirmsAcks
+	full := former
+	full.ConfirmsAcks = true
 	goldentest.RequireNonZeroFields(t, full)
-	goldentest.JSON(t, "form.json", full)
+	goldentest.JSON(t, "form.json", former)
+	goldentest.JSON(t, "form-confirms.json", full)
 	goldentest.JSON(t, "form-least.json", Capabilities{})
 }
 
--- a/internal/membership/lease.go
+++ b/internal/membership/lease.go
@@ -78,6 +78,7 @@
 		Incarnation:   leaseID,
 		BatchFormat:   taskbatch.FormatVersion,
 		AnswersProbes: m.config.AnswersProbes,
+		ConfirmsAcks:  true,
 	}
 	writes := []store.Write{
 		{
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -151,6 +151,12 @@
 	}
 }
 
+// Capabilities returns what a member has declared, and whether it has declared anything.
+func (m *Membership) Capabilities(name string) (members.Capabilities, bool) {
+	capabilities, ok := m.capabilities[name]
+	return capabilities, ok
+}
+
 // Incarnation returns the incarnation in a member's key, 0 if it has no key.
 func (m *Membership) Incarnation(name string) uint64 { return m.memberKeys[name] }
 
--- a/internal/peer/golden_test.go
+++ b/internal/peer/golden_test.go
@@ -43,10 +43,17 @@
 // Messages are encoded and decoded byte for byte as recorded.
 func TestGossipIsEncodedAndDecodedAsRecorded(t *testing.T) {
 	full := fullGossip() // as far as the version before AckQuery writes it
-	all := full
+	all := full          // as far as the version before AckConfirmed writes it
 	all.AckQuery = &readconsistency.PeerQuery{Nonce: 12, AgeMs: 630}
 	all.AckAnswer = &readconsistency.PeerAnswer{Nonce: 13, Ended: full.Acknowledged.Ended}
-	goldentest.RequireNonZeroFields(t, all)
+	confirming := all
+	confirming.Acknowledged = &readconsistency.Acks{
+		Accepted: full.Acknowledged.Accepted,
+		Ended:    full.Acknowledged.Ended,
+		Line:     14,
+	}
+	confirming.AckConfirmed = &readconsistency.Confirmation{Line: 15}
+	goldentest.RequireNonZeroFields(t, confirming)
 	heartbeat := Gossip{
 		From:           "ctl-a",
 		Epoch:          40,
@@ -54,11 +61,12 @@
 		Message:        cancellation.Message{Entries: &cancellation.AckEntries{Incarnation: 3}},
 	}
 	for file, gossip := range map[string]Gossip{
-		"hint.json":       full,
-		"hint-all.json":   all,
-		"hint-least.json": {From: "ctl-a"},
-		"hint-beat.json":  heartbeat,
-		"hint-told.json":  {From: "ctl-a", StoreReachable: true, Acknowledged: &readconsistency.Acks{}},
+		"hint.json":            full,
+		"hint-all.json":        all,
+		"hint-confirming.json": confirming,
+		"hint-least.json":      {From: "ctl-a"},
+		"hint-beat.json":       heartbeat,
+		"hint-told.json":       {From: "ctl-a", StoreReachable: true, Acknowledged: &readconsistency.Acks{}},
 	} {
 		t.Run(file, func(t *testing.T) {
 			goldentest.Bytes(t, file, Encode(gossip))
--- a/internal/peer/gossip.go
+++ b/internal/peer/gossip.go
@@ -37,6 +37,9 @@
 	// all controllers catch up.
 	Acknowledged *readconsistency.Acks `json:"told_of,omitempty"`
 
+	// AckConfirmed confirms a line with Acknowledged. Like that line it is sent without an epoch.
+	AckConfirmed *readconsistency.Confirmation `json:"told_seen,omitempty"`
+
 	// AckQuery asks for the acknowledgements that the receiver sends in an AckAnswer. Like
 	// Acknowledged they are sent without an epoch.
 	AckQuery  *readconsistency.PeerQuery  `json:"told_query,omitempty"`
@@ -47,7 +50,8 @@
 
 // Valid reports whether the message could have been sent by a controller.
 func (g *Gossip) Valid() bool {
-	return g.Message.Valid() && g.Acknowledged.Valid() && g.AckQuery.Valid() && g.AckAnswer.Valid()
+	return g.Message.Valid() && g.Acknowledged.Valid() && g.AckConfirmed.Valid() &&
+		g.AckQuery.Valid() && g.AckAnswer.Valid()
 }
 
 // DecodeReason is the reason of a DecodeError. Operators see its values in the counts of refused
--- a/internal/readconsistency/golden_test.go
+++ b/internal/readconsistency/golden_test.go
@@ -15,8 +15,12 @@
 			"wk-4": {State: jobs.Cancelled, DoneCount: 1},
 		},
 	}
-	goldentest.RequireNonZeroFields(t, full)
+	confirmed := full // full is as far as the version before Line writes it
+	confirmed.Line = 77
+	goldentest.RequireNonZeroFields(t, confirmed)
 	goldentest.JSON(t, "line.json", full)
+	goldentest.JSON(t, "line-confirmed.json", confirmed)
+	goldentest.JSON(t, "confirmation.json", Confirmation{Line: 77})
 	goldentest.JSON(t, "line-least.json", Acks{})
 	goldentest.JSON(t, "line-nobody.json", Acks{Ended: map[string]jobs.StoredState{}})
 }
--- a/internal/readconsistency/message.go
+++ b/internal/readconsistency/message.go
@@ -9,6 +9,8 @@
 type Acks struct {
 	Accepted []string                    `json:"accepted,omitempty"` // IDs of jobs acknowledged as live
 	Ended    map[string]jobs.StoredState `json:"ended,omitempty"`    // by job ID
+	// Line is the number of the message if the receiver is to confirm it, else 0.
+	Line uint64 `json:"line,omitempty"`
 }
 
 // Valid reports whether the acknowledgements could have been sent by a controller. A message
--- a/internal/scenario/messages_test.go
+++ b/internal/scenario/messages_test.go
@@ -173,8 +173,9 @@
 	return fmt.Sprintf("%s %d %s", name, count, hex.EncodeToString(h.Sum(nil)))
 }
 
-// randomID matches the incarnation of a process or the nonce of a question in a gossip message.
-var randomID = regexp.MustCompile(`"(inc|nonce)":[0-9]{10,}`)
+// randomID matches the incarnation of a process, the nonce of a question or the number of a line, which
+// is counted from a random number, in a gossip message.
+var randomID = regexp.MustCompile(`"(inc|nonce|line)":[0-9]{10,}`)
 
 // idOrder maps the random numbers that processes draw for themselves to their order of appearance.
 // They come from an unseeded source, as they are only compared with one another (controller.New),
--- a/internal/scenario/now_test.go
+++ b/internal/scenario/now_test.go
@@ -242,6 +242,7 @@
 			for i := range 20 {
 				s.machines = append(s.machines, sim.Cloud.AddRunning("g4", []string{"a", "b"}[i%2], false))
 			}
+			sim.DrawNetwork()
 			sim.AddNodes(s.set.Cluster.Size, s.set)
 			s.drawLongJobs()
 			for sim.RunUntil(35 * time.Second); sim.At() < 200*time.Second; {
--- a/internal/scenario/pairs_test.go
+++ b/internal/scenario/pairs_test.go
@@ -241,6 +241,7 @@
 	for i := range 40 {
 		s.machines = append(s.machines, sim.Cloud.AddRunning("g4", []string{"a", "b"}[i%2], false))
 	}
+	sim.DrawNetwork()
 	sim.AddNodes(s.set.Cluster.Size, s.set)
 	s.drawJobs()
 	s.drawStaggered()
--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -40,6 +40,7 @@
 			for i := range 40 {
 				s.machines = append(s.machines, sim.Cloud.AddRunning("g4", []string{"a", "b"}[i%2], false))
 			}
+			sim.DrawNetwork()
 			sim.AddNodes(5, s.set)
 			s.drawJobs()
 			for sim.RunUntil(10 * time.Second); sim.At() < 150*time.Second; {
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"strings"
 	"time"
 )
@@ -46,6 +47,29 @@
 // RetransmitAfter is how long a sender waits before it sends a lost packet again, as TCP does.
 const RetransmitAfter = 200 * time.Millisecond
 
+// Ranges from which DrawNetwork draws: the links and state services that deployments may have.
+const (
+	minLinkDelay, maxLinkDelay     = 300 * time.Microsecond, 100 * time.Millisecond
+	minServiceTime, maxServiceTime = 3 * time.Millisecond, 200 * time.Millisecond
+	maxLinkJitter                  = 0.5
+	maxLinkLoss                    = 0.01
+)
+
+// DrawNetwork draws how slow the links and the state service are for the whole simulation. Each order
+// of magnitude is as likely as any other.
+func (sim *Simulator) DrawNetwork() {
+	between := func(shortest, longest time.Duration) time.Duration {
+		ratio := float64(longest) / float64(shortest)
+		return time.Duration(float64(shortest) * math.Pow(ratio, sim.linkRNG.Float64()))
+	}
+	sim.Links = Links{
+		Delay:  between(minLinkDelay, maxLinkDelay),
+		Jitter: maxLinkJitter * sim.linkRNG.Float64(),
+		Loss:   maxLinkLoss * sim.linkRNG.Float64(),
+	}
+	sim.Store.ServiceTime = between(minServiceTime, maxServiceTime)
+}
+
 // linkDelay draws the additional delay of a packet. It draws from linkRNG, so that links without
 // delay leave the course of a simulation as it was.
 func (sim *Simulator) linkDelay() time.Duration {
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -85,9 +85,9 @@
 	}
 }
 
-// relayedField occurs in lines of relayed gossip. Their latency is drawn from gossipRNG, so that
+// relayedFields occur in lines of relayed gossip. Their latency is drawn from gossipRNG, so that
 // their number does not affect the rest of the simulation.
-var relayedField = []byte(`"told_of"`)
+var relayedFields = [][]byte{[]byte(`"told_of"`), confirmationField}
 
 // auditEvery is the interval, in ticks, at which a node's counters are audited.
 const auditEvery = 7
@@ -116,6 +116,9 @@
 	track := node.tracker()
 	return controller.Transport{
 		Store: func(m, t string, b []byte, d time.Duration, done func(int, []byte, error)) {
+			if node.sim.Unconfirming[node.Name] {
+				b = bytes.ReplaceAll(b, confirmsField, nil)
+			}
 			storeCall(m, t, b, d, track("state", m, t, b, d, done))
 		},
 		Watch: func(m, t string, b []byte, d time.Duration, done func(int, []byte, error)) {
@@ -187,16 +190,27 @@
 	}
 }
 
+// confirmsField is what a controller declares in the state service if it confirms acknowledgements,
+// and confirmationField occurs in the lines that do so.
+var (
+	confirmsField     = []byte(`,"acks":true`)
+	confirmationField = []byte(`"told_seen"`)
+)
+
 // gossip sends a line of gossip to another controller.
 func (node *Node) gossip(peer string, line []byte) {
 	sim := node.sim
+	if sim.Unconfirming[node.Name] && bytes.Contains(line, confirmationField) {
+		return
+	}
 	node.record(Message{Kind: GossipSent, Party: peer, Body: line})
 	if sim.connectionRefused(node.Name, peer) {
 		sim.After(sim.latency(), func() { node.peerDisconnected(peer) })
 		return
 	}
 	latency := sim.latency
-	if bytes.Contains(line, relayedField) {
+	isRelayed := func(field []byte) bool { return bytes.Contains(line, field) }
+	if slices.ContainsFunc(relayedFields, isRelayed) {
 		latency = sim.gossipLatency
 	}
 	sim.deliver(node.Name, peer, latency, func() {
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -35,6 +35,9 @@
 	// Unresponsive lists controllers that don't answer probes; AddNodes sets their failover to
 	// lease expiry.
 	Unresponsive []string
+	// Unconfirming holds the controllers that neither declare that they confirm acknowledgements nor
+	// do so, like those of the version before.
+	Unconfirming map[string]bool
 	// refusedPeers holds the controllers whose connections to and from other controllers are
 	// refused.
 	refusedPeers map[string]bool
@@ -176,6 +179,7 @@
 		heldPackets:   map[string][]func(){},
 		refusedPeers:  map[string]bool{},
 		unreachable:   map[string]bool{},
+		Unconfirming:  map[string]bool{},
 		Agents:        map[string]*Agent{},
 		Jobs:          map[string]*Job{},
 		Runs:          map[string]*Run{},
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -52,7 +52,9 @@
 	requestTokens, writesUsed float64
 	refilledAt                time.Time
 	Refused                   int
-	// Slow delays every answer; SlowWatch, if positive, replaces it for answers to watches.
+	// ServiceTime delays every answer, for the whole simulation.
+	ServiceTime time.Duration
+	// Slow delays every answer besides; SlowWatch, if positive, replaces it for answers to watches.
 	Slow, SlowWatch time.Duration
 	slowShare       faultRate // share of answers that are delayed by up to maxSlow
 	maxSlow         time.Duration
@@ -236,6 +238,7 @@
 		}
 		slow += s.WatchDelay[r.from]
 	}
+	slow += s.ServiceTime
 	if s.sim.faultOccurs(s.slowShare) {
 		slow += s.sim.randomDuration(0, s.maxSlow)
 	}
--- a/internal/tuning/calls.go
+++ b/internal/tuning/calls.go
@@ -27,6 +27,9 @@
 	// QueryRetry is the minimum pause between two reads of the epoch while the budget delays calls,
 	// and the time after which a read of the epoch without an answer is followed by another.
 	QueryRetry = 400 * time.Millisecond
+	// MaxEpochReads is the maximum number of reads of the epoch that are kept until the mirror has
+	// reached them: those of some ten seconds.
+	MaxEpochReads = 100
 	// MaxPendingQueries is the maximum number of waiting queries; more are refused. It allows one
 	// for each connection that users may hold with some 8,000 sockets, and suffices for a job on
 	// each of 4,000 machines.
@@ -44,6 +47,16 @@
 	// MaxReadAge is the maximum duration of such a read for its answer to count if it shows that a
 	// job is live or unknown: an answer that took longer may be out of date. Most reads take 10 ms.
 	MaxReadAge = 30 * time.Millisecond
+	// ReadLease is how long after it sent a read a controller may answer that the job which the read
+	// shows is live, if all others confirm acknowledgements. Reading the epoch and following the
+	// watch to it take up to two round trips to the state service, 0.8 s with 100 ms one way and a
+	// service time of 200 ms.
+	ReadLease = 800 * time.Millisecond
+	// AckHold is how long the end of a job is held back from its user while a controller has not
+	// confirmed that it knows of it. It exceeds ReadLease by AckDelay, for which an answer may be
+	// held after its read was found recent enough, and by a margin for clocks that run at different
+	// rates and for answers on their way out of the process.
+	AckHold = ReadLease + AckDelay + 70*time.Millisecond
 	// AckDelay is how long a new acknowledgement, that a job is accepted or has ended, is held back
 	// after it was passed on to the other controllers. By then none of them can still send an older
 	// answer.
