--- a/internal/simulation/replacements.go
+++ b/internal/simulation/replacements.go
@@ -43,7 +43,8 @@
 	}
 	delete(w.stoppedOn, taskID)
 	place := placeOfTask{taskID, machine}
-	if w.counts[place]++; w.counts[place] > maxReplacements {
-		sim.ReportViolation("undone: %s is launched on %s, where it was stopped, for time %d", taskID, machine, w.counts[place])
+	w.counts[place]++
+	if count := w.counts[place]; count > maxReplacements {
+		sim.ReportViolation("undone: %s is launched on %s, where it was stopped, %d times", taskID, machine, count)
 	}
 }
