--- a/internal/readconsistency/doc.go
+++ b/internal/readconsistency/doc.go
@@ -15,8 +15,9 @@
 //   - A read that took longer is repeated, and eventually the user is told to retry.
 //
 // Beside a controller of a version that does not confirm, a live job is answered like an unknown one,
-// within tuning.MaxReadAge, or if all other controllers have just said what they have acknowledged
-// since the question arrived (PeerProof).
+// within tuning.MaxReadAge. From a mirror that is not known to be recent enough a live job is also
+// answered if all other controllers have just said what they have acknowledged since the question
+// arrived (PeerProof).
 //
 // The package does no I/O and reads no clock.
 package readconsistency
