--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"log/slog"
 	"runtime"
 	"strconv"
@@ -87,7 +86,7 @@
 		t.Error(violation)
 	}
 	if t.Failed() {
-		t.Log(fmt.Sprintf("links %+v, state service %v", sim.Links, sim.Store.ServiceTime))
+		t.Logf("links %+v, state service %v", sim.Links, sim.Store.ServiceTime)
 	}
 }
 
