--- a/internal/api/read_lease_test.go
+++ b/internal/api/read_lease_test.go
@@ -95,9 +95,9 @@
 	}
 }
 
-// The end of a job is told once the other controller has confirmed that it knows of it, and without
+// The end of a job is acknowledged once the other controller has confirmed that it knows of it, and without
 // that once the lease of any earlier read is over.
-func TestEndIsToldOnceConfirmed(t *testing.T) {
+func TestEndIsAcknowledgedOnceConfirmed(t *testing.T) {
 	for _, confirmed := range []bool{true, false} {
 		server := newConfirmingServer(t, false)
 		server.store = func(_, target, _ string) (int, string) {
@@ -116,7 +116,7 @@
 		server.advance(tuning.AckHold - time.Millisecond)
 		server.ReleaseHeld()
 		if status != 0 {
-			t.Fatal("told before the other controller knows of it")
+			t.Fatal("acknowledged before the other controller knows of it")
 		}
 		if confirmed {
 			server.acks.Confirmed("n1", readconsistency.Confirmation{Line: messages[0].Line})
--- a/internal/queue/preempted_room.go
+++ b/internal/queue/preempted_room.go
@@ -21,7 +21,7 @@
 	machine   string
 	resources sharding.Resources
 	entitled  bool // a guarantee covers the beneficiary
-	passed    bool // the cycle has examined the beneficiary's job
+	examined  bool // the cycle has examined the beneficiary's job
 	blocked   bool // the capacity counts as used
 }
 
@@ -64,7 +64,7 @@
 	preemptible := !covered && !spec.IsGang() && spec.Kind != jobs.Service
 	unblocked := false
 	for _, r := range c.room {
-		block := r.job != job && (r.passed || r.entitled && preemptible)
+		block := r.job != job && (r.examined || r.entitled && preemptible)
 		unblocked = unblocked || r.blocked && !block
 		r.setBlocked(q, block)
 	}
@@ -73,14 +73,14 @@
 	}
 }
 
-// passRoomOf blocks the room that a job's tasks have not taken, for the jobs behind it in the queue.
-func (c *schedulingCycle) passRoomOf(q *Queue, job *clusterstate.Job) {
+// keepRoomOf blocks the room that a job's tasks have not taken, for the jobs behind it in the queue.
+func (c *schedulingCycle) keepRoomOf(q *Queue, job *clusterstate.Job) {
 	held := slices.Clone(q.holds[job.ID].machines)
 	for _, r := range c.room {
 		if r.job != job {
 			continue
 		}
-		r.passed = true
+		r.examined = true
 		if i := slices.Index(held, r.machine); i >= 0 {
 			held = slices.Delete(held, i, i+1) // the machine is held for the job already
 			continue
--- a/internal/queue/release.go
+++ b/internal/queue/release.go
@@ -78,7 +78,7 @@
 	defer q.blockReturned(job.ID, cycle)
 	covered := cycle.account.Entitled(q.state.QuotaLeaf(spec), spec.Amount(), 1) >= 0
 	cycle.blockRoomFrom(q, job, covered)
-	defer cycle.passRoomOf(q, job)
+	defer cycle.keepRoomOf(q, job)
 	if spec.IsGang() {
 		q.releaseGang(job, cycle)
 		return 1
--- a/internal/readconsistency/confirmations_model_test.go
+++ b/internal/readconsistency/confirmations_model_test.go
@@ -57,22 +57,22 @@
 	}
 }
 
-// tell answers the user with the end of the job, as soon as that may leave.
-func (m *confirmedModel) tell(c *controller, end jobs.StoredState) {
+// acknowledgeEnd answers the user with the end of the job, as soon as that may leave.
+func (m *confirmedModel) acknowledgeEnd(c *controller, end jobs.StoredState) {
 	wait := c.log.Acknowledge(modelJobID, end, m.now)
 	m.sendUnsent(c)
 	if wait == 0 {
 		m.sendToUser(end)
 		return
 	}
-	m.pending = append(m.pending, event{m.now.Add(min(wait, modelStep)), func() { m.tell(c, end) }})
+	m.pending = append(m.pending, event{m.now.Add(min(wait, modelStep)), func() { m.acknowledgeEnd(c, end) }})
 }
 
 // commitEnd makes a controller commit the end of the job, and then answer the user.
 func (m *confirmedModel) commitEnd(c *controller, end jobs.StoredState) {
 	m.after(m.longestCommit, func() {
 		m.committed = append(m.committed, timedState{end, m.now})
-		m.after(m.longestCommit, func() { m.tell(c, end) })
+		m.after(m.longestCommit, func() { m.acknowledgeEnd(c, end) })
 	})
 }
 
@@ -87,9 +87,9 @@
 			switch {
 			case state.State != jobs.Live:
 				c.log.Learn(modelJobID, state, m.now)
-				m.tell(c, state)
+				m.acknowledgeEnd(c, state)
 			case known && latest.State != jobs.Live:
-				m.tell(c, latest)
+				m.acknowledgeEnd(c, latest)
 			case m.now.Sub(sentAt) <= c.log.MaxLiveReadAge():
 				m.sendToUser(state)
 			}
@@ -98,7 +98,7 @@
 }
 
 // Once the user has received an end, no controller answers that the job is live, however long reads
-// and messages take and whichever are lost. This test fails within some ten draws if ends are told
+// and messages take and whichever are lost. This test fails within some ten draws if ends are acknowledged
 // without waiting for confirmations or if the first confirmation suffices, and within some hundred if
 // a controller confirms what it does not record.
 func TestNoConfirmedAnswerIsOlderThanWhatTheUserReceived(t *testing.T) {
--- a/internal/readconsistency/confirmations_test.go
+++ b/internal/readconsistency/confirmations_test.go
@@ -133,16 +133,16 @@
 // maxDrift is the share by which the clocks of two machines drift apart (protocol).
 const maxDrift = 0.0005
 
-// A read sent just before the end was committed, and an end that is told without any confirmation.
-func TestEndIsNotToldBeforeEveryEarlierReadHasLapsed(t *testing.T) {
-	reader, teller := newConfirmedLog(), NewAckLog(tuning.AckDelay)
-	teller.RequireConfirmations([]string{"n1"}, tuning.AckHold, 1)
-	teller.Acknowledge("wk-1", done, start)
+// A read sent just before the end was committed, and an end that is acknowledged without any confirmation.
+func TestEndIsNotAcknowledgedBeforeEveryEarlierReadHasLapsed(t *testing.T) {
+	reader, acknowledger := newConfirmedLog(), NewAckLog(tuning.AckDelay)
+	acknowledger.RequireConfirmations([]string{"n1"}, tuning.AckHold, 1)
+	acknowledger.Acknowledge("wk-1", done, start)
 	for age := time.Duration(0); age <= reader.MaxLiveReadAge(); age += ms {
 		// The answer to a repeated submission may be held once more.
 		leavesAt := start.Add(time.Duration(float64(age+tuning.AckDelay) * (1 + 2*maxDrift)))
-		if teller.Remaining("wk-1", leavesAt) == 0 {
-			t.Fatalf("the end is told before an answer from a read %v old leaves", age)
+		if acknowledger.Remaining("wk-1", leavesAt) == 0 {
+			t.Fatalf("the end is acknowledged before an answer from a read %v old leaves", age)
 		}
 	}
 }
--- a/internal/scenario/expectations_services_test.go
+++ b/internal/scenario/expectations_services_test.go
@@ -57,8 +57,8 @@
 func (s *script) expectPolls(args []string) {
 	s.t.Helper()
 	polls := *s.sim.Polls
-	if polls.Asked < int(s.number(args[1])) || float64(polls.Answered) < s.number(args[2])*float64(polls.Asked) {
-		s.fatal("%d questions, %d answered in time, want %s and the share %s", polls.Asked, polls.Answered, args[1], args[2])
+	if polls.Sent < int(s.number(args[1])) || float64(polls.Answered) < s.number(args[2])*float64(polls.Sent) {
+		s.fatal("%d questions, %d answered in time, want %s and the share %s", polls.Sent, polls.Answered, args[1], args[2])
 	}
 }
 
--- a/internal/scenario/slow_links_test.go
+++ b/internal/scenario/slow_links_test.go
@@ -65,8 +65,8 @@
 					sim.RunUntil(70 * time.Second)
 					sim.Polls = &simulation.PollCounts{} // the questions asked from now on are not awaited
 					sim.RunUntil(73 * time.Second)
-					if polls.Asked < 200 || float64(polls.Answered) < minAnsweredShare*float64(polls.Asked) {
-						t.Errorf("%d of %d questions were answered in time", polls.Answered, polls.Asked)
+					if polls.Sent < 200 || float64(polls.Answered) < minAnsweredShare*float64(polls.Sent) {
+						t.Errorf("%d of %d questions were answered in time", polls.Answered, polls.Sent)
 					}
 					for _, violation := range sim.Violations {
 						t.Error(violation)
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -49,7 +49,7 @@
 
 // PollCounts counts users' questions about jobs at running controllers.
 type PollCounts struct {
-	Asked    int
+	Sent     int
 	Answered int // with 200 or 404, within pollTimeout
 }
 
@@ -62,10 +62,10 @@
 	if method != "GET" || !sim.Nodes[node].alive {
 		return func(int) {}
 	}
-	counts, askedAt := sim.Polls, sim.Now
-	counts.Asked++
+	counts, sentAt := sim.Polls, sim.Now
+	counts.Sent++
 	return func(status int) {
-		if (status == 200 || status == 404) && sim.Now.Sub(askedAt) <= pollTimeout {
+		if (status == 200 || status == 404) && sim.Now.Sub(sentAt) <= pollTimeout {
 			counts.Answered++
 		}
 	}
