What the change wrote again: names of peers, releases that go together, the setup of drawn worlds

settings.PeerNames serves the acknowledgement log and, in place of its older twin, the API server. releaseHolds releases reserved room too, as both callers did. TestPairs and its kin, TestDrawnTroubles and TestSoak start their worlds by one drawnWorld.

--- a/internal/api/server.go
+++ b/internal/api/server.go
@@ -158,11 +158,7 @@
 		sharedReads: map[string]*sharedRead{},
 		counts:      newQueryCounts(),
 	}
-	var peerNames []string
-	for _, peer := range config.Settings.Peers {
-		peerNames = append(peerNames, peer.NodeName)
-	}
-	s.peerProof = readconsistency.NewPeerProof(peerNames, config.PeerNonce)
+	s.peerProof = readconsistency.NewPeerProof(config.Settings.PeerNames(), config.PeerNonce)
 	s.quotas.teams = config.Settings.TeamMap()
 	s.quotas.enabled = config.Settings.Operator.Quotas != nil
 	s.newRuns()
--- a/internal/controller/wiring_readconsistency.go
+++ b/internal/controller/wiring_readconsistency.go
@@ -14,12 +14,8 @@
 	if len(c.settings.Peers) == 0 {
 		delay = 0
 	}
-	var peers []string
-	for _, peer := range c.settings.Peers {
-		peers = append(peers, peer.NodeName)
-	}
 	log := readconsistency.NewAckLog(delay)
 	// The number is not from c.rand, so as not to change what a seed stands for.
-	log.RequireConfirmations(peers, tuning.AckHold, rand.Uint64())
+	log.RequireConfirmations(c.settings.PeerNames(), tuning.AckHold, rand.Uint64())
 	return log
 }
--- a/internal/queue/cycle.go
+++ b/internal/queue/cycle.go
@@ -122,9 +122,10 @@
 	c.heldOn, c.heldResources = append(c.heldOn, machineName), append(c.heldResources, need)
 }
 
-// releaseHolds frees the resources held so far, and forgets the requests that could not be
-// satisfied while these were held.
+// releaseHolds frees the resources held so far and the room reserved after preemption, and forgets the
+// requests that could not be satisfied while these were held.
 func (c *schedulingCycle) releaseHolds(q *Queue) {
+	c.releaseRoom(q)
 	for i, machineName := range c.heldOn {
 		q.state.FreeResources(machineName, c.heldResources[i])
 	}
@@ -139,7 +140,6 @@
 			q.unblock(r)
 		}
 	}
-	c.releaseRoom(q)
 	c.releaseHolds(q)
 }
 
--- a/internal/queue/starvation.go
+++ b/internal/queue/starvation.go
@@ -36,7 +36,6 @@
 			delete(q.starving, jobID)
 		}
 	}
-	cycle.releaseRoom(q)
 	cycle.releaseHolds(q)
 	due := q.starvationCandidates(examined)
 	for _, job := range due[:min(len(due), tuning.MaxStarvingExamined)] {
--- a/internal/scenario/pairs_test.go
+++ b/internal/scenario/pairs_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"log/slog"
 	"testing"
 	"time"
 
@@ -227,22 +226,14 @@
 	setup func(*script),
 ) {
 	t.Helper()
-	sim := simulation.NewSimulator(randomSeed, slog.New(slog.DiscardHandler))
-	sim.WatchTasks()
-	timing := &pairDeployments[seed%len(pairDeployments)]
-	sim.LeaseS, sim.CancelS, sim.HeartbeatS = timing.LeaseS, timing.CancelS, timing.HeartbeatS
-	s := &script{t: t, sim: sim, set: baseSettings(sim)}
-	s.set.Cluster.Size = 3 + 2*(seed/2%2)
-	s.set.Cluster.Teams = []settings.Team{{Name: "team", GpusMax: 110}, {Name: "other", GpusMax: 50}}
-	sim.TeamLimits["team"], sim.TeamLimits["other"] = 110, 50
-	s.set.Operator.TaskBatching = batching
-	s.set.Cluster.State.WriteRPS = 80
-	sim.Store.RPS, sim.Store.WPS = 250, 80
-	for i := range 40 {
-		s.machines = append(s.machines, sim.Cloud.AddRunning("g4", []string{"a", "b"}[i%2], false))
-	}
-	sim.DrawNetwork()
-	sim.AddNodes(s.set.Cluster.Size, s.set)
+	s := drawnWorld{
+		seed:        randomSeed,
+		timing:      &pairDeployments[seed%len(pairDeployments)],
+		controllers: 3 + 2*(seed/2%2),
+		teams:       []settings.Team{{Name: "team", GpusMax: 110}, {Name: "other", GpusMax: 50}},
+		batching:    batching,
+	}.start(t)
+	sim := s.sim
 	s.drawJobs()
 	s.drawStaggered()
 	setup(s)
--- a/internal/scenario/soak_test.go
+++ b/internal/scenario/soak_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"log/slog"
 	"runtime"
 	"strconv"
 	"sync"
@@ -11,7 +10,6 @@
 	"time"
 
 	"github.com/harrierreel/harrierreel/internal/settings"
-	"github.com/harrierreel/harrierreel/internal/simulation"
 )
 
 // A soak plays drawn worlds one after the other. In CI it is a fixed number of them; a long run is
@@ -52,22 +50,14 @@
 // playSoakWorld plays and checks one world of four minutes.
 func playSoakWorld(t *testing.T, seed int) {
 	t.Helper()
-	sim := simulation.NewSimulator(uint64(seed)+333000, slog.New(slog.DiscardHandler))
-	sim.WatchTasks()
-	timing := &pairDeployments[seed%len(pairDeployments)]
-	sim.LeaseS, sim.CancelS, sim.HeartbeatS = timing.LeaseS, timing.CancelS, timing.HeartbeatS
-	s := &script{t: t, sim: sim, set: baseSettings(sim)}
-	s.set.Cluster.Size = 3 + 2*(seed%2)
-	s.set.Cluster.Teams = []settings.Team{{Name: "team", Gpus: 60, GpusMax: 120}, {Name: "other", Gpus: 30, GpusMax: 60}}
-	sim.TeamLimits["team"], sim.TeamLimits["other"] = 120, 60
-	s.set.Operator.TaskBatching = []settings.TaskBatching{settings.BatchingAlways, settings.BatchingWhenScarce}[seed/2%2]
-	s.set.Cluster.State.WriteRPS = 80
-	sim.Store.RPS, sim.Store.WPS = 250, 80
-	for i := range 40 {
-		s.machines = append(s.machines, sim.Cloud.AddRunning("g4", []string{"a", "b"}[i%2], false))
-	}
-	sim.DrawNetwork()
-	sim.AddNodes(s.set.Cluster.Size, s.set)
+	s := drawnWorld{
+		seed:        uint64(seed) + 333000,
+		timing:      &pairDeployments[seed%len(pairDeployments)],
+		controllers: 3 + 2*(seed%2),
+		teams:       []settings.Team{{Name: "team", Gpus: 60, GpusMax: 120}, {Name: "other", Gpus: 30, GpusMax: 60}},
+		batching:    []settings.TaskBatching{settings.BatchingAlways, settings.BatchingWhenScarce}[seed/2%2],
+	}.start(t)
+	sim := s.sim
 	s.drawJobs()
 	s.drawStaggered()
 	sim.PollInBursts(150 * time.Second)
--- a/internal/scenario/troubles_test.go
+++ b/internal/scenario/troubles_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"fmt"
-	"log/slog"
 	"strconv"
 	"testing"
 	"time"
@@ -28,20 +27,13 @@
 	for seed := *randomFaultFrom; seed < *randomFaultFrom+*randomFaultCount; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
-			sim := simulation.NewSimulator(uint64(seed), slog.New(slog.DiscardHandler))
-			sim.WatchTasks()
-			s := &script{t: t, sim: sim, set: baseSettings(sim)}
-			s.set.Cluster.Size = 5
-			s.set.Cluster.Teams = []settings.Team{{Name: "team", GpusMax: 120}, {Name: "other", GpusMax: 60}}
-			sim.TeamLimits["team"], sim.TeamLimits["other"] = 120, 60
-			s.set.Operator.TaskBatching = []settings.TaskBatching{settings.BatchingAlways, settings.BatchingWhenScarce}[seed%2]
-			s.set.Cluster.State.WriteRPS = 80
-			sim.Store.RPS, sim.Store.WPS = 250, 80
-			for i := range 40 {
-				s.machines = append(s.machines, sim.Cloud.AddRunning("g4", []string{"a", "b"}[i%2], false))
-			}
-			sim.DrawNetwork()
-			sim.AddNodes(5, s.set)
+			s := drawnWorld{
+				seed:        uint64(seed),
+				controllers: 5,
+				teams:       []settings.Team{{Name: "team", GpusMax: 120}, {Name: "other", GpusMax: 60}},
+				batching:    []settings.TaskBatching{settings.BatchingAlways, settings.BatchingWhenScarce}[seed%2],
+			}.start(t)
+			sim := s.sim
 			s.drawJobs()
 			for sim.RunUntil(10 * time.Second); sim.At() < 150*time.Second; {
 				s.drawFault()
