--- a/internal/preempt/preempt.go
+++ b/internal/preempt/preempt.go
@@ -23,7 +23,9 @@
 	// Entitled is the node of the quota tree whose guarantee covers the task, or negative if there
 	// is none.
 	Entitled int
-	Account  *quota.Account
+	// Account holds the usage of the tasks that run and are not being stopped. Victims changes it
+	// tentatively.
+	Account *quota.Account
 	// Zones counts the tasks of the waiting task's job by zone.
 	Zones map[string]int
 	// OnlyWithImage excludes machines that do not have the task's image cached.
@@ -80,7 +82,7 @@
 		if free.Fits(need) {
 			return nil
 		}
-		victims, ok := fewestVictims(need, free, preemptible)
+		victims, ok := search.fewestVictims(state, need, free, preemptible)
 		if next := (option{victims, hasImage}); ok && next.betterThan(best) {
 			best = next
 		}
@@ -105,13 +107,22 @@
 	case spec.IsGang():
 		return false
 	case spec.PriorityOrder() > s.Priority:
-		return true
+		return !s.wouldBePreemptedBack(state, spec)
 	case s.Entitled < 0 || spec.Kind == jobs.Service:
 		return false
 	}
 	return s.Account.MayPreempt(s.Entitled, state.QuotaLeaf(spec), spec.Amount())
 }
 
+// wouldBePreemptedBack reports whether a task of lower priority could in turn preempt the waiting
+// task: a guarantee covers it, while none covers the waiting task, which is no replica.
+func (s *Search) wouldBePreemptedBack(state *clusterstate.State, spec *jobs.Spec) bool {
+	if s.Entitled >= 0 || s.Task.Job.Record.Spec.Kind == jobs.Service {
+		return false
+	}
+	return s.Account.Entitled(state.QuotaLeaf(spec), spec.Amount(), 0) >= 0
+}
+
 // freeAndPreemptible returns the capacity that will be free on a machine once its stopping tasks
 // have ended, and the preemptible tasks on it. The youngest come first, because they lose the least
 // work.
@@ -139,13 +150,31 @@
 	return free, preemptible
 }
 
-// fewestVictims returns the first preemptible tasks, as many as must be stopped until need fits. It
+// fewestVictims returns the first preemptible tasks, as many as must be stopped until need fits. Each
+// must be preemptible without those before it, too: a team is not brought below its guarantee. It
 // returns false if need does not fit even without all of them.
-func fewestVictims(need, free sharding.Resources, preemptible []*clusterstate.Task) ([]*clusterstate.Task, bool) {
-	for i, t := range preemptible {
+func (s *Search) fewestVictims(
+	state *clusterstate.State, need, free sharding.Resources, preemptible []*clusterstate.Task,
+) ([]*clusterstate.Task, bool) {
+	var victims []*clusterstate.Task
+	defer func() { s.charge(victims, 1) }()
+	for _, t := range preemptible {
+		if !s.isPreemptible(state, t) {
+			continue
+		}
+		victims = append(victims, t)
+		s.charge(victims[len(victims)-1:], -1)
 		if free = free.Add(t.Job.Record.Spec.Resources()); free.Fits(need) {
-			return slices.Clone(preemptible[:i+1]), true
+			return slices.Clone(victims), true
 		}
 	}
 	return nil, false
 }
+
+// charge adds tasks to the account, count times each.
+func (s *Search) charge(tasks []*clusterstate.Task, count int) {
+	for _, t := range tasks {
+		spec := &t.Job.Record.Spec
+		s.Account.Charge(spec.QuotaKey(), spec.Amount(), count)
+	}
+}
--- a/internal/queue/cycle.go
+++ b/internal/queue/cycle.go
@@ -27,6 +27,7 @@
 	newlyHeldCount          int                             // machines newly chosen to be held
 	accumulatedShare        float64                         // capacity held for large gangs, in machines
 	loans                   cycleLoans                      // capacity reserved for loans
+	room                    []*roomReservation              // capacity made by preemption, for its beneficiaries
 	decisions               []decide.Decision
 	rounds                  schedulingRounds
 	schedulableMachineCache []*clusterstate.Machine // machines that the leader may propose; nil if not listed yet
@@ -91,6 +92,7 @@
 		quotaLeavesAtLimit: map[int]bool{},
 		unplaceable:        map[string][]unplaceableRequest{},
 		stopping:           map[*clusterstate.Task]bool{},
+		room:               q.preemptedRoom(),
 	}
 	// A gang whose machines are being claimed has been granted its quota already. If other tasks
 	// used it, the gang would lack it or exceed its team's limit.
@@ -137,6 +139,7 @@
 			q.unblock(r)
 		}
 	}
+	c.releaseRoom(q)
 	c.releaseHolds(q)
 }
 
--- a/internal/queue/lending.go
+++ b/internal/queue/lending.go
@@ -243,7 +243,7 @@
 		Machine:   plan.Machine,
 		BeganMs:   q.state.NowMs(),
 	}
-	q.preemptions[task.ID] = pendingPreemption{q.state.Now.Add(tuning.PreemptInterval), onlyCached}
+	q.preemptions[task.ID] = pendingPreemption{until: q.state.Now.Add(tuning.PreemptInterval), onCachedImage: onlyCached}
 	zones[q.state.Machines[plan.Machine].Zone]++                  // so that tasks placed later in the cycle see it
 	cycle.hold(q, plan.Machine, task.Job.Record.Spec.Resources()) // no other task may use this capacity
 	cycle.decisions = append(cycle.decisions, decision)
--- a/internal/queue/preempt.go
+++ b/internal/queue/preempt.go
@@ -7,6 +7,7 @@
 	"github.com/harrierreel/harrierreel/internal/clusterstate"
 	"github.com/harrierreel/harrierreel/internal/decide"
 	"github.com/harrierreel/harrierreel/internal/jobs"
+	"github.com/harrierreel/harrierreel/internal/lending"
 	"github.com/harrierreel/harrierreel/internal/preempt"
 	"github.com/harrierreel/harrierreel/internal/quotareclaim"
 	"github.com/harrierreel/harrierreel/internal/tuning"
@@ -16,6 +17,8 @@
 type pendingPreemption struct {
 	until         time.Time // no other preemption for the task before this time
 	onCachedImage bool      // it frees a machine that has the task's image cached
+	machine       string    // the machine on which capacity is freed, "" where quota is reclaimed
+	entitled      bool      // a guarantee covers the task
 }
 
 // hasPlacedBelowPriority reports whether a task of a lower priority is placed on any machine.
@@ -72,7 +75,7 @@
 		Task:          task,
 		Priority:      waiting.Priority,
 		Entitled:      waiting.Entitled,
-		Account:       cycle.account,
+		Account:       lending.AccountWithoutStopping(q.state, q.state.Account, cycle.stopping),
 		Zones:         q.state.TasksByZone(task.Job),
 		OnlyWithImage: onlyCached,
 		CanPlaceOn:    func(m *clusterstate.Machine) bool { return q.canSchedule(task, m) },
@@ -80,18 +83,23 @@
 		Stopping:      cycle.stopping,
 	})
 	stop := jobs.TaskEvent{Kind: jobs.Stop, Reason: "makes room for " + task.ID}
-	stopped := false
+	stoppedOn := ""
 	for _, victim := range victims {
 		if next, ok := jobs.NextTask(victim.Task, stop); ok {
 			cycle.decisions = append(cycle.decisions, decide.Decision{Changes: decide.TransitionTask(victim, next)})
 			cycle.stopping[victim] = true
-			stopped = true
+			stoppedOn = victim.Machine
 		}
 	}
-	if stopped {
-		q.preemptions[task.ID] = pendingPreemption{q.state.Now.Add(tuning.PreemptInterval), onlyCached}
+	if stoppedOn != "" {
+		q.preemptions[task.ID] = pendingPreemption{
+			until:         q.state.Now.Add(tuning.PreemptInterval),
+			onCachedImage: onlyCached,
+			machine:       stoppedOn,
+			entitled:      waiting.isEntitled(),
+		}
 	}
-	return stopped
+	return stoppedOn != ""
 }
 
 // awaitCachedMachine reports whether a task should wait briefly for capacity on a machine that has
--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -95,6 +95,7 @@
 		answeredAt: sim.Now,
 	}
 	sim.Agents[machine.ID] = ag
+	sim.replacements.factsChanged()
 	var loop func()
 	loop = func() {
 		if ag.dead {
@@ -112,6 +113,7 @@
 		ag.dead = true
 		ag.tasks = map[string]*agentTask{}
 		delete(sim.Agents, id)
+		sim.replacements.factsChanged()
 	}
 }
 
@@ -135,6 +137,7 @@
 	ag.tasks, ag.reaped = map[string]*agentTask{}, map[string]bool{}
 	ag.agentEpoch++
 	ag.fencingToken, ag.answeredAt, ag.changed = 0, ag.sim.Now, true
+	ag.sim.replacements.factsChanged()
 }
 
 // Empty reports whether the agent holds no task in any state.
@@ -150,6 +153,7 @@
 	ag.Hung = false
 	q := ag.queue
 	ag.queue = nil
+	ag.sim.replacements.factsChanged()
 	if ag.dead {
 		return
 	}
@@ -420,6 +424,7 @@
 			}
 		case "stop":
 			if task != nil && task.status != statusEnded {
+				ag.sim.replacements.taskStopped(task.taskID, ag.machine.ID)
 				ag.stop(task, c.GracePeriodS)
 			}
 		case "reap":
@@ -492,6 +497,7 @@
 		sim.Launched(c.TaskID)
 	}
 	sim.fireEvent(Launched)
+	sim.taskLaunched(c.TaskID, ag.machine.ID)
 	ag.pullImage(task)
 }
 
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -54,6 +54,7 @@
 	pollBurstsUntil time.Time // see PollInBursts
 	cancelAtEnd     faultRate // share of jobs that are cancelled as they end
 	BurstAnswers    int       // answers to polls of bursts
+	replacements    replacementWatch
 	// Polls counts users' questions about jobs. A question asked is counted in the PollCounts that
 	// was set at that time.
 	Polls *PollCounts
@@ -173,6 +174,7 @@
 		gossipRNG:     rand.New(rand.NewPCG(seed, 2)),
 		linkRNG:       rand.New(rand.NewPCG(seed, 3)),
 		Polls:         &PollCounts{},
+		replacements:  newReplacementWatch(),
 		Log:           log,
 		cuts:          map[string]cutMode{},
 		requestDelays: map[string]*requestDelay{},
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -453,6 +453,7 @@
 	}
 	for _, wr := range t.Writes {
 		s.Writes++
+		s.sim.replacements.storeChanged(wr.Write + wr.Remove)
 		if s.Committed != nil {
 			s.Committed(wr.Write+wr.Remove, wr.Value)
 		}
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -92,6 +92,7 @@
 	sim.Jobs[j.ID] = j
 	j.Done = map[int]bool{}
 	j.AnsweredAt, j.SubmittedAt = sim.Now, sim.Now
+	sim.replacements.factsChanged()
 	sim.pollBurst(j, burstWithin)
 	var submit func()
 	submit = func() {
@@ -236,6 +237,7 @@
 func (sim *Simulator) Cancel(j *Job) {
 	if j.CancelRequested = true; j.CancelOpenSince.IsZero() {
 		j.CancelOpenSince = sim.Now
+		sim.replacements.factsChanged()
 	}
 	sim.request("POST", "/work/"+j.ID+"/abort", nil, func(status int, b []byte, err error) {
 		if err != nil || status != 200 {
