--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -56,6 +56,15 @@
 	return out
 }
 
+// Joined returns the names of members of the next view that v does not contain, or contains with
+// another incarnation. It returns all of them if there is no view yet (v is nil).
+func (v *View) Joined(next *View) []string {
+	if v == nil {
+		return next.Names()
+	}
+	return next.Removed(v)
+}
+
 // HasMembers reports whether the view has exactly these members, in this order.
 func (v *View) HasMembers(members []Member) bool { return slices.Equal(v.Members, members) }
 
--- a/internal/members/view_test.go
+++ b/internal/members/view_test.go
@@ -1,6 +1,9 @@
 package members
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 func view(leader string, epoch uint64, members ...Member) *View {
 	return &View{Leader: leader, Members: members, Epoch: epoch}
@@ -143,3 +146,14 @@
 		t.Error("members removed although there was no view")
 	}
 }
+
+func TestJoinedReturnsAddedAndRestartedMembers(t *testing.T) {
+	next := &View{Members: []Member{{"a", 1}, {"b", 9}, {"c", 3}}}
+	got := (&View{Members: []Member{{"a", 1}, {"b", 2}, {"d", 4}}}).Joined(next)
+	if !slices.Equal(got, []string{"b", "c"}) {
+		t.Errorf("joined: %v", got)
+	}
+	if got := (*View)(nil).Joined(next); !slices.Equal(got, []string{"a", "b", "c"}) {
+		t.Errorf("joined the first view: %v", got)
+	}
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -66,11 +66,18 @@
 		return
 	}
 	unanswered := m.unansweredProbes
+	previous := m.cluster.View()
 	m.commitView(m.viewTxn(next, unanswered), func() {
 		if len(unanswered) > 0 {
 			m.config.Log.Info("members removed from view", "members", unanswered, "reason", "probe unanswered")
 		}
-		m.config.Log.Info("view changed", "epoch", next.Epoch, "leader", next.Leader, "members", len(next.Members))
+		m.config.Log.Info("view changed",
+			"epoch", next.Epoch,
+			"leader", next.Leader,
+			"members", len(next.Members),
+			"joined", previous.Joined(next),
+			"left", previous.Removed(next),
+		)
 	})
 }
 
