scenario: play takes its options as a struct, the seed among them

Change: playOptions (batching, seed, observers) in place of play and playObserved. Nothing else reads it yet.

--- a/internal/scenario/calendar_test.go
+++ b/internal/scenario/calendar_test.go
@@ -146,7 +146,7 @@
 					if err := os.WriteFile(file, []byte(strings.TrimSpace(text)), 0o600); err != nil {
 						t.Fatal(err)
 					}
-					play(t, file, settings.BatchingAlways, nil)
+					play(t, file, playOptions{batching: settings.BatchingAlways})
 				})
 			}
 		}
--- a/internal/scenario/messages_test.go
+++ b/internal/scenario/messages_test.go
@@ -155,7 +155,7 @@
 	played := make(chan struct{})
 	go func() { // a failing scenario calls runtime.Goexit, which must end this goroutine only
 		defer close(played)
-		playObserved(&logOnlyTB{t}, file, batching, nil, func(m simulation.Message) {
+		observe := func(m simulation.Message) {
 			count++
 			if m.Kind == simulation.GossipSent || m.Kind == simulation.GossipReceived {
 				m.Body = order.replace(m.Body)
@@ -163,7 +163,8 @@
 			// A hash never fails; Flush reports the errors of the file.
 			_, _ = fmt.Fprintf(out, "%d %s %s %d %s %s %s %d %d %d %v %s\n",
 				m.At, m.Node, m.Kind, m.Number, m.Party, m.Method, m.Target, m.Timeout, m.Status, m.RetryAfter, m.Err, m.Body)
-		})
+		}
+		play(&logOnlyTB{t}, file, playOptions{batching: batching, messages: observe})
 	}()
 	<-played
 	if why := nondeterministic[name]; why != "" {
--- a/internal/scenario/recorded_test.go
+++ b/internal/scenario/recorded_test.go
@@ -70,9 +70,12 @@
 func decisions(t *testing.T, name string) (sum string, commits int) {
 	t.Helper()
 	h := blake3.New(16, nil)
-	play(t, filepath.Join("testdata", name+".txt"), settings.BatchingWhenScarce, func(key string, v json.RawMessage) {
-		commits++
-		_, _ = fmt.Fprintf(h, "%s %s\n", key, v) // a hash never fails
+	play(t, filepath.Join("testdata", name+".txt"), playOptions{
+		batching: settings.BatchingWhenScarce,
+		committed: func(key string, v json.RawMessage) {
+			commits++
+			_, _ = fmt.Fprintf(h, "%s %s\n", key, v) // a hash never fails
+		},
 	})
 	return hex.EncodeToString(h.Sum(nil)), commits
 }
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -7,6 +7,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -34,7 +35,7 @@
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt"), func(t *testing.T) {
 			t.Parallel()
-			play(t, f, settings.BatchingWhenScarce, nil)
+			play(t, f, playOptions{batching: settings.BatchingWhenScarce})
 		})
 		if exceedsWriteRate(t, f) {
 			continue
@@ -42,7 +43,7 @@
 		// The scenario must also pass with batching forced on.
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".txt")+"-packed", func(t *testing.T) {
 			t.Parallel()
-			play(t, f, settings.BatchingAlways, nil)
+			play(t, f, playOptions{batching: settings.BatchingAlways})
 		})
 	}
 }
@@ -92,33 +93,33 @@
 	crashedLeaders  int              // leaders killed by end-as-it-leads
 }
 
-// play runs a scenario file and checks the invariants. committed, if given, is called for
-// each write of a committed transaction.
-func play(t *testing.T, file string, batching settings.TaskBatching, committed func(key string, v json.RawMessage)) {
-	t.Helper()
-	playObserved(t, file, batching, committed, nil)
+// scenarioSeed is the seed of a scenario's random numbers unless its playOptions have another.
+const scenarioSeed = 7
+
+// playOptions says how play runs a scenario.
+type playOptions struct {
+	batching settings.TaskBatching
+	seed     uint64 // scenarioSeed if 0
+	// committed, if given, is called for each write of a committed transaction. The scenario then
+	// ends with the last line of its file.
+	committed func(key string, v json.RawMessage)
+	// messages, if given, is called for each message that a controller sends or receives.
+	messages func(simulation.Message)
 }
 
-// playObserved is play with messages, which, if given, is called for each message that a
-// controller sends or receives.
-func playObserved(
-	tb testing.TB,
-	file string,
-	batching settings.TaskBatching,
-	committed func(key string, v json.RawMessage),
-	messages func(simulation.Message),
-) {
+// play runs a scenario file and checks the invariants.
+func play(tb testing.TB, file string, options playOptions) {
 	tb.Helper()
 	f, err := os.Open(file)
 	if err != nil {
 		tb.Fatal(err)
 	}
 	defer func() { _ = f.Close() }() // only read
-	s := newScript(tb, batching)
-	s.sim.Store.Committed, s.sim.Messages = committed, messages
+	s := newScript(tb, options.batching, cmp.Or(options.seed, scenarioSeed))
+	s.sim.Store.Committed, s.sim.Messages = options.committed, options.messages
 	s.playLines(f, filepath.Base(file))
 	s.checkTriggersFired()
-	if committed == nil { // a recording ends with the last line of the file
+	if options.committed == nil {
 		s.sim.CheckRecovery()
 		if !s.skipServedCheck {
 			s.sim.CheckServed(s.inTime)
@@ -134,7 +135,7 @@
 
 // newScript returns a scenario with the default settings. If SCENARIO_LOG is set, its controllers
 // log to standard error.
-func newScript(tb testing.TB, batching settings.TaskBatching) *script {
+func newScript(tb testing.TB, batching settings.TaskBatching, seed uint64) *script {
 	tb.Helper()
 	log := slog.New(slog.DiscardHandler)
 	if os.Getenv("SCENARIO_LOG") != "" {
@@ -145,7 +146,7 @@
 		nodeCount: 3,
 		vars:      map[string]string{},
 		applied:   map[string]int{},
-		sim:       simulation.NewSimulator(7, log),
+		sim:       simulation.NewSimulator(seed, log),
 	}
 	s.sim.WatchTasks()
 	s.set = baseSettings(s.sim)
