A leader that has restarted leaves its replacement to the members of the view

Each change is a new fencing token for every machine and, where the leader changes, all of its checks anew.

Cause: when the leader's process is back, the answer to the write of its new member key tells it, before the watch tells the members, that the leader of the view is gone, which any live controller may then replace. It knows of none of its restarts, and a controller never holds itself back, so it led again. The members, who count its restarts, had no say.

Change: for tuning.TakeoverDeference after its start a controller outside the view leaves the replacement of a lost leader to members of the view that have their keys and can be reached. Where there is none it leads at once, as before; where none acts, after that second. The members have seen the restarts, so the pauses hold whatever the order of messages.

--- a/internal/members/restart_backoff.go
+++ b/internal/members/restart_backoff.go
@@ -20,7 +20,8 @@
 // of the view, and a new fencing token for every machine. A member is admitted at once after its
 // first restart, and after further ones only when it has been up for a pause that doubles each
 // time. The state is kept in memory only: a controller that has just started knows of no restarts,
-// and at worst admits a member once too often. Not safe for concurrent use; only the event loop
+// its own included, and therefore leaves the replacement of a lost leader to live members of the
+// view for a while (ViewInputs.RecentlyStarted). Not safe for concurrent use; only the event loop
 // uses it.
 type RestartBackoff map[string]*restartHistory
 
@@ -43,6 +44,15 @@
 	history.incarnation, history.since = incarnation, now
 }
 
+// Uptime returns how long the incarnation in a member's key has been known, 0 for an unknown member.
+func (b RestartBackoff) Uptime(name string, now time.Time) time.Duration {
+	history := b[name]
+	if history == nil {
+		return 0
+	}
+	return now.Sub(history.since)
+}
+
 // Pause returns how long a member must have been up before it is admitted to the view.
 func (b RestartBackoff) Pause(name string) time.Duration {
 	history := b[name]
@@ -54,5 +64,5 @@
 
 // Blocked reports whether a member must not be admitted yet.
 func (b RestartBackoff) Blocked(name string, now time.Time) bool {
-	return b[name] != nil && now.Sub(b[name].since) < b.Pause(name)
+	return b.Uptime(name, now) < b.Pause(name)
 }
--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -113,12 +113,15 @@
 	MemberKeys  map[string]uint64 // incarnation by name
 	Unreachable map[string]bool   // members that agents cannot reach
 	BackingOff  map[string]bool   // members that restart repeatedly and are not admitted yet
+	// RecentlyStarted is set until this controller has been up for tuning.TakeoverDeference.
+	RecentlyStarted bool
 }
 
 // NextView returns the view that this controller should write now, or nil. Normally the leader
-// writes it. If the leader's member key is gone or belongs to another incarnation, or if agents
-// cannot reach the leader, any live member may write it; the precondition on the view's revision
-// lets only one of them succeed.
+// writes it. If the leader is lost, any live controller may write it; the precondition on the view's
+// revision lets only one of them succeed. A controller that has recently started leaves it to the
+// live members of the view: it knows of no restarts, and a leader that keeps restarting would
+// readmit itself each time.
 func NextView(in ViewInputs) *View {
 	if in.Incarnation == 0 || in.MemberKeys[in.Name] != in.Incarnation {
 		return nil
@@ -160,11 +163,25 @@
 // mayChangeView reports whether this controller should replace the view by one with these members,
 // and whether that would change anything.
 func (in ViewInputs) mayChangeView(live []Member) bool {
-	if !in.View.leaderAlive(in.MemberKeys) {
-		return true
+	if in.leaderLost() {
+		return !in.defersToMembers()
 	}
-	if in.View.Leader == in.Name {
-		return !in.View.HasMembers(live)
+	return in.View.Leader == in.Name && !in.View.HasMembers(live)
+}
+
+// leaderLost reports whether the leader's member key is gone or belongs to another incarnation, or
+// agents cannot reach the leader.
+func (in ViewInputs) leaderLost() bool {
+	return !in.View.leaderAlive(in.MemberKeys) || in.Unreachable[in.View.Leader]
+}
+
+// defersToMembers reports whether this controller leaves the replacement of a lost leader to a live
+// member of the view.
+func (in ViewInputs) defersToMembers() bool {
+	if !in.RecentlyStarted || in.View.Incarnation(in.Name) == in.Incarnation {
+		return false
 	}
-	return in.Unreachable[in.View.Leader]
+	return slices.ContainsFunc(in.View.Members, func(m Member) bool {
+		return in.MemberKeys[m.Name] == m.Incarnation && !in.Unreachable[m.Name]
+	})
 }
--- a/internal/members/view_test.go
+++ b/internal/members/view_test.go
@@ -56,6 +56,42 @@
 		},
 		want: view("a", 5, Member{"a", 7}, b2),
 	},
+	"a leader that has just restarted leaves its replacement to a live member": {
+		inputs: ViewInputs{
+			Name: "a", Incarnation: 7,
+			MemberKeys:      map[string]uint64{"a": 7, "b": 2},
+			View:            view("a", 4, a1, b2),
+			RecentlyStarted: true,
+		},
+	},
+	"a member that has just started replaces a restarted leader and admits it": {
+		inputs: ViewInputs{
+			Name: "b", Incarnation: 2,
+			MemberKeys:      map[string]uint64{"a": 7, "b": 2},
+			View:            view("a", 4, a1, b2),
+			RecentlyStarted: true,
+		},
+		want: view("b", 5, Member{"a", 7}, b2),
+	},
+	"a leader that has just restarted leads if all members have restarted": {
+		inputs: ViewInputs{
+			Name: "a", Incarnation: 7,
+			MemberKeys:      map[string]uint64{"a": 7, "b": 9, "c": 3},
+			View:            view("a", 4, a1, b2),
+			RecentlyStarted: true,
+		},
+		want: view("a", 5, Member{"a", 7}, Member{"b", 9}, c3),
+	},
+	"a leader that has just restarted leads if agents cannot reach the members": {
+		inputs: ViewInputs{
+			Name: "a", Incarnation: 7,
+			MemberKeys:      map[string]uint64{"a": 7, "b": 2},
+			View:            view("a", 4, a1, b2),
+			Unreachable:     map[string]bool{"b": true},
+			RecentlyStarted: true,
+		},
+		want: view("a", 5, Member{"a", 7}),
+	},
 	"a controller without a member key writes no view": {
 		inputs: ViewInputs{
 			Name: "b", Incarnation: 2,
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -29,13 +29,15 @@
 	for name := range m.memberKeys {
 		backingOff[name] = m.backoff.Blocked(name, m.state.Now)
 	}
+	uptime := m.backoff.Uptime(m.config.Name, m.state.Now)
 	return members.NextView(members.ViewInputs{
-		Name:        m.config.Name,
-		Incarnation: m.leaseID,
-		View:        m.cluster.View(),
-		MemberKeys:  m.candidates(),
-		Unreachable: unreachable,
-		BackingOff:  backingOff,
+		Name:            m.config.Name,
+		Incarnation:     m.leaseID,
+		View:            m.cluster.View(),
+		MemberKeys:      m.candidates(),
+		Unreachable:     unreachable,
+		BackingOff:      backingOff,
+		RecentlyStarted: uptime < tuning.TakeoverDeference,
 	})
 }
 
--- a/internal/membership/view_test.go
+++ b/internal/membership/view_test.go
@@ -170,3 +170,22 @@
 		t.Error("the removed controller kept its incarnation")
 	}
 }
+
+// A leader that has restarted observes its new incarnation before the members do. It must still
+// leave its replacement to them, and lead again only if none of them acts.
+func TestRestartedLeaderLeavesItsReplacementToMembers(t *testing.T) {
+	r := newRemovalFixture(t)
+	former := members.View{Leader: "n0", Epoch: 4, Members: []members.Member{
+		{Name: "n0", Incarnation: 9},
+		{Name: "n1", Incarnation: 11},
+	}}
+	r.put(members.ViewKey, former, 105)
+	r.advance(0)
+	r.advance(tuning.TakeoverDeference - time.Millisecond)
+	r.wantSent(0, "n1 is live")
+	r.advance(time.Millisecond)
+	r.wantSent(1, "n1 has not replaced the leader")
+	if next, _ := members.Decode(r.sent[0].Writes[0].Value); next == nil || next.Leader != "n0" || next.Epoch != 5 {
+		t.Errorf("transaction that changes the view: %+v", r.sent[0])
+	}
+}
--- a/internal/tuning/membership.go
+++ b/internal/tuning/membership.go
@@ -66,6 +66,11 @@
 	RejoinPause = time.Second
 	// MaxRejoinPause is the maximum of RejoinPause after doubling.
 	MaxRejoinPause = 8 * time.Second
+	// TakeoverDeference is how long after its start a controller outside the view leaves the
+	// replacement of a lost leader to live members of the view. They need a watch response and a
+	// transaction for it, unless they are stalled, or have ended as well and their leases have not
+	// expired yet.
+	TakeoverDeference = time.Second
 	// WarmStandbys is the number of followers that are kept ready to lead at once.
 	WarmStandbys = 2
 	// MaxLeaderLag is the lag of its event loop or its watch from which a leader counts as behind.
