--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -113,7 +113,7 @@
 	MemberKeys  map[string]uint64 // incarnation by name
 	Unreachable map[string]bool   // members that agents cannot reach
 	BackingOff  map[string]bool   // members that restart repeatedly and are not admitted yet
-	// RecentlyStarted is set until this controller has been up for tuning.TakeoverDeference.
+	// RecentlyStarted is set until this incarnation has been up for tuning.TakeoverDeference.
 	RecentlyStarted bool
 }
 
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -160,16 +160,7 @@
 // NewSimulator returns an empty simulation whose random numbers are all derived from seed.
 func NewSimulator(seed uint64, log *slog.Logger) *Simulator {
 	sim := &Simulator{
-		Start: time.Date(
-			2030,
-			1,
-			1,
-			0,
-			0,
-			0,
-			0,
-			time.UTC,
-		),
+		Start:         time.Date(2030, time.January, 1, 0, 0, 0, 0, time.UTC),
 		RNG:           rand.New(rand.NewPCG(seed, 1)),
 		gossipRNG:     rand.New(rand.NewPCG(seed, 2)),
 		linkRNG:       rand.New(rand.NewPCG(seed, 3)),
--- a/internal/tuning/membership.go
+++ b/internal/tuning/membership.go
@@ -66,8 +66,8 @@
 	RejoinPause = time.Second
 	// MaxRejoinPause is the maximum of RejoinPause after doubling.
 	MaxRejoinPause = 8 * time.Second
-	// TakeoverDeference is how long after its start a controller outside the view leaves the
-	// replacement of a lost leader to live members of the view. They need a watch response and a
+	// TakeoverDeference is how long a new incarnation of a controller, not in the view yet, leaves
+	// the replacement of a lost leader to live members of the view. They need a watch response and a
 	// transaction for it, unless they are stalled, or have ended as well and their leases have not
 	// expired yet.
 	TakeoverDeference = time.Second
