members: one answer to whether a controller of the view can lead

The fix of the restarted leader wrote the check of a live member beside that of a live leader, and RoleOf's once more. canLead serves both, RoleOf tells who is outside.

--- a/internal/members/view.go
+++ b/internal/members/view.go
@@ -68,13 +68,6 @@
 // HasMembers reports whether the view has exactly these members, in this order.
 func (v *View) HasMembers(members []Member) bool { return slices.Equal(v.Members, members) }
 
-// leaderAlive reports whether the leader still has a member key with the incarnation that the view
-// lists.
-func (v *View) leaderAlive(memberKeys map[string]uint64) bool {
-	incarnation := v.Incarnation(v.Leader)
-	return incarnation != 0 && memberKeys[v.Leader] == incarnation
-}
-
 // Decode decodes a stored view. It returns false if the value is not a valid view.
 func Decode(b []byte) (*View, bool) {
 	var v View
@@ -169,19 +162,21 @@
 	return in.View.Leader == in.Name && !in.View.HasMembers(live)
 }
 
-// leaderLost reports whether the leader's member key is gone or belongs to another incarnation, or
-// agents cannot reach the leader.
-func (in ViewInputs) leaderLost() bool {
-	return !in.View.leaderAlive(in.MemberKeys) || in.Unreachable[in.View.Leader]
-}
+// leaderLost reports whether the leader of the view is no longer able to lead.
+func (in ViewInputs) leaderLost() bool { return !in.canLead(in.View.Leader) }
 
 // defersToMembers reports whether this controller leaves the replacement of a lost leader to a live
 // member of the view.
 func (in ViewInputs) defersToMembers() bool {
-	if !in.RecentlyStarted || in.View.Incarnation(in.Name) == in.Incarnation {
+	if !in.RecentlyStarted || RoleOf(in.View, in.Name, in.Incarnation) != Outside {
 		return false
 	}
-	return slices.ContainsFunc(in.View.Members, func(m Member) bool {
-		return in.MemberKeys[m.Name] == m.Incarnation && !in.Unreachable[m.Name]
-	})
+	return slices.ContainsFunc(in.View.Names(), in.canLead)
+}
+
+// canLead reports whether a controller is in the view, still has a member key with the incarnation
+// that the view lists, and can be reached by agents.
+func (in ViewInputs) canLead(name string) bool {
+	incarnation := in.View.Incarnation(name)
+	return incarnation != 0 && in.MemberKeys[name] == incarnation && !in.Unreachable[name]
 }
