review: the protocol's job path stands in one place

Questions about a job were written out with the protocol's path in five places that read like paths of a machine. Nothing else changes.

--- a/review/harness/users.go
+++ b/review/harness/users.go
@@ -13,6 +13,12 @@
 	pollTimeout = 2 * time.Second
 )
 
+// JobsPath is the protocol's path of submissions.
+const JobsPath = "/work"
+
+// JobPath returns the protocol's path of questions about a job.
+func JobPath(id string) string { return JobsPath + "/" + id }
+
 // Status is what a user is told of a job.
 type Status struct {
 	Code    int
