--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -48,7 +48,9 @@
 	CloudRPS  float64
 	ListLagS  float64
 	Types     []MachineType
-	Machines  []Machine
+	Machines  []Machine  // that run at the start
+	Capacity  []Capacity // of the cloud, those that run at the start included
+	Boot      time.Duration
 	Cores     float64
 	MemoryMB  float64
 	FdLimit   int
@@ -93,6 +95,39 @@
 	}
 }
 
+// VoltaCluster returns the deployment volta-cluster of BRIEF, with the ordinary machines of its site file.
+func VoltaCluster() Options {
+	zones := []string{"brescia", "bergamo", "cloud-milano"}
+	options := Options{
+		Zones: zones,
+		Teams: []Team{
+			{Name: "stazioni", Gpus: 16, GpusMax: 40},
+			{Name: "modelli", Gpus: 24, GpusMax: 64},
+			{Name: "flotta", Gpus: 8, GpusMax: 40},
+			{Name: "impianti", Gpus: 16, GpusMax: 48},
+		},
+		Times: Times{ReportS: 3, LeaseS: 38, GangWaitS: 40, GangPeerS: 6, CancelS: 63},
+		RPS:   200, WPS: 60, ValueKB: 8, TxnOps: 16, CloudRPS: 3, ListLagS: 8,
+		Types: []MachineType{
+			{
+				Name: "piccola", Cores: 16, Accelerators: 2, MemoryGB: 96, CacheGB: 120, PullGBPerS: 1,
+				Hourly: 6.66, LowPrice: 2.59, ReadyS: 35, Sites: zones,
+			},
+			{
+				Name: "grossa", Cores: 96, Accelerators: 8, MemoryGB: 768, CacheGB: 80, PullGBPerS: 0.5,
+				Hourly: 25.84, LowPrice: 10.41, ReadyS: 25, Sites: zones,
+			},
+		},
+		Cores: 0.24, MemoryMB: 234, FdLimit: 3000, Boot: 2 * time.Second,
+		LogLevel: "info", Limit: 118 * time.Second, ClientTTL: 5 * time.Second,
+	}
+	for i, count := range []int{6, 5, 3} { // piccola, by zone; one grossa in each
+		options.Capacity = append(options.Capacity,
+			Capacity{Machine{0, zones[i]}, count}, Capacity{Machine{1, zones[i]}, 1})
+	}
+	return options
+}
+
 // Node is a controller.
 type Node struct {
 	Name, Zone string
@@ -108,12 +143,11 @@
 
 // Rig is a deployment that runs.
 type Rig struct {
-	Record  *Record
-	Times   Times
-	Nodes   []*Node
-	Store   *Store
-	Cloud   *Cloud
-	Workers []*Worker
+	Record *Record
+	Times  Times
+	Nodes  []*Node
+	Store  *Store
+	Cloud  *Cloud
 
 	options      Options
 	folder       string // temporary
@@ -147,7 +181,7 @@
 		jobs: map[string]*Job{}, ready: map[string]map[int]bool{}, begun: map[string]time.Time{},
 		rules: newRules(),
 	}
-	r.Cloud = &Cloud{record: record, types: options.Types, started: time.Now()}
+	r.Cloud = &Cloud{rig: r, rentals: map[string][]string{}}
 	if r.folder, err = os.MkdirTemp("", "rig"); err != nil {
 		return nil, err
 	}
@@ -160,15 +194,10 @@
 	if err = r.startNodes(); err != nil {
 		return r, err
 	}
-	for i, machine := range options.Machines {
-		worker, err := newWorker(r, fmt.Sprintf("i-%06d", i+1), options.Types[machine.Type], machine.Zone)
-		if err != nil {
-			return r, err
-		}
-		r.Workers = append(r.Workers, worker)
-	}
 	r.Cloud.mu.Lock()
-	r.Cloud.workers = slices.Clone(r.Workers)
+	for _, machine := range options.Machines {
+		r.Cloud.add(machine, 0)
+	}
 	r.Cloud.mu.Unlock()
 	return r, r.awaitReady()
 }
@@ -339,7 +368,7 @@
 			}
 		}
 	}
-	for _, worker := range r.Workers {
+	for _, worker := range r.Cloud.Workers() {
 		if worker.zone == zone {
 			worker.proxy.Cut(true)
 		}
@@ -389,7 +418,9 @@
 			status, _ := Call(r.users, http.MethodGet, "http://"+node.Front+"/up", nil)
 			ready = ready && status == http.StatusOK
 		}
-		for _, worker := range r.Workers {
+		workers := r.Cloud.Workers()
+		ready = ready && len(workers) == len(r.options.Machines)
+		for _, worker := range workers {
 			ready = ready && worker.Owner() != ""
 		}
 		if ready {
@@ -410,6 +441,16 @@
 	return nil
 }
 
+// WorkerNamed returns the worker on a machine, nil if the machine isn't up.
+func (r *Rig) WorkerNamed(name string) *Worker {
+	for _, worker := range r.Cloud.Workers() {
+		if worker.Name == name {
+			return worker
+		}
+	}
+	return nil
+}
+
 // Submit sends a submission to a controller until it is accepted, at most for 20 s.
 func (r *Rig) Submit(node *Node, job Job) bool {
 	uid := text(job.Spec["uid"])
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -48,6 +48,7 @@
 	answeredAt time.Time // when the last answered report was sent
 	tokenAt    time.Time // when a higher token last counted as a change
 	hung       bool
+	sick       bool       // every task fails that it starts
 	resumed    *sync.Cond // signalled when a hang ends
 }
 
@@ -121,6 +122,14 @@
 	})
 }
 
+// Sick makes the machine fail every task that it starts from now on, or ends that.
+func (w *Worker) Sick(sick bool) {
+	w.rig.Record.Add("%s: fails every task that it starts: %v", w.Name, sick)
+	w.mu.Lock()
+	w.sick = sick
+	w.mu.Unlock()
+}
+
 // Stop ends the machine with all that is on it.
 func (w *Worker) Stop() {
 	w.mu.Lock()
@@ -212,6 +221,10 @@
 	w.images[text(job.Spec["bundle"])] = true
 	w.rig.noteStart(Start{w.Name, t.piece, t.try, time.Now()})
 	w.set(t, "running")
+	if w.sick {
+		w.end(t, "error")
+		return
+	}
 	if job.Spec["shape"] == "ensemble" && number(job.Spec["pieces"]) > 1 {
 		w.set(t, "waiting")
 		w.rig.gangReady(t.piece, t.try)
