--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,42 +1,36 @@
-// Command 6 shows a task that a controller starts after its user was told that the job is cancelled:
-// the controller stood still for 1.3 s and goes on before it has read what arrived meanwhile.
+// Command 6 shows a gang that a controller starts after its user was told that the job is cancelled:
+// its zone is cut off, so that it does not know of the cancellation.
 package main
 
 import (
 	"os"
-	"syscall"
 	"time"
 
 	"github.com/harrierreel/harrierreel/review/rig"
 )
 
 const (
-	standstill = 1300 * time.Millisecond
-	// before is how long before the launch that is held back the standstill begins.
-	before = 950 * time.Millisecond
+	zone    = "westlands"      // perch-1 and all kiondo-nodes are there
+	watched = 35 * time.Second // from the cut on, with the zone still cut off
 )
 
 func main() { os.Exit(rig.Run(os.Args[1], rig.UshangaOps(), play)) }
 
 // play plays the case and returns the exit code.
 func play(r *rig.Rig) int {
-	gang := rig.NewGang(r, r.Nodes[0])
+	gang := rig.NewGang(r, r.Nodes[0]) // the user asks outside the zone
 	if gang == nil {
 		return 2
 	}
-	owner := r.Nodes[1] // of all kiondo-nodes, by the machines' reports
-	if r.Cloud.Workers()[0].Owner() != owner.Name {
-		return 2
-	}
-	time.Sleep(time.Until(gang.Due.Add(-before)))
+	time.Sleep(time.Second)
+	cutAt := time.Now()
 	if os.Getenv("TROUBLE") != "0" {
-		r.Signal(owner, syscall.SIGSTOP)
-		time.AfterFunc(standstill, func() { r.Signal(owner, syscall.SIGCONT) })
+		r.CutZone(zone)
 	}
 	told, ok := gang.Cancel()
 	if !ok {
 		return 2
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(time.Until(cutAt.Add(watched)))
 	return gang.Judge(told)
 }
--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -8,10 +8,10 @@
 	"strings"
 )
 
-// hasSocket reports whether a process that this one started has the TCP socket with a local port on a
-// loopback address.
-func hasSocket(pid, port int) bool {
-	inode := inodeOf(port)
+// hasSocket reports whether a process that this one started has the TCP socket with a local and a remote
+// port, on loopback addresses.
+func hasSocket(pid, local, remote int) bool {
+	inode := inodeOf(local, remote)
 	if inode == "" {
 		return false
 	}
@@ -27,24 +27,27 @@
 	return false
 }
 
-// inodeOf returns the inode of the TCP socket with a local port on a loopback address, "" if there is
-// none.
-func inodeOf(port int) string {
+// inodeOf returns the inode of the TCP socket with a local and a remote port, "" if there is none.
+func inodeOf(local, remote int) string {
 	table, err := os.ReadFile("/proc/self/net/tcp")
 	if err != nil {
 		return ""
 	}
 	for line := range strings.Lines(string(table)) {
 		fields := strings.Fields(line)
-		if len(fields) < 10 {
-			continue
-		}
-		_, digits, _ := strings.Cut(fields[1], ":")
-		local, err := strconv.ParseInt(digits, 16, 32)
-		// The other end of the same connection has the port as its remote one.
-		if err == nil && int(local) == port && fields[9] != "0" {
+		if len(fields) >= 10 && portOf(fields[1]) == local && portOf(fields[2]) == remote && fields[9] != "0" {
 			return fields[9]
 		}
 	}
 	return ""
 }
+
+// portOf returns the port of an address as in the kernel's table of connections, -1 if there is none.
+func portOf(address string) int {
+	_, digits, _ := strings.Cut(address, ":")
+	port, err := strconv.ParseInt(digits, 16, 32)
+	if err != nil {
+		return -1
+	}
+	return int(port)
+}
--- a/review/rig/cloud.go
+++ b/review/rig/cloud.go
@@ -107,7 +107,8 @@
 			}
 		}
 	}
-	c.rig.Record.Add("cloud: rent %d %s in %s, spot %v: %v", request.Count, request.Build, request.Site, request.Loaner, names)
+	c.rig.Record.Add("cloud: rent %d %s in %s, spot %v: %v",
+		request.Count, request.Build, request.Site, request.Loaner, names)
 	if len(names) == 0 {
 		answer(w, http.StatusServiceUnavailable, map[string]string{"error": "no capacity"})
 		return
--- a/review/rig/proxy.go
+++ b/review/rig/proxy.go
@@ -12,8 +12,8 @@
 	Address  string
 	target   string
 	listener net.Listener
-	// passes, if set, reports whether a connection from a local port is passed on during a cut.
-	passes func(port int) bool
+	// passes, if set, reports whether a connection is passed on during a cut, given its two ports.
+	passes func(caller, port int) bool
 
 	mu  sync.Mutex
 	cut bool
@@ -119,8 +119,9 @@
 
 func (p *Proxy) pass(client net.Conn) {
 	wait := p.wait
-	address, ok := client.RemoteAddr().(*net.TCPAddr)
-	if ok && p.passes != nil && p.isCut() && p.passes(address.Port) {
+	caller, isTCP := client.RemoteAddr().(*net.TCPAddr)
+	own, ok := client.LocalAddr().(*net.TCPAddr)
+	if isTCP && ok && p.passes != nil && p.isCut() && p.passes(caller.Port, own.Port) {
 		wait = func() {}
 	}
 	if !p.keep(client) {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -90,8 +90,14 @@
 			{1, "mombasa-road"},
 			{1, "westlands"},
 		},
+		Capacity: []Capacity{
+			{Machine{0, "westlands"}, 17},
+			{Machine{1, "mombasa-road"}, 4},
+			{Machine{1, "westlands"}, 6},
+		},
+		Boot:  22 * time.Second,
 		Cores: 0.48, MemoryMB: 342, FdLimit: 3000,
-		LogLevel: "info", Limit: 110 * time.Second, ClientTTL: 5 * time.Second,
+		LogLevel: "info", Limit: 119 * time.Second, ClientTTL: 5 * time.Second,
 	}
 }
 
@@ -119,7 +125,7 @@
 			},
 		},
 		Cores: 0.24, MemoryMB: 234, FdLimit: 3000, Boot: 2 * time.Second,
-		LogLevel: "info", Limit: 118 * time.Second, ClientTTL: 5 * time.Second,
+		LogLevel: "info", Limit: 119 * time.Second, ClientTTL: 5 * time.Second,
 	}
 	for i, count := range []int{6, 5, 3} { // piccola, by zone; one grossa in each
 		options.Capacity = append(options.Capacity,
@@ -382,10 +388,10 @@
 	return r.cutZone != "" && (from == r.cutZone) != (to == r.cutZone)
 }
 
-// callsFromZone reports whether the process that calls from a local port is a controller of a zone.
-func (r *Rig) callsFromZone(port int, zone string) bool {
+// callsFromZone reports whether the process that calls a port from another one is a controller of a zone.
+func (r *Rig) callsFromZone(caller, port int, zone string) bool {
 	for _, node := range r.Nodes {
-		if node.Zone == zone && hasSocket(node.command.Process.Pid, port) {
+		if node.Zone == zone && hasSocket(node.command.Process.Pid, caller, port) {
 			return true
 		}
 	}
@@ -549,6 +555,18 @@
 	return at, ok
 }
 
+// GangBegan returns when the first attempt of a gang began to run, and whether one did.
+func (r *Rig) GangBegan(uid string) (first time.Time, began bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for key, at := range r.begun {
+		if strings.HasPrefix(key, uid+"#") && (!began || at.Before(first)) {
+			first, began = at, true
+		}
+	}
+	return first, began
+}
+
 // Logs adds the last lines of a controller's log that hold one of the words to the record.
 func (r *Rig) Logs(words ...string) {
 	for _, node := range r.Nodes {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -39,6 +39,7 @@
 	tasks      map[string]*task
 	images     map[string]bool
 	pulling    map[string]time.Time // when the pull of an image ends
+	pullRate   float64              // as a share of the rate in the catalogue
 	node       int                  // index of the controller that it reports to
 	owner      string               // the controller that last answered 200
 	inFlight   bool
@@ -89,7 +90,7 @@
 func newWorker(rig *Rig, name string, machineType MachineType, zone string) (*Worker, error) {
 	w := &Worker{
 		Name: name, rig: rig, machineType: machineType, zone: zone,
-		tenure: 1, tasks: map[string]*task{}, images: map[string]bool{}, pulling: map[string]time.Time{},
+		tenure: 1, tasks: map[string]*task{}, images: map[string]bool{}, pulling: map[string]time.Time{}, pullRate: 1,
 		answeredAt: time.Now(), node: rand.IntN(len(rig.Nodes)),
 	}
 	w.resumed = sync.NewCond(&w.mu)
@@ -102,7 +103,7 @@
 		return nil, err
 	}
 	w.endpoint = w.proxy.Address
-	w.proxy.passes = func(port int) bool { return w.rig.callsFromZone(port, zone) }
+	w.proxy.passes = func(caller, port int) bool { return w.rig.callsFromZone(caller, port, zone) }
 	go w.loop()
 	return w, nil
 }
@@ -130,6 +131,20 @@
 	w.mu.Unlock()
 }
 
+// PullRate sets the rate at which the machine fetches images, as a share of that in the catalogue.
+func (w *Worker) PullRate(share float64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.pullRate = share
+}
+
+// HasImage reports whether the machine has an image.
+func (w *Worker) HasImage(image string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.images[image]
+}
+
 // Stop ends the machine with all that is on it.
 func (w *Worker) Stop() {
 	w.mu.Lock()
@@ -207,7 +222,7 @@
 			w.rig.noteEnd(w.Name, t, "killed")
 		}
 	}
-	w.tasks = map[string]*task{}
+	w.tasks, w.pulling = map[string]*task{}, map[string]time.Time{}
 }
 
 // onMachine reports whether the task is on its machine in the sense of the rules.
@@ -219,6 +234,7 @@
 func (w *Worker) begin(t *task) {
 	job, _ := w.rig.jobOf(t.piece)
 	w.images[text(job.Spec["bundle"])] = true
+	delete(w.pulling, text(job.Spec["bundle"]))
 	w.rig.noteStart(Start{w.Name, t.piece, t.try, time.Now()})
 	w.set(t, "running")
 	if w.sick {
@@ -253,8 +269,27 @@
 	if t.onMachine() {
 		w.rig.noteEnd(w.Name, t, cause)
 	}
+	pulled := t.status == "pulling"
 	t.cause = cause
 	w.set(t, "ended")
+	if pulled {
+		w.giveUpPull(t)
+	}
+}
+
+// giveUpPull gives up the pull of an image that no task waits for any more.
+func (w *Worker) giveUpPull(ended *task) {
+	job, _ := w.rig.jobOf(ended.piece)
+	image := text(job.Spec["bundle"])
+	for _, t := range w.tasks {
+		if other, _ := w.rig.jobOf(t.piece); t.status == "pulling" && text(other.Spec["bundle"]) == image {
+			return
+		}
+	}
+	if _, ok := w.pulling[image]; ok {
+		w.rig.Record.Add("%s: fetch of %s given up", w.Name, image)
+		delete(w.pulling, image)
+	}
 }
 
 // body returns the next report. The caller holds the lock.
@@ -437,7 +472,7 @@
 	}
 	ready, ok := w.pulling[image]
 	if !ok {
-		ready = time.Now().Add(seconds(gb / w.machineType.PullGBPerS))
+		ready = time.Now().Add(seconds(gb / (w.machineType.PullGBPerS * w.pullRate)))
 		w.pulling[image] = ready
 	}
 	return ready
