--- a/review/4/main.go
+++ b/review/4/main.go
@@ -52,7 +52,7 @@
 	}
 	time.Sleep(fetching)
 	if os.Getenv("TROUBLE") != "0" {
-		if status, _ := r.User(user, http.MethodPost, "/work/"+cancelledID+"/abort", nil); status != http.StatusOK {
+		if status, _ := r.User(user, http.MethodPost, rig.AbortPath(cancelledID), nil); status != http.StatusOK {
 			return 2
 		}
 	}
@@ -84,7 +84,7 @@
 // awaitDone waits until the user is told that the image's first job is done.
 func awaitDone(r *rig.Rig, user *rig.Node) bool {
 	for range 20 {
-		if _, body := r.User(user, http.MethodGet, "/work/"+warmID, nil); rig.StatusOf(body) == "done" {
+		if _, body := r.User(user, http.MethodGet, rig.JobPath(warmID), nil); rig.StatusOf(body) == "done" {
 			return true
 		}
 		time.Sleep(200 * time.Millisecond)
@@ -102,7 +102,7 @@
 			return 0
 		}
 	}
-	_, body := r.User(user, http.MethodGet, "/work/"+gangID, nil)
+	_, body := r.User(user, http.MethodGet, rig.JobPath(gangID), nil)
 	if strings.Contains(string(body), "cancelled") {
 		return 2
 	}
--- a/review/5/main.go
+++ b/review/5/main.go
@@ -50,12 +50,12 @@
 	}
 	for time.Since(over) < waiting+time.Second {
 		time.Sleep(3 * time.Second)
-		_, body := r.User(user, http.MethodGet, "/work/"+jobID, nil)
+		_, body := r.User(user, http.MethodGet, rig.JobPath(jobID), nil)
 		if rig.StatusOf(body) == "done" {
 			r.Record.Add("the rule held")
 			return 0
 		}
-		r.User(user, http.MethodGet, "/work/"+controlID, nil)
+		r.User(user, http.MethodGet, rig.JobPath(controlID), nil)
 	}
 	return judge(r, machine, over)
 }
@@ -74,7 +74,7 @@
 // room. That it fits and has room is what the control job shows, which ran on it to its end and was the
 // only other work there beside the service.
 func judge(r *rig.Rig, machine string, over time.Time) int {
-	_, body := r.User(r.Nodes[0], http.MethodGet, "/work/"+controlID, nil)
+	_, body := r.User(r.Nodes[0], http.MethodGet, rig.JobPath(controlID), nil)
 	if rig.StatusOf(body) != "done" || r.WorkerNamed(machine) == nil {
 		r.Record.Add("the control job didn't run, or the machine was returned")
 		return 2
--- a/review/rig/http.go
+++ b/review/rig/http.go
@@ -10,6 +10,15 @@
 	"time"
 )
 
+// jobsPath is the protocol's path of submissions.
+const jobsPath = "/work"
+
+// JobPath returns the protocol's path of questions about a job.
+func JobPath(uid string) string { return jobsPath + "/" + uid }
+
+// AbortPath returns the protocol's path of cancellations of a job.
+func AbortPath(uid string) string { return JobPath(uid) + "/abort" }
+
 // serve serves HTTP on a free loopback port and returns the address.
 func serve(handler http.Handler) (string, *http.Server, error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -464,7 +464,7 @@
 	r.jobs[uid] = &job
 	r.mu.Unlock()
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(time.Second) {
-		status, body := r.User(node, http.MethodPost, "/work", job.Spec)
+		status, body := r.User(node, http.MethodPost, jobsPath, job.Spec)
 		if status == http.StatusCreated || status == http.StatusOK {
 			return true
 		}
