Simulated messages arrive once more after they were carried out and answered

The simulation knew delayed, lost and held messages, but no copy of a command that had been carried out and answered. It now copies a share of the messages of each kind: commands to agents, heartbeats, changes of the store, rentals and deletions, submissions and cancellations, gossip (verb "copies", kinds in simulation.RequestKinds). Draws come from a source of their own, so other scenarios keep their course.

--- a/internal/scenario/expectations_services_test.go
+++ b/internal/scenario/expectations_services_test.go
@@ -1,10 +1,13 @@
 package scenario
 
+import "github.com/harrierreel/harrierreel/internal/simulation"
+
 // serviceExpectations are about the state service and delayed requests.
 var serviceExpectations = map[string]expectFunc{
 	"late-done":   (*script).expectLateDone,
 	"unheard":     (*script).expectUnheard,
 	"late-copies": (*script).expectLateCopies,
+	"copies":      (*script).expectCopies,
 	"beyond":      (*script).expectBeyond,
 	"poisoned":    (*script).expectPoisoned,
 	"keys":        (*script).expectKeys,
@@ -35,6 +38,14 @@
 	}
 }
 
+// expectCopies checks "expect copies KIND MIN": messages of a kind that arrived once more (verb "copies").
+func (s *script) expectCopies(args []string) {
+	s.t.Helper()
+	if got := s.sim.CopiesArrived[simulation.RequestKind(args[1])]; got < int(s.number(args[2])) {
+		s.fatal("%d copies of %s arrived, fewer than %s", got, args[1], args[2])
+	}
+}
+
 // expectBeyond checks "expect beyond MAX": requests that the state service refused because of its
 // rate limits.
 func (s *script) expectBeyond(args []string) {
--- a/internal/scenario/verbs_services_test.go
+++ b/internal/scenario/verbs_services_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -11,6 +12,7 @@
 var serviceVerbs = map[string]verbFunc{
 	"late-writes":  withName("late-writes", (*script).delayVerb),
 	"late-reports": withName("late-reports", (*script).delayVerb),
+	"copies":       (*script).verbCopies,
 	"state":        (*script).verbState,
 	"links":        (*script).verbLinks,
 	"slow":         (*script).verbSlow,
@@ -23,6 +25,31 @@
 	"plant":        (*script).verbPlant,
 }
 
+// verbCopies executes "copies KIND|all SHARE EARLIEST LONGEST COUNT SECONDS": for SECONDS, that share of the
+// messages of a kind (simulation.RequestKinds) arrives COUNT times more, EARLIEST to LONGEST seconds after
+// it was carried out and answered.
+func (s *script) verbCopies(args []string) {
+	seconds := func(arg string) time.Duration { return time.Duration(s.number(arg) * float64(time.Second)) }
+	copies := simulation.RequestCopies{
+		Share:    s.number(args[1]),
+		Earliest: seconds(args[2]),
+		Longest:  seconds(args[3]),
+		Count:    int(s.number(args[4])),
+		For:      seconds(args[5]),
+	}
+	kinds := simulation.RequestKinds()
+	if args[0] != "all" {
+		kind := simulation.RequestKind(args[0])
+		if !slices.Contains(kinds, kind) {
+			s.fatal("unknown kind of messages %q", args[0])
+		}
+		kinds = []simulation.RequestKind{kind}
+	}
+	for _, kind := range kinds {
+		s.sim.CopyRequests(kind, copies)
+	}
+}
+
 // verbState executes "state down|up".
 func (s *script) verbState(args []string) {
 	s.sim.Store.SetDown(args[0] == "down")
--- a/internal/simulation/agent.go
+++ b/internal/simulation/agent.go
@@ -278,12 +278,15 @@
 		sim.failReport(done)
 		return
 	}
-	sim.call(machine, r.node, 4*time.Second, sim.maybeDelay("beat", func(answer func(int, []byte)) {
+	serve := sim.withCopies(Heartbeats, func(answer func(int, []byte)) {
 		sim.Nodes[r.node].request("POST", "/agent/beat", r.body, func(status int, b []byte) {
-			r.answerSentAt = sim.Now
+			if r.answerSentAt.IsZero() { // a copy's answer is dropped
+				r.answerSentAt = sim.Now
+			}
 			answer(status, b)
 		})
-	}), done)
+	})
+	sim.call(machine, r.node, 4*time.Second, sim.maybeDelay("beat", serve), done)
 	sim.maybeReplay(r.node, r.body)
 }
 
@@ -374,7 +377,7 @@
 			}
 			serve()
 		}
-		sim.call(from+":cmd", id, timeout, sim.maybeDelay("cmd", deliver), done)
+		sim.call(from+":cmd", id, timeout, sim.maybeDelay("cmd", sim.withCopies(AgentCommands, deliver)), done)
 	}
 }
 
--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -133,7 +133,7 @@
 			answer(status, b)
 		}
 		if method == "POST" {
-			serve = c.sim.maybeDelay("rent", serve)
+			serve = c.sim.maybeDelay("rent", c.sim.withCopies(CloudChanges, serve))
 		}
 		if method == "POST" && target == "/hosts" {
 			serve, done = c.sim.observeRent(serve, done)
--- a/internal/simulation/node.go
+++ b/internal/simulation/node.go
@@ -220,7 +220,11 @@
 			sim.packet(peer, node.Name, func() { node.peerDisconnected(peer) }) // refused
 			return
 		}
-		p.whenRunning(func() { p.receiveGossip(line) })
+		receive := func() { p.whenRunning(func() { p.receiveGossip(line) }) }
+		if sim.copied(GossipLines) {
+			sim.scheduleCopies(GossipLines, receive)
+		}
+		receive()
 	})
 }
 
--- a/internal/simulation/simulator.go
+++ b/internal/simulation/simulator.go
@@ -24,6 +24,7 @@
 	RNG       *rand.Rand
 	gossipRNG *rand.Rand
 	linkRNG   *rand.Rand
+	copyRNG   *rand.Rand
 	Links     Links
 	Log       *slog.Logger
 
@@ -48,6 +49,8 @@
 	lateWrites, lostAnswers, lateReports        faultRate
 	heldReports                                 heldReports
 	ReplayedReports, LateWritesDone, LostWrites int
+	copyFaults                                  map[RequestKind]copyFault
+	CopiesArrived                               map[RequestKind]int // copies of requests that have arrived, by kind
 	leaderEvents                                leaderEvents
 	// unreachable holds the machines that can't reach any controller.
 	unreachable     map[string]bool
@@ -164,6 +167,9 @@
 		RNG:           rand.New(rand.NewPCG(seed, 1)),
 		gossipRNG:     rand.New(rand.NewPCG(seed, 2)),
 		linkRNG:       rand.New(rand.NewPCG(seed, 3)),
+		copyRNG:       rand.New(rand.NewPCG(seed, 4)),
+		copyFaults:    map[RequestKind]copyFault{},
+		CopiesArrived: map[RequestKind]int{},
 		Polls:         &PollCounts{},
 		replacements:  newReplacementWatch(),
 		Log:           log,
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -213,6 +213,9 @@
 			return
 		}
 		serve := func(answer func(int, []byte)) { s.serve(from, method, target, body, answer) }
+		if method != "GET" {
+			serve = s.sim.withCopies(StoreChanges, serve)
+		}
 		if target == "/multi" {
 			serve = s.sim.maybeDelay("state", serve)
 		}
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -32,12 +32,18 @@
 	requested := sim.Now
 	sim.Nodes[name].requests++
 	counted := sim.countPoll(name, method)
-	sim.call("user", name, 5*time.Second, func(answer func(int, []byte)) {
+	serve := func(answer func(int, []byte)) {
 		sim.Nodes[name].request(method, target, body, func(status int, b []byte) {
-			sent = sim.Now
+			if sent.IsZero() { // a copy's answer is dropped
+				sent = sim.Now
+			}
 			answer(status, b)
 		})
-	}, func(status int, b []byte, err error) {
+	}
+	if method == "POST" {
+		serve = sim.withCopies(UserChanges, serve)
+	}
+	sim.call("user", name, 5*time.Second, serve, func(status int, b []byte, err error) {
 		sim.answerSentAt, sim.requestSentAt = sent, requested
 		if err == nil {
 			counted(status)
