Agents forget an attempt only under a token above that of its launch

Cause: a command that was carried out and answered may arrive once more, and is carried out if token and session still match. A copy of a launch did nothing as long as its agent knew the attempt; the owner let the agent forget it under the very token of the launch. The token rose only after an unanswered command.

Now Session.fence raises the token before commands that make the agent forget anything, if a launch may have been sent under the current one. A late copy is refused by the time the attempt is forgotten. It stands where both direct commands and replies are encoded. The session stays known, since no command under the former token is unanswered then; while one is, nothing is forgotten, so a start under way is neither refused nor sent twice. A session that is dropped and started anew under the same view begins above all tokens issued before.

--- a/internal/agent/session.go
+++ b/internal/agent/session.go
@@ -27,7 +27,7 @@
 
 // Session is the state that a machine's owner keeps about the machine's agent. Its fencing token
 // never decreases. After each increase the session is Unseen until a heartbeat carries the new
-// token.
+// token, except after one for commands that make the agent forget attempts (see fence.go).
 type Session struct {
 	// The machine, as its newest heartbeat describes it.
 	Machine     string
@@ -59,9 +59,11 @@
 	FailedCalls      int  // consecutive direct commands without an answer
 	Connected        bool // the agent has answered a direct command, so the machine existed under this owner
 
-	// launched holds, by task, the attempts whose launch was sent under the current token. An
-	// attempt that a later heartbeat does not list was on the machine and has gone.
+	// launched holds, by task, the attempts whose launch was sent since the session last restarted.
+	// An attempt that a later heartbeat does not list was on the machine and has gone.
 	launched map[string]sentLaunch
+	// launchedUnderToken is set if a launch may have been sent under the current token.
+	launchedUnderToken bool
 	// missing holds, by task, the attempts that were recorded on the machine but not listed by the
 	// heartbeat with which it became known. They have ended.
 	missing map[string]uint64
@@ -73,15 +75,17 @@
 	pending bool // the command has not been answered yet
 }
 
-// NewSession starts a session with a machine's agent under a view's epoch.
-func NewSession(machine string, epoch uint64, now time.Time) *Session {
+// NewSession starts a session with a machine's agent under a view's epoch. No former session with the
+// machine may have used the counter, or a higher one, in that epoch; an exhausted counter is the exception.
+func NewSession(machine string, epoch, counter uint64, now time.Time) *Session {
 	s := &Session{
 		Machine:       machine,
 		Tasks:         map[string][]TaskStatus{},
 		LastStatus:    now,
 		LastHeartbeat: now,
 	}
-	s.restart(epoch, 0)
+	s.restart(epoch, min(counter, FencingTokenSpan-1))
+	s.launchedUnderToken = counter >= FencingTokenSpan
 	return s
 }
 
@@ -92,6 +96,9 @@
 // token before its heartbeats are authoritative again. No other function takes a session out of
 // state Known.
 func (s *Session) restart(epoch, counter uint64) {
+	if epoch != s.Epoch || counter != s.Counter {
+		s.launchedUnderToken = false
+	}
 	s.Epoch, s.Counter = epoch, counter
 	s.State = Unseen
 	s.launched = map[string]sentLaunch{}
@@ -194,6 +201,7 @@
 	for _, command := range commands {
 		if command.Verb == Launch {
 			s.launched[command.TaskID] = sentLaunch{attempt: command.Attempt, pending: true}
+			s.launchedUnderToken = true
 		}
 	}
 }
--- a/internal/shard/commands.go
+++ b/internal/shard/commands.go
@@ -56,10 +56,11 @@
 
 // call sends a direct command.
 func (s *Shard) call(session *agent.Session, commands []agent.Command) {
+	body := session.EncodeDirect(commands)
 	fencingToken, agentEpoch := session.FencingToken(), max(session.AgentEpoch, 1)
-	body := agent.EncodeCommands(fencingToken, agentEpoch, commands)
 	session.CommandSent(commands, s.state.Now)
 	permit := s.beginLaunch(session.Machine, commands)
+	s.logCommands("command sent", session, commands)
 	s.calls++
 	callEnded := s.countCall(session)
 	done := func(status int, answer []byte, err error) {
@@ -111,6 +112,14 @@
 		s.accept(session, &heartbeat)
 		return
 	}
+	s.config.Log.Debug(
+		"command refused",
+		"machine", session.Machine,
+		"fencing_token", session.FencingToken(),
+		"agent_epoch", agentEpoch,
+		"agent_fencing_token", heartbeat.FencingToken,
+		"agent_epoch_shown", heartbeat.AgentEpoch,
+	)
 	session.CommandRefused()
 	s.accept(session, &heartbeat)
 	if heartbeat.AgentEpoch != agentEpoch {
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -100,7 +100,7 @@
 		return []decide.Decision{{Writes: []store.Write{write}}}
 	}
 	if s.state.Now.Sub(session.LastStatus) > tuning.ForgetSession {
-		delete(s.sessions, session.Machine)
+		s.dropSession(session.Machine)
 	}
 	return nil
 }
--- a/internal/shard/heartbeat.go
+++ b/internal/shard/heartbeat.go
@@ -73,10 +73,9 @@
 		return
 	}
 	commands := limitCommands(s.prependStops(&heartbeat, s.repeatableCommands(session, &heartbeat)))
-	respond(http1.Reply{Status: statusOK, Body: jobs.Encode(struct {
-		FencingToken uint64          `json:"baton"`
-		Commands     []agent.Command `json:"orders"`
-	}{session.FencingToken(), commands})})
+	reply := session.EncodeReply(commands)
+	s.logCommands("heartbeat answered with commands", session, commands)
+	respond(http1.Reply{Status: statusOK, Body: reply})
 }
 
 // ownerOf returns the controller that owns a machine: by its record if there is one, otherwise by
--- a/internal/shard/review.go
+++ b/internal/shard/review.go
@@ -110,6 +110,9 @@
 	difference, action := reconcile.OfReported(status.Status, recorded, writing)
 	if !recorded {
 		count(session.Machine, difference, action)
+		if action == reconcile.Stop {
+			s.logUnrecordedAttempt(session, status)
+		}
 	}
 	switch action {
 	case reconcile.Forget:
--- a/internal/shard/sessions.go
+++ b/internal/shard/sessions.go
@@ -14,12 +14,21 @@
 		if len(s.sessions) >= tuning.MaxSessions {
 			return nil
 		}
-		session = agent.NewSession(machine, s.view.Epoch(), s.state.Now)
+		session = agent.NewSession(machine, s.view.Epoch(), s.nextCounter, s.state.Now)
 		s.sessions[machine] = session
 	}
 	return session
 }
 
+// dropSession forgets the session of a machine. One that is started again under the same view uses none of
+// the fencing tokens that were issued before: commands under them may still arrive.
+func (s *Shard) dropSession(machine string) {
+	if session := s.sessions[machine]; session != nil {
+		s.nextCounter = max(s.nextCounter, session.Counter+1)
+		delete(s.sessions, machine)
+	}
+}
+
 // ensureSession ensures that a machine of this shard has a session.
 func (s *Shard) ensureSession(machine *clusterstate.Machine) {
 	session := s.sessionOf(machine.Name)
--- a/internal/shard/shard.go
+++ b/internal/shard/shard.go
@@ -34,7 +34,9 @@
 	Reconciling *reconcile.Tracker
 
 	sessions map[string]*agent.Session // by machine
-	health   map[string]*fleet.Health  // by machine
+	// nextCounter is higher than the counter of each session that was dropped in epoch counterEpoch.
+	nextCounter, counterEpoch uint64
+	health                    map[string]*fleet.Health // by machine
 
 	newestHeartbeats  map[string]heartbeatVersion // by machine, the newest that this controller received
 	foreignHeartbeats map[string]foreignHeartbeat // by machine, the last one that may be outdated
@@ -115,6 +117,9 @@
 // sessions of machines that another controller now owns.
 func (s *Shard) ApplyView() {
 	clear(s.foreignHeartbeats)
+	if epoch := s.view.Epoch(); epoch > s.counterEpoch {
+		s.nextCounter, s.counterEpoch = 0, epoch
+	}
 	for machine, session := range s.sessions {
 		if s.view.OwnerOf(machine) != s.config.Name {
 			delete(s.sessions, machine)
@@ -147,6 +152,6 @@
 	delete(s.health, machine)
 	delete(s.newestHeartbeats, machine)
 	delete(s.foreignHeartbeats, machine)
-	delete(s.sessions, machine)
+	s.dropSession(machine)
 	s.Reconciling.Remove(machine)
 }
