A job found changed stays known at the next conflict of launch verification

recordChanged forgot an earlier changed job at the next conflict, though the mirror did not show its change yet: while the watch lagged, two jobs that changed one after the other could hold back the verification of others' launches by turns. By reading, not seen; launches wait, no rule is touched. Now only changes that the mirror shows are forgotten.

--- a/internal/controller/launch_verification.go
+++ b/internal/controller/launch_verification.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,8 +17,10 @@
 // One transaction without writes compares the records of several jobs.
 type launchVerification struct {
 	inFlight bool
-	sentAt   time.Time         // of the last transaction
-	changed  map[string]uint64 // by job, the revision at which its record was found to have changed
+	sentAt   time.Time // of the last transaction
+	// changed holds, by key of a job's record, the revision that the record no longer has, while the mirror
+	// still shows it.
+	changed map[string]uint64
 
 	waitingSince time.Time // zero if no launch waits
 	logged       bool      // that launches are suspended
@@ -45,7 +48,7 @@
 		case err == nil:
 			c.jobsVerified(txn.Preconditions, sentAt)
 		case errors.Is(err, store.ErrConflict):
-			v.recordChanged(txn.Preconditions, failed)
+			v.recordChanged(txn.Preconditions, failed, c.mirror.Revision)
 		}
 		c.shard.ResumeLaunches()
 		c.wake()
@@ -76,10 +79,15 @@
 	return jobIDs[:min(len(jobIDs), tuning.MaxVerifiedJobs)]
 }
 
-// recordChanged records which of the compared records have changed. What the mirror has shown since
-// is forgotten.
-func (v *launchVerification) recordChanged(compared []store.Precondition, failed []string) {
-	v.changed = map[string]uint64{}
+// recordChanged records which of the compared records have changed. A change that the mirror has shown since
+// is forgotten; mirrored returns the revision that the mirror shows of a key.
+func (v *launchVerification) recordChanged(
+	compared []store.Precondition, failed []string, mirrored func(key string) uint64,
+) {
+	if v.changed == nil {
+		v.changed = map[string]uint64{}
+	}
+	maps.DeleteFunc(v.changed, func(key string, revision uint64) bool { return mirrored(key) != revision })
 	for _, precondition := range compared {
 		if slices.Contains(failed, precondition.Key) {
 			v.changed[precondition.Key] = precondition.Revision
