--- a/internal/decide/replay.go
+++ b/internal/decide/replay.go
@@ -17,7 +17,7 @@
 
 // ReplayGuard is the key that makes copies of transactions fail, as this controller knows it.
 type ReplayGuard struct {
-	// Key changes at least every few seconds while a leader acts. It is empty without a guard.
+	// Key changes regularly while a leader acts, and is never removed. It is empty without a guard.
 	Key string
 	// ChangedRevision is the last known revision of the guard or of the view, whichever is higher.
 	ChangedRevision uint64
